--- /dev/null
+++ b/amaranthcrank/__init__.py
@@ -0,0 +1,1 @@
+"""A router for servers that own keys exclusively."""
--- /dev/null
+++ b/amaranthcrank/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Third stage of a request: ranks, queues, limits and budgets."""
--- /dev/null
+++ b/amaranthcrank/answer/__init__.py
@@ -0,0 +1,1 @@
+"""Last stage of a request: from an outcome to an HTTP response."""
--- /dev/null
+++ b/amaranthcrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool amaranthcrank."""
--- /dev/null
+++ b/amaranthcrank/core/__init__.py
@@ -0,0 +1,1 @@
+"""Data, hashing and result codes that every stage shares."""
--- /dev/null
+++ b/amaranthcrank/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon amaranthcrankd."""
--- /dev/null
+++ b/amaranthcrank/grant/__init__.py
@@ -0,0 +1,1 @@
+"""Fourth control stage: standing, adoption and grants."""
--- /dev/null
+++ b/amaranthcrank/observe/__init__.py
@@ -0,0 +1,1 @@
+"""First control stage: which hosts and upstreams are alive."""
--- /dev/null
+++ b/amaranthcrank/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between hosts."""
--- /dev/null
+++ b/amaranthcrank/plan/__init__.py
@@ -0,0 +1,1 @@
+"""Second control stage: which target owns which slot."""
--- /dev/null
+++ b/amaranthcrank/publish/__init__.py
@@ -0,0 +1,1 @@
+"""Last control stage: what the system reports."""
--- /dev/null
+++ b/amaranthcrank/record/__init__.py
@@ -0,0 +1,1 @@
+"""Third control stage: what the store holds."""
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decision modules against simple oracles."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the store, upstreams and callers."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, measurements and capacity figures."""
