Add grants, cell records, slot plans and settlement

The record gains planned_ticket, because hosts at one version that follow different tickets would map a pinned key to two slots. A slot that moves twice before the first move is effective names no previous owner: a release of the last owner says nothing of the one before. Releases are asked for only at an exclusive version: an upstream that restarts after an earlier release has forgotten it.

--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -181,6 +181,20 @@
     'The dispatching host did not answer in time.',
 )
 
+BAD_RECORD = Code(
+    720, 'BAD_RECORD', 0, NOT_APPLICABLE, 'The cell record is not valid.'
+)
+CHANGE_PENDING = Code(
+    721,
+    'CHANGE_PENDING',
+    0,
+    NOT_APPLICABLE,
+    'An earlier change of the attesters is not in force yet.',
+)
+TOO_MANY_HOSTS = Code(
+    722, 'TOO_MANY_HOSTS', 0, NOT_APPLICABLE, 'A cell has at most 12 hosts.'
+)
+
 CODES = tuple(
     value for value in list(globals().values()) if isinstance(value, Code)
 )
--- a/amaranthcrank/core/model.py
+++ b/amaranthcrank/core/model.py
@@ -122,6 +122,9 @@
         empty once that change is in force.
       settled_ticket: The cell holds no slot outside this ticket's ranges.
       assignment_by_slot: The owner of each slot.
+      planned_ticket: The ticket whose pins and ranges the assignments follow.
+        A host acts on the record only with this ticket or a later one, so
+        that two hosts at one version never map a key to two slots.
     """
 
     cell: str
@@ -131,6 +134,7 @@
     previous_attesters: tuple[str, ...]
     settled_ticket: int
     assignment_by_slot: dict[SlotId, Assignment]
+    planned_ticket: int = 0
 
 
 class Target(typing.NamedTuple):
--- a/amaranthcrank/grant/grants.py
+++ b/amaranthcrank/grant/grants.py
@@ -3,7 +3,11 @@
 import typing
 
 from amaranthcrank.core import model
+from amaranthcrank.record import cell_record
 
+NEVER = float('-inf')
+# One lost answer is common; two in a row cost 0.4 s of the 2 s limit.
+MISSES_UNTIL_DOWN = 2
 PROBE = 'probe'
 GRANT = 'grant'
 NOTHING = 'nothing'
@@ -22,7 +26,10 @@
       in_flight: How many requests it runs.
       misses: Time-outs since its last answer.
       asked_at: When the last probe or grant was sent.
-      restarted_at: When a new incarnation was first seen after another.
+      waiting: Whether its answer is still due.
+      offered: The slots of the last grant that was not refused.
+      retry: Whether the next step is due at once.
+      refused: Whether the last answer refused a grant.
     """
 
     target: str
@@ -34,7 +41,10 @@
     in_flight: int
     misses: int
     asked_at: float
-    restarted_at: float
+    waiting: bool
+    offered: tuple[tuple[str, int, int], ...] | None
+    retry: bool
+    refused: bool = False
 
 
 class Release(typing.NamedTuple):
@@ -64,13 +74,23 @@
 
 
 class Answer(typing.NamedTuple):
-    """The answer of a target to a probe, grant or release."""
+    """The answer of a target to a probe or grant.
+
+    Attributes:
+      incarnation: Its incarnation.
+      challenge: The challenge it has just issued.
+      version: The highest version it has seen.
+      draining: Whether it says that it is draining.
+      in_flight: How many requests it runs.
+      accepted: False if it refused a grant.
+    """
 
     incarnation: str
     challenge: str
     version: int
     draining: bool
     in_flight: int
+    accepted: bool = True
 
 
 class Step(typing.NamedTuple):
@@ -107,7 +127,20 @@
 
 def new_view(target: str) -> TargetView:
     """Make the view of a target that has not answered yet."""
-    raise NotImplementedError
+    return TargetView(
+        target=target,
+        incarnation='',
+        challenge='',
+        challenge_at=NEVER,
+        version=0,
+        draining=False,
+        in_flight=0,
+        misses=0,
+        asked_at=NEVER,
+        waiting=False,
+        offered=None,
+        retry=False,
+    )
 
 
 def grantable_slots(
@@ -127,7 +160,14 @@
     Returns:
       Service, slot and fence of each, sorted.
     """
-    raise NotImplementedError
+    slots = []
+    for slot_id, assignment in record.assignment_by_slot.items():
+        if assignment.target != target:
+            continue
+        if not _may_start(slot_id, assignment, effective, released_by_target):
+            continue
+        slots.append((slot_id.service, slot_id.slot, assignment.fence))
+    return tuple(sorted(slots))
 
 
 def due_releases(
@@ -147,9 +187,50 @@
       exclusive: standing.exclusive_version; nothing is due above it.
 
     Returns:
-      The due releases, by previous owner.
+      The due releases, by previous owner. Only owners that check fences may
+      be asked; for others the wait runs out.
     """
-    raise NotImplementedError
+    slots_by_owner: dict[str, list[model.SlotId]] = {}
+    for slot_id, assignment in record.assignment_by_slot.items():
+        if assignment.target != target or assignment.fence > exclusive:
+            continue
+        if assignment.previous_target == cell_record.UNRESOLVED:
+            continue
+        if _may_start(slot_id, assignment, effective, released_by_target):
+            continue
+        owner = assignment.previous_target
+        slots_by_owner.setdefault(owner, []).append(slot_id)
+    return tuple(
+        DueRelease(owner, record.version, tuple(sorted(slots)))
+        for owner, slots in sorted(slots_by_owner.items())
+    )
+
+
+def with_release(
+    released_by_target: dict[str, Release],
+    target: str,
+    version: int,
+    slots: tuple[model.SlotId, ...],
+) -> dict[str, Release]:
+    """Note that a target confirmed a release.
+
+    Args:
+      released_by_target: The releases confirmed so far.
+      target: The target that confirmed.
+      version: The version of the release that was asked for.
+      slots: The slots it released, without those that have work in flight.
+
+    Returns:
+      The new releases. A release at a higher version replaces the earlier
+      one, because the target may have been granted its slots in between.
+    """
+    old = released_by_target.get(target, Release(0, frozenset()))
+    if version < old.version:
+        return released_by_target
+    released = frozenset(slots)
+    if version == old.version:
+        released = released | old.slots
+    return {**released_by_target, target: Release(version, released)}
 
 
 def next_control_step(
@@ -173,19 +254,115 @@
     Returns:
       The step; the caller sends it at once and calls record_sent.
     """
-    raise NotImplementedError
+    if view.waiting:
+        return Step(NOTHING)
+    due = view.retry or now - view.asked_at >= model.RENEWAL_INTERVAL_S
+    may_grant = (
+        record is not None
+        and standing_until > now
+        and view.challenge != ''
+        and now - view.challenge_at < model.GRANT_LEASE_S
+        and record.version >= view.version
+    )
+    if not may_grant:
+        return Step(PROBE) if due else Step(NOTHING)
+    slots = grantable_slots(record, view.target, effective, released_by_target)
+    if not due and slots == view.offered:
+        return Step(NOTHING)
+    return Step(GRANT, view.incarnation, view.challenge, record.version, slots)
 
 
 def record_sent(view: TargetView, step: Step, now: float) -> TargetView:
-    """Note that a step was sent."""
-    raise NotImplementedError
+    """Note that a step was sent.
+
+    Args:
+      view: The view.
+      step: The step sent.
+      now: The monotonic time.
+
+    Returns:
+      The view; nothing more is sent until an answer or a miss is noted.
+    """
+    if step.kind == NOTHING:
+        return view
+    offered = step.slots if step.kind == GRANT else view.offered
+    return view._replace(
+        asked_at=now, waiting=True, offered=offered, retry=False
+    )
 
 
 def record_answer(view: TargetView, answer: Answer, now: float) -> Noted:
-    """Note an answer, also one that refused a grant (409)."""
-    raise NotImplementedError
+    """Note an answer, also one that refused a grant (409).
+
+    Args:
+      view: The view with the step noted as sent.
+      answer: The answer.
+      now: The monotonic time.
+
+    Returns:
+      The new view. A refusal or a new incarnation makes the next grant due
+      at once, because the answer brought the values it needs.
+    """
+    restarted = view.incarnation not in ('', answer.incarnation)
+    again = not answer.accepted or view.incarnation != answer.incarnation
+    # A refusal right after another one waits for the next interval, so that
+    # two hosts that both grant do not answer each other without a pause.
+    again = again and (not view.refused or restarted)
+    view = view._replace(
+        incarnation=answer.incarnation,
+        challenge=answer.challenge,
+        challenge_at=view.asked_at,
+        version=answer.version,
+        draining=answer.draining,
+        in_flight=answer.in_flight,
+        misses=0,
+        waiting=False,
+        offered=view.offered if answer.accepted else None,
+        retry=again,
+        refused=not answer.accepted,
+    )
+    return Noted(view, False, restarted)
 
 
 def record_miss(view: TargetView, now: float) -> Noted:
-    """Note a time-out or a broken connection."""
-    raise NotImplementedError
+    """Note a time-out or a broken connection.
+
+    Args:
+      view: The view with the step noted as sent.
+      now: The monotonic time.
+
+    Returns:
+      The new view; the target is down at two misses. After the first one the
+      next probe is due at once.
+    """
+    misses = view.misses + 1
+    view = view._replace(
+        misses=misses,
+        waiting=False,
+        offered=None,
+        retry=misses < MISSES_UNTIL_DOWN,
+    )
+    return Noted(view, misses >= MISSES_UNTIL_DOWN, False)
+
+
+def _may_start(
+    slot_id: model.SlotId,
+    assignment: model.Assignment,
+    effective: int,
+    released_by_target: dict[str, Release],
+) -> bool:
+    if assignment.fence <= effective:
+        return True
+    # An empty previous owner means that nobody in this cell held the slot:
+    # the cell is new, or it takes the slot from another cell, which dropped
+    # it, waited and raised settled_ticket before. with_assignments writes it
+    # only when the versions before this one were effective, so no older
+    # owner of this cell is left either.
+    if not assignment.previous_target:
+        return True
+    release = released_by_target.get(assignment.previous_target)
+    return (
+        release is not None
+        and release.version >= assignment.fence
+        and slot_id in release.slots
+    )
--- a/amaranthcrank/record/cell_record.py
+++ b/amaranthcrank/record/cell_record.py
@@ -1,34 +1,146 @@
 """Encode, check and advance cell records."""
 
+import json
+import typing
+
 from amaranthcrank.core import codes
+from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 
+MAX_HOSTS = 12
+# More attesters would add heartbeats and no useful tolerance: five allow two
+# to be lost at once.
 MAX_ATTESTERS = 5
 # Marks a slot whose earlier owners are not all known to have let go, so that
 # no release shortens the wait.
 UNRESOLVED = '*'
 
+Problems = tuple[codes.Problem, ...]
+
 
 def encode(record: model.CellRecord) -> bytes:
-    """Encode a record as compact JSON."""
-    raise NotImplementedError
+    """Encode a record as compact JSON.
+
+    Args:
+      record: The record.
 
+    Returns:
+      UTF-8 JSON; target names are listed once and slots refer to them.
+    """
+    names = {''}
+    for assignment in record.assignment_by_slot.values():
+        names.add(assignment.target)
+        names.add(assignment.previous_target)
+    targets = sorted(names)
+    index_by_target = {name: index for index, name in enumerate(targets)}
+    slots: dict[str, list[list[int]]] = {}
+    for slot_id in sorted(record.assignment_by_slot):
+        assignment = record.assignment_by_slot[slot_id]
+        slots.setdefault(slot_id.service, []).append(
+            [
+                slot_id.slot,
+                index_by_target[assignment.target],
+                assignment.fence,
+                index_by_target[assignment.previous_target],
+            ]
+        )
+    document = {
+        'cell': record.cell,
+        'version': record.version,
+        'hosts': record.hosts,
+        'attesters': record.attesters,
+        'previous_attesters': record.previous_attesters,
+        'settled_ticket': record.settled_ticket,
+        'planned_ticket': record.planned_ticket,
+        'targets': targets,
+        'slots': slots,
+    }
+    text = json.dumps(document, separators=(',', ':'), ensure_ascii=False)
+    return text.encode()
 
-def decode(
-    body: bytes,
-) -> tuple[model.CellRecord | None, tuple[codes.Problem, ...]]:
-    """Decode and check a record; None with problems if it is not valid."""
-    raise NotImplementedError
 
+def decode(body: bytes) -> tuple[model.CellRecord | None, Problems]:
+    """Decode and check a record.
+
+    Args:
+      body: What encode made.
+
+    Returns:
+      The record, or None with every problem found.
+    """
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return None, (_problem('record', f'not JSON: {error}'),)
+    if not isinstance(document, dict):
+        return None, (_problem('record', 'not an object'),)
+    problems = []
+    fields = {}
+    for name, check, accepted in _FIELDS:
+        value = document.get(name)
+        if not check(value):
+            problems.append(_problem(name, f'{value!r:.80} is not {accepted}'))
+        fields[name] = value
+    if problems:
+        return None, tuple(problems)
+    assignments, problems = _decode_slots(fields['slots'], fields['targets'])
+    if problems:
+        return None, tuple(problems)
+    record = model.CellRecord(
+        cell=fields['cell'],
+        version=fields['version'],
+        hosts=tuple(fields['hosts']),
+        attesters=tuple(fields['attesters']),
+        previous_attesters=tuple(fields['previous_attesters']),
+        settled_ticket=fields['settled_ticket'],
+        assignment_by_slot=assignments,
+        planned_ticket=fields['planned_ticket'],
+    )
+    found = validate(record)
+    return (None, found) if found else (record, ())
+
+
+def validate(record: model.CellRecord) -> Problems:
+    """Check a record.
+
+    Args:
+      record: A record with fields of the right types.
 
-def validate(record: model.CellRecord) -> tuple[codes.Problem, ...]:
-    """Collect every problem of a record."""
-    raise NotImplementedError
+    Returns:
+      Every problem found.
+    """
+    problems = []
+    if not record.cell:
+        problems.append(_problem('cell', 'empty'))
+    if record.version < 1:
+        problems.append(_problem('version', f'{record.version} is below 1'))
+    for name in ('hosts', 'attesters', 'previous_attesters'):
+        names = getattr(record, name)
+        if len(set(names)) != len(names) or '' in names:
+            problems.append(_problem(name, 'has empty or repeated names'))
+    if len(record.hosts) > MAX_HOSTS:
+        problems.append(_problem('hosts', f'{len(record.hosts)} hosts'))
+    if bool(record.hosts) != bool(record.attesters):
+        problems.append(_problem('attesters', 'hosts need attesters'))
+    for name in ('settled_ticket', 'planned_ticket'):
+        if getattr(record, name) < 0:
+            problems.append(_problem(name, 'below 0'))
+    for slot_id, assignment in record.assignment_by_slot.items():
+        place = f'slots.{slot_id.service}.{slot_id.slot}'
+        if slot_id.slot < 0 or not slot_id.service:
+            problems.append(_problem(place, 'not a slot'))
+        if not assignment.target or assignment.target == UNRESOLVED:
+            problems.append(_problem(place, 'has no target'))
+        if not 1 <= assignment.fence <= record.version:
+            problems.append(
+                _problem(place, f'fence {assignment.fence} is not a version')
+            )
+    return tuple(problems)
 
 
 def empty_record(cell: str, settled_ticket: int) -> model.CellRecord:
     """Make version 1 of a cell without hosts and slots."""
-    raise NotImplementedError
+    return first_record(cell, (), None, settled_ticket)
 
 
 def first_record(
@@ -37,43 +149,98 @@
     third_attester: str | None,
     settled_ticket: int,
 ) -> model.CellRecord:
-    """Make version 1 of a cell with hosts and without slots."""
-    raise NotImplementedError
+    """Make version 1 of a cell with hosts and without slots.
+
+    Args:
+      cell: The cell.
+      hosts: Its hosts, at most 12.
+      third_attester: The cell's attester in the ticket, None if none.
+      settled_ticket: The newest ticket: an empty cell holds no slot that
+        the ticket does not give it.
+
+    Returns:
+      The record, to be created only if absent.
+    """
+    return model.CellRecord(
+        cell=cell,
+        version=1,
+        hosts=hosts,
+        attesters=attesters_of(cell, hosts, third_attester),
+        previous_attesters=(),
+        settled_ticket=settled_ticket,
+        assignment_by_slot={},
+        planned_ticket=settled_ticket,
+    )
 
 
 def attesters_of(
     cell: str, hosts: tuple[str, ...], third_attester: str | None
 ) -> tuple[str, ...]:
-    """Return the attesters of a list of hosts."""
-    raise NotImplementedError
+    """Return the attesters of a list of hosts.
 
+    Args:
+      cell: The cell.
+      hosts: Its hosts.
+      third_attester: A nearby host of another cell, used with two hosts.
+
+    Returns:
+      All hosts up to five, five of them if there are more.
+    """
+    if len(hosts) > MAX_ATTESTERS:
+        return tuple(sorted(hashing.rendezvous(cell, hosts, MAX_ATTESTERS)))
+    if len(hosts) == 2 and third_attester and third_attester not in hosts:
+        return (*hosts, third_attester)
+    return hosts
 
-def with_targets(
+
+def with_assignments(
     record: model.CellRecord,
-    target_by_slot: dict[model.SlotId, str],
+    assignment_by_slot: dict[model.SlotId, model.Assignment],
     effective: int,
+    planned_ticket: int = 0,
     refence: frozenset[model.SlotId] = frozenset(),
 ) -> model.CellRecord:
     """Make the next version with these owners; slots not named are dropped.
 
     Args:
       record: The record held.
-      target_by_slot: The owner of each slot of the cell.
+      assignment_by_slot: The planned owners; only the targets count.
       effective: The effective version known to the writer.
-      refence: Slots that must wait even if their owner stays, because a key
-        comes back to them from a pin.
+      planned_ticket: The ticket that the plan follows.
+      refence: Slots that wait even if their owner stays, because other keys
+        map to them now (settlement.remapped_slots).
 
     Returns:
       The next version, or the same record if nothing changes.
     """
-    raise NotImplementedError
+    version = record.version + 1
+    planned = {}
+    for slot_id, assignment in assignment_by_slot.items():
+        old = record.assignment_by_slot.get(slot_id)
+        target = assignment.target
+        if old and old.target == target and slot_id not in refence:
+            planned[slot_id] = old
+            continue
+        previous = _previous_target(record, old, effective)
+        if slot_id in refence:
+            previous = UNRESOLVED
+        planned[slot_id] = model.Assignment(target, version, previous)
+    ticket = max(planned_ticket, record.planned_ticket)
+    if (
+        planned == record.assignment_by_slot
+        and ticket == record.planned_ticket
+    ):
+        return record
+    return record._replace(
+        version=version, assignment_by_slot=planned, planned_ticket=ticket
+    )
 
 
 def with_hosts(
     record: model.CellRecord,
     hosts: tuple[str, ...],
     third_attester: str | None,
-) -> tuple[model.CellRecord | None, tuple[codes.Problem, ...]]:
+) -> tuple[model.CellRecord | None, Problems]:
     """Make the next version with other hosts.
 
     Args:
@@ -82,18 +249,137 @@
       third_attester: The cell's attester in the ticket, None if none.
 
     Returns:
-      The next version; None and a problem while a change is pending.
+      The next version, or the same record if nothing changes; None and the
+      problems while a change is pending or with too many hosts.
     """
-    raise NotImplementedError
+    if len(hosts) > MAX_HOSTS:
+        detail = f'{len(hosts)} hosts'
+        return None, (codes.Problem(codes.TOO_MANY_HOSTS, 'hosts', detail),)
+    attesters = attesters_of(record.cell, hosts, third_attester)
+    if hosts == record.hosts and attesters == record.attesters:
+        return record, ()
+    if record.previous_attesters:
+        detail = f'version {record.version}'
+        return None, (codes.Problem(codes.CHANGE_PENDING, 'hosts', detail),)
+    changed = set(attesters) != set(record.attesters)
+    following = record._replace(
+        version=record.version + 1,
+        hosts=hosts,
+        attesters=attesters,
+        previous_attesters=record.attesters if changed else (),
+    )
+    return following, ()
 
 
 def with_change_finished(record: model.CellRecord) -> model.CellRecord:
-    """Make the next version in which the list change is in force."""
-    raise NotImplementedError
+    """Make the next version in which the list change is in force.
+
+    Args:
+      record: The record held, while standing.list_change_in_force is true.
+
+    Returns:
+      The next version, or the same record if no change is pending.
+    """
+    if not record.previous_attesters:
+        return record
+    return record._replace(version=record.version + 1, previous_attesters=())
 
 
 def with_settled_ticket(
     record: model.CellRecord, ticket: int
 ) -> model.CellRecord:
-    """Make the next version with a higher settled ticket."""
-    raise NotImplementedError
+    """Make the next version with a higher settled ticket.
+
+    Args:
+      record: The record held, while settlement allows it.
+      ticket: The ticket.
+
+    Returns:
+      The next version, or the same record if it is settled already.
+    """
+    if ticket <= record.settled_ticket:
+        return record
+    return record._replace(version=record.version + 1, settled_ticket=ticket)
+
+
+def _previous_target(
+    record: model.CellRecord,
+    old: model.Assignment | None,
+    effective: int,
+) -> str:
+    """Return whose release lets the new owner of a slot start early.
+
+    When a slot moves twice before the first move is effective, the owner
+    before the last one may still hold a grant, and the record names only one
+    previous owner. The same holds for a slot that was dropped and comes
+    back at once. Such a slot waits the whole time.
+    """
+    if old is not None:
+        return old.target if old.fence <= effective else UNRESOLVED
+    # Version 1 has no slots and follows no other version.
+    if record.version == 1 or record.version <= effective:
+        return ''
+    return UNRESOLVED
+
+
+def _decode_slots(
+    slots: dict[str, typing.Any], targets: list[str]
+) -> tuple[dict[model.SlotId, model.Assignment], list[codes.Problem]]:
+    assignments = {}
+    problems = []
+    for service, rows in slots.items():
+        if not isinstance(rows, list):
+            problems.append(_problem(f'slots.{service}', 'not a list'))
+            continue
+        for row in rows:
+            if not _is_row(row, len(targets)):
+                problems.append(_problem(f'slots.{service}', f'{row!r:.80}'))
+                continue
+            slot_id = model.SlotId(service, row[0])
+            if slot_id in assignments:
+                problems.append(_problem(f'slots.{service}', f'{row} twice'))
+            assignments[slot_id] = model.Assignment(
+                targets[row[1]], row[2], targets[row[3]]
+            )
+    return assignments, problems
+
+
+def _is_row(row: typing.Any, targets: int) -> bool:
+    if not isinstance(row, list) or len(row) != 4:
+        return False
+    if not all(_is_count(each) for each in row):
+        return False
+    return row[1] < targets and row[3] < targets
+
+
+def _is_count(value: typing.Any) -> bool:
+    return type(value) is int and value >= 0
+
+
+def _is_text(value: typing.Any) -> bool:
+    return isinstance(value, str)
+
+
+def _is_names(value: typing.Any) -> bool:
+    return isinstance(value, list) and all(_is_text(each) for each in value)
+
+
+def _is_object(value: typing.Any) -> bool:
+    return isinstance(value, dict)
+
+
+_FIELDS = (
+    ('cell', _is_text, 'text'),
+    ('version', _is_count, 'a whole number'),
+    ('hosts', _is_names, 'a list of names'),
+    ('attesters', _is_names, 'a list of names'),
+    ('previous_attesters', _is_names, 'a list of names'),
+    ('settled_ticket', _is_count, 'a whole number'),
+    ('planned_ticket', _is_count, 'a whole number'),
+    ('targets', _is_names, 'a list of names'),
+    ('slots', _is_object, 'an object'),
+)
+
+
+def _problem(place: str, detail: str) -> codes.Problem:
+    return codes.Problem(codes.BAD_RECORD, place, detail)
--- a/amaranthcrank/record/settlement.py
+++ b/amaranthcrank/record/settlement.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 
 
@@ -9,8 +10,8 @@
     """What a cell may do for the ticket it has applied.
 
     Attributes:
-      drop: Slots in its record that the ticket gives to other cells.
-      wanted: Slots that the ticket gives to this cell.
+      drop: Slots in its record that the ticket does not give it.
+      wanted: Slots that the ticket gives to this cell, pinned ones too.
       take: Wanted slots that are not in its record and may be taken now.
       raise_settled: Whether settled_ticket may be set to the ticket now.
       missing: Cells whose record must be created empty with the ticket.
@@ -23,3 +24,160 @@
     raise_settled: bool
     missing: tuple[str, ...]
     waiting_for: tuple[str, ...]
+
+
+def settle(
+    cell: str,
+    ticket: int,
+    ticket_state: dict[str, typing.Any],
+    record: model.CellRecord,
+    effective: int,
+    settled_by_cell: dict[str, int],
+) -> Settlement:
+    """Decide what a cell may do for a ticket.
+
+    A record must follow the ticket (planned_ticket) and be effective before
+    settled_ticket is raised: only then has no host of this cell a standing
+    with the older ranges, and no upstream a grant from one.
+
+    Args:
+      cell: This cell.
+      ticket: The number of the newest ticket.
+      ticket_state: The complete state after it.
+      record: The newest record of this cell.
+      effective: The effective version known to this host.
+      settled_by_cell: settled_ticket of each other record in the store, read
+        after this ticket was known; cells without a record are left out.
+
+    Returns:
+      What is due now. Slots to take are in the next version's plan only
+      together with those in the record.
+    """
+    wanted = home_slots(ticket_state, cell)
+    held = frozenset(record.assignment_by_slot)
+    missing = []
+    waiting_for = []
+    lost = ticket_state['lost_cells']
+    for other in sorted({*ticket_state['cells'], *settled_by_cell}):
+        if other == cell or other in lost:
+            continue
+        settled = settled_by_cell.get(other)
+        if settled is None:
+            missing.append(other)
+        if settled is None or settled < ticket:
+            waiting_for.append(other)
+    absent = wanted - held
+    # A slot that this cell has dropped itself may still be granted by a host
+    # at the version before, so the record must be effective here as well.
+    free = not waiting_for and (
+        record.version == 1 or record.version <= effective
+    )
+    drop = held - wanted
+    return Settlement(
+        drop=tuple(sorted(drop)),
+        wanted=wanted,
+        take=tuple(sorted(absent)) if free else (),
+        raise_settled=(
+            not drop
+            and record.settled_ticket < ticket
+            and record.planned_ticket >= ticket
+            and (record.version == 1 or record.version <= effective)
+        ),
+        missing=tuple(missing) if absent else (),
+        waiting_for=tuple(waiting_for) if absent else (),
+    )
+
+
+def home_slots(
+    ticket_state: dict[str, typing.Any], cell: str
+) -> frozenset[model.SlotId]:
+    """Return the slots that a ticket gives to a cell.
+
+    A pinned key stays in the cell of the slot that its hash maps to, so that
+    a pin never moves a key between cells.
+
+    Args:
+      ticket_state: The complete state.
+      cell: The cell.
+
+    Returns:
+      Its slots, pinned ones too.
+    """
+    slots = set()
+    for service, section in ticket_state['services'].items():
+        numbers = set()
+        for each in section['ranges']:
+            if each['cell'] == cell:
+                numbers.update(range(each['from'], each['to']))
+        slots.update(model.SlotId(service, each) for each in numbers)
+        for pinned, base in _pinned(service, section).items():
+            if base.slot in numbers:
+                slots.add(pinned)
+    return frozenset(slots)
+
+
+def pinned_slots(
+    ticket_state: dict[str, typing.Any], cell: str
+) -> dict[model.SlotId, str]:
+    """Return the target of each pinned key of a cell.
+
+    Args:
+      ticket_state: The complete state.
+      cell: The cell.
+
+    Returns:
+      Target by pinned slot, as plan_slots takes it.
+    """
+    wanted = home_slots(ticket_state, cell)
+    target_by_slot = {}
+    for service, section in ticket_state['services'].items():
+        for position, key in enumerate(sorted(section['pins'])):
+            slot_id = model.SlotId(service, section['slots'] + position)
+            if slot_id in wanted:
+                target_by_slot[slot_id] = section['pins'][key]
+    return target_by_slot
+
+
+def remapped_slots(
+    old_state: dict[str, typing.Any], new_state: dict[str, typing.Any]
+) -> frozenset[model.SlotId]:
+    """Return the slots that other keys map to after a ticket.
+
+    A slot that gets a key from another slot may be granted only when the
+    other slot's owner has let the key go, even if its own owner stays.
+
+    Args:
+      old_state: The state of the record's planned ticket.
+      new_state: The newest state.
+
+    Returns:
+      Pinned slots with another key and slots to which a key comes back from
+      a pin, for cell_record.with_assignments.
+    """
+    slots = set()
+    for service, section in new_state['services'].items():
+        old = old_state['services'].get(service)
+        if old is None:
+            continue
+        old_keys = sorted(old['pins'])
+        new_keys = sorted(section['pins'])
+        for position, key in enumerate(new_keys):
+            if position >= len(old_keys) or old_keys[position] != key:
+                number = section['slots'] + position
+                slots.add(model.SlotId(service, number))
+        for key in set(old_keys) - set(new_keys):
+            number = hashing.slot_of(service, key, section['slots'])
+            slots.add(model.SlotId(service, number))
+    return frozenset(slots)
+
+
+def _pinned(
+    service: str, section: dict[str, typing.Any]
+) -> dict[model.SlotId, model.SlotId]:
+    """Return the slot a pinned key's hash maps to, by its own slot."""
+    base_by_slot = {}
+    for position, key in enumerate(sorted(section['pins'])):
+        pinned = model.SlotId(service, section['slots'] + position)
+        number = hashing.slot_of(service, key, section['slots'])
+        base_by_slot[pinned] = model.SlotId(service, number)
+    return base_by_slot
