Implement ledger, quarantine and retries

A holder accepts a known token again, so a restarted host that counts from 1 again could get the quorum of its own earlier attempt. - Two list changes in a row can lose the intersection that each keeps alone (three holders, two, one). The ledger remembers the overlap still needed. - The start of a slot is fixed only once the new list is adopted, and a holder at an older record than the dispatching host does not answer. - Failures of one request are combined: a refused retry does not turn a first attempt that may have run into not_run.

Ruled out: trusting any DUPLICATE as a stop beside a quorum. The other attempt can no longer get a quorum, and two racing attempts would both fail.

--- a/amaranthcrank/dispatch/ledger.py
+++ b/amaranthcrank/dispatch/ledger.py
@@ -11,11 +11,36 @@
 answer is `unknown` instead.
 """
 
+import collections
 import typing
 
 from amaranthcrank.core import codes
+from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 
+# An id may be stamped this far ahead of a host's clock.
+AHEAD_MARGIN_MS = 1_000
+# Any two host clocks are at most this far apart.
+CLOCK_SKEW_MS = 500
+# One margin for both is too small: a host 250 ms fast accepts an id stamped
+# 1250 ms ahead of true time, and a host 250 ms slow that starts just after
+# that would take the id for one issued since its start.
+START_MARGIN_MS = AHEAD_MARGIN_MS + CLOCK_SKEW_MS
+WINDOW_MS = 60_000
+# Hosts at the old version may send for this long after adoption.
+OLD_VERSION_MS = round(
+    1_000 * (model.STANDING_LEASE_S + model.CLOCK_RATE_MARGIN_S)
+)
+HOLDERS = 3
+QUORUM = 2
+
+MAX_ANSWERS = 1_024
+MAX_ANSWER_BYTES = 4_000_000
+# Python's cost of one stored answer besides its bytes, rounded up.
+ANSWER_OVERHEAD_BYTES = 512
+# Released tokens that are remembered against a late or repeated intent.
+MAX_RELEASED = 1_024
+
 SEND = 'send'
 REFUSE = 'refuse'
 ANSWER_UNKNOWN = 'unknown'
@@ -27,11 +52,50 @@
 
     Attributes:
       start_ms: When the process started, by its wall clock.
+      start_ms_by_slot: Later starts, of slots whose holders changed.
+      overlap_by_slot: How many must accept to meet every pair accepted since
+        the start of the slot; missing where the holders never changed.
+      unadopted_slots: Slots whose start is not fixed yet.
+      token_by_id: The attempt that holds each id.
+      ids_by_second: The ids by the second of their stamp, for expiry.
+      released_tokens: The last released tokens, oldest first.
+      answer_by_id: Kept answers, oldest first.
+      answer_bytes: The size of the kept answers.
     """
 
+    __slots__ = (
+        'answer_by_id',
+        'answer_bytes',
+        'ids_by_second',
+        'overlap_by_slot',
+        'released_tokens',
+        'start_ms',
+        'start_ms_by_slot',
+        'token_by_id',
+        'unadopted_slots',
+    )
+
     def __init__(self, start_ms: int) -> None:
         """Start with no intents."""
         self.start_ms = start_ms
+        self.start_ms_by_slot: dict[model.SlotId, int] = {}
+        self.overlap_by_slot: dict[model.SlotId, int] = {}
+        self.unadopted_slots: set[model.SlotId] = set()
+        self.token_by_id: dict[str, str] = {}
+        self.ids_by_second: dict[int, list[str]] = {}
+        self.released_tokens: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.answer_by_id: collections.OrderedDict[str, _Answer] = (
+            collections.OrderedDict()
+        )
+        self.answer_bytes = 0
+
+
+class _Answer(typing.NamedTuple):
+    digest: str
+    outcome: model.Outcome
+    size: int
 
 
 class Decision(typing.NamedTuple):
@@ -62,7 +126,7 @@
     and adopted=False for each of its slots unless it knows from a peer that
     the version is in effect.
     """
-    raise NotImplementedError
+    return Ledger(now_ms)
 
 
 def make_token(host: str, incarnation: str, number: int) -> str:
@@ -71,7 +135,7 @@
     The incarnation keeps a restarted host from repeating a token: a holder
     accepts a known token again.
     """
-    raise NotImplementedError
+    return f'{host}/{incarnation}/{number}'
 
 
 def intent_holders(
@@ -87,7 +151,8 @@
     Returns:
       Up to three hosts, best first, and the number that must accept.
     """
-    raise NotImplementedError
+    holders = hashing.rendezvous(f'{slot.service}/{slot.slot}', hosts, HOLDERS)
+    return holders, _quorum(len(holders))
 
 
 def holders_changed(
@@ -101,6 +166,11 @@
 ) -> None:
     """Move the ledger's start for a slot when its holders change.
 
+    The start moves where the host is a new holder, and where the new quorum
+    need not meet every pair accepted since the start. Two changes in a row
+    count together: from three holders to two and then to one, each step alone
+    keeps an intersection and both do not.
+
     Call it when the record is taken up with adopted=False (unless it is
     already adopted), and again with the same lists and adopted=True once a
     blocking set has promised the version. In between unknown ids of a slot
@@ -109,14 +179,36 @@
     Args:
       ledger: The host's ledger.
       slot: The slot.
-      old_hosts: The hosts of the record before; empty for a slot that the
-        cell did not have, and for each slot after a change of slot counts.
+      old_hosts: The hosts of the record before. Empty for a slot that the
+        cell did not have, for each slot after a change of the slot count,
+        and where the host may have missed a list between the two.
       new_hosts: The hosts of the record now.
       self_host: The host of this ledger.
       now_ms: Wall clock.
       adopted: Whether the new version is known to be adopted.
     """
-    raise NotImplementedError
+    new_holders, needed = intent_holders(new_hosts, slot)
+    if self_host not in new_holders:
+        return
+    old_holders, old_needed = intent_holders(old_hosts, slot)
+    overlap = max(
+        ledger.overlap_by_slot.get(slot, 0),
+        len(old_holders) - old_needed + 1,
+    )
+    if self_host in old_holders and needed >= overlap:
+        ledger.overlap_by_slot[slot] = max(
+            overlap, len(new_holders) - needed + 1
+        )
+        return
+    ledger.start_ms_by_slot[slot] = max(
+        now_ms + OLD_VERSION_MS, _start_ms(ledger, slot)
+    )
+    if adopted:
+        ledger.unadopted_slots.discard(slot)
+        ledger.overlap_by_slot[slot] = len(new_holders) - needed + 1
+        return
+    ledger.unadopted_slots.add(slot)
+    ledger.overlap_by_slot[slot] = overlap
 
 
 def note_intent(
@@ -129,20 +221,62 @@
 ) -> codes.Code:
     """Note an intent at a holder.
 
+    A holder answers only if `is_current` allows it.
+
     Returns:
       OK where it is accepted (also again for the same token), DUPLICATE,
       ID_AHEAD, ID_TOO_OLD or BEFORE_LEDGER.
     """
-    raise NotImplementedError
+    held = ledger.token_by_id.get(request_id)
+    if held is not None:
+        return codes.OK if held == token else codes.DUPLICATE
+    if token in ledger.released_tokens:
+        return codes.DUPLICATE
+    if issued_at_ms > now_ms + AHEAD_MARGIN_MS:
+        return codes.ID_AHEAD
+    if issued_at_ms < now_ms - WINDOW_MS:
+        return codes.ID_TOO_OLD
+    if _is_before_start(ledger, slot, issued_at_ms):
+        return codes.BEFORE_LEDGER
+    _remember(ledger, request_id, issued_at_ms, token)
+    return codes.OK
+
+
+def is_current(own_version: int, intent_version: int) -> bool:
+    """Tell whether a holder may answer an intent.
+
+    A holder at an older record than the dispatching host may be a new holder
+    without knowing, so it has no start for the slot yet. It takes up the
+    record before it answers.
+
+    Args:
+      own_version: The record version that the holder has taken up.
+      intent_version: The record version of the dispatching host.
+
+    Returns:
+      Whether to pass the intent to `note_intent`.
+    """
+    return own_version >= intent_version
 
 
 def release_intent(ledger: Ledger, request_id: str, token: str) -> bool:
     """Drop the intent of an attempt that will never run.
 
+    The token stays refused for a while, so that an intent message that comes
+    after its release does not block the id. An attempt after the release
+    takes a new token.
+
     Returns:
       Whether the ledger held an intent with this token.
     """
-    raise NotImplementedError
+    ledger.released_tokens[token] = None
+    if len(ledger.released_tokens) > MAX_RELEASED:
+        ledger.released_tokens.popitem(last=False)
+    held = ledger.token_by_id.get(request_id)
+    if held is None or not _is_token_of(held, token):
+        return False
+    del ledger.token_by_id[request_id]
+    return True
 
 
 def note_sent(
@@ -152,7 +286,8 @@
 
     A release of the token drops this too.
     """
-    raise NotImplementedError
+    if request_id not in ledger.token_by_id:
+        _remember(ledger, request_id, issued_at_ms, token)
 
 
 def refusal_code(
@@ -169,7 +304,12 @@
     Returns:
       The code to answer with.
     """
-    raise NotImplementedError
+    if code.outcome != codes.NOT_RUN:
+        return code
+    held = ledger.token_by_id.get(request_id)
+    if held is None or held == token:
+        return code
+    return codes.DUPLICATE
 
 
 def decide_intent(
@@ -177,7 +317,9 @@
 ) -> Decision:
     """Decide from the holders' replies.
 
-    The decision is taken once for each token: after REFUSE or ANSWER_UNKNOWN
+    A quorum of acceptances is enough even beside a DUPLICATE: the other
+    attempt can then no longer get a quorum. The decision is taken once for
+    each token: after REFUSE or ANSWER_UNKNOWN
     a late acceptance changes nothing but is released.
 
     Args:
@@ -189,7 +331,21 @@
     Returns:
       The decision.
     """
-    raise NotImplementedError
+    accepted = sum(1 for code in replies.values() if _is_accepted(code))
+    if accepted >= needed:
+        return Decision(SEND, codes.OK)
+    if accepted + outstanding >= needed and outstanding:
+        return Decision(WAIT, codes.OK)
+    for code in (
+        codes.DUPLICATE,
+        codes.ID_TOO_OLD,
+        codes.BEFORE_LEDGER,
+    ):
+        if code in replies.values():
+            return Decision(ANSWER_UNKNOWN, code)
+    if codes.ID_AHEAD in replies.values():
+        return Decision(REFUSE, codes.ID_AHEAD)
+    return Decision(REFUSE, codes.NO_INTENT)
 
 
 def must_release(decision: Decision, upstream_not_run: bool) -> bool:
@@ -206,7 +362,9 @@
     Returns:
       Whether to send the release.
     """
-    raise NotImplementedError
+    if decision.action == SEND:
+        return upstream_not_run
+    return decision.action != WAIT
 
 
 def store_answer(
@@ -220,7 +378,18 @@
       digest: What identifies the request: caller, service, key and body.
       answer: The whole answer.
     """
-    raise NotImplementedError
+    size = _answer_size(answer)
+    if size > MAX_ANSWER_BYTES:
+        return
+    _drop_answer(ledger, request_id)
+    ledger.answer_by_id[request_id] = _Answer(digest, answer, size)
+    ledger.answer_bytes += size
+    while (
+        len(ledger.answer_by_id) > MAX_ANSWERS
+        or ledger.answer_bytes > MAX_ANSWER_BYTES
+    ):
+        _, dropped = ledger.answer_by_id.popitem(last=False)
+        ledger.answer_bytes -= dropped.size
 
 
 def stored_answer(
@@ -231,14 +400,79 @@
     None for another digest: an id used for another request must not get the
     answer of the first.
     """
-    raise NotImplementedError
+    kept = ledger.answer_by_id.get(request_id)
+    if kept is None or kept.digest != digest:
+        return None
+    return kept.outcome._replace(code=codes.OK_STORED)
 
 
 def expire(ledger: Ledger, now_ms: int) -> int:
     """Drop what is older than any host accepts; return how many intents."""
-    raise NotImplementedError
+    oldest_ms = now_ms - WINDOW_MS - START_MARGIN_MS
+    past = [
+        second
+        for second in ledger.ids_by_second
+        if second * 1_000 + 1_000 <= oldest_ms
+    ]
+    dropped = 0
+    for second in past:
+        for request_id in ledger.ids_by_second.pop(second):
+            if ledger.token_by_id.pop(request_id, None) is not None:
+                dropped += 1
+    return dropped
 
 
 def size(ledger: Ledger) -> Size:
     """Return how much the ledger holds."""
-    raise NotImplementedError
+    return Size(
+        len(ledger.token_by_id),
+        len(ledger.answer_by_id),
+        ledger.answer_bytes,
+    )
+
+
+def _quorum(holders: int) -> int:
+    return min(holders, QUORUM)
+
+
+def _start_ms(ledger: Ledger, slot: model.SlotId) -> int:
+    return ledger.start_ms_by_slot.get(slot, ledger.start_ms)
+
+
+def _is_before_start(
+    ledger: Ledger, slot: model.SlotId, issued_at_ms: int
+) -> bool:
+    if ledger.unadopted_slots and slot in ledger.unadopted_slots:
+        return True
+    return issued_at_ms <= _start_ms(ledger, slot) + START_MARGIN_MS
+
+
+def _is_token_of(held: str, token: str) -> bool:
+    return held == token
+
+
+def _is_accepted(code: codes.Code) -> bool:
+    return code == codes.OK
+
+
+def _remember(
+    ledger: Ledger, request_id: str, issued_at_ms: int, token: str
+) -> None:
+    ledger.token_by_id[request_id] = token
+    ledger.ids_by_second.setdefault(issued_at_ms // 1_000, []).append(
+        request_id
+    )
+
+
+def _answer_size(answer: model.Outcome) -> int:
+    return (
+        ANSWER_OVERHEAD_BYTES
+        + len(answer.body)
+        + sum(len(name) + len(value) for name, value in answer.headers)
+    )
+
+
+def _drop_answer(ledger: Ledger, request_id: str) -> None:
+    dropped = ledger.answer_by_id.pop(request_id, None)
+    if dropped is not None:
+        ledger.answer_bytes -= dropped.size
--- a/amaranthcrank/dispatch/quarantine.py
+++ b/amaranthcrank/dispatch/quarantine.py
@@ -1,7 +1,15 @@
 """Quarantine of requests that crash the upstreams that run them."""
 
+import hashlib
 import typing
 
+EXPIRY_MS = 600_000
+CRASHES_TO_QUARANTINE = 2
+# A guard for memory: at about 400 bytes each under 2 MB.
+MAX_CRASHES = 4_096
+# A peer's clock may be ahead by the skew between hosts, not by more.
+MAX_AHEAD_MS = 500
+
 
 class Crash(typing.NamedTuple):
     """One count against one fingerprint, as it travels on heartbeats.
@@ -18,22 +26,49 @@
 
 
 class Quarantine:
-    """Crash counts that one host knows, its own and its peers'."""
+    """Crash counts that one host knows, its own and its peers'.
+
+    Attributes:
+      crash_by_pair: The counts by (fingerprint, event), in the order in which
+        they were learned.
+      position_by_pair: The position of each in that order.
+      times_by_fingerprint: When each event hit the fingerprint, Unix ms.
+      last_position: The position of the newest.
+    """
+
+    __slots__ = (
+        'crash_by_pair',
+        'last_position',
+        'position_by_pair',
+        'times_by_fingerprint',
+    )
+
+    def __init__(self) -> None:
+        """Start with no counts."""
+        self.crash_by_pair: dict[tuple[str, str], Crash] = {}
+        self.position_by_pair: dict[tuple[str, str], int] = {}
+        self.times_by_fingerprint: dict[str, dict[str, int]] = {}
+        self.last_position = 0
 
 
 def open_quarantine() -> Quarantine:
     """Start with no counts."""
-    raise NotImplementedError
+    return Quarantine()
 
 
 def fingerprint(service: str, key: str, body: bytes) -> str:
     """Identify a request by service, key and body."""
-    raise NotImplementedError
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (service.encode(), key.encode(), body):
+        # The length keeps service and key from running into one another.
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.hexdigest()
 
 
 def crash_event(target: str, incarnation: str) -> str:
     """Name a crash by the incarnation of the upstream that it ended."""
-    raise NotImplementedError
+    return f'{target}/{incarnation}'
 
 
 def note_crash(
@@ -47,21 +82,45 @@
     Returns:
       The fingerprints that this puts into quarantine.
     """
-    raise NotImplementedError
+    crashes = tuple(Crash(each, event, now_ms) for each in fingerprints)
+    return merge(quarantine, crashes, now_ms)
 
 
 def is_quarantined(
     quarantine: Quarantine, fingerprint: str, now_ms: int
 ) -> bool:
     """Tell whether requests with the fingerprint are refused now."""
-    raise NotImplementedError
+    times = quarantine.times_by_fingerprint.get(fingerprint)
+    if times is None:
+        return False
+    return _is_quarantined(times, now_ms)
 
 
 def merge(
     quarantine: Quarantine, crashes: tuple[Crash, ...], now_ms: int
 ) -> tuple[str, ...]:
     """Take counts from a peer; return the newly quarantined."""
-    raise NotImplementedError
+    added = []
+    for crash in crashes:
+        crash = crash._replace(at_ms=min(crash.at_ms, now_ms + MAX_AHEAD_MS))
+        if now_ms - crash.at_ms >= EXPIRY_MS:
+            continue
+        pair = (crash.fingerprint, crash.event)
+        if pair in quarantine.crash_by_pair:
+            continue
+        times = quarantine.times_by_fingerprint.setdefault(
+            crash.fingerprint, {}
+        )
+        before = _is_quarantined(times, now_ms)
+        times[crash.event] = crash.at_ms
+        quarantine.last_position += 1
+        quarantine.crash_by_pair[pair] = crash
+        quarantine.position_by_pair[pair] = quarantine.last_position
+        if not before and _is_quarantined(times, now_ms):
+            added.append(crash.fingerprint)
+    while len(quarantine.crash_by_pair) > MAX_CRASHES:
+        _drop(quarantine, next(iter(quarantine.crash_by_pair)))
+    return tuple(added)
 
 
 def export(
@@ -72,15 +131,48 @@
     Args:
       quarantine: The counts.
       after: The position returned by the export before to the same peer, 0
-        for a peer that is new or has restarted.
+        for a peer that is new, has restarted or whose link broke.
       limit: How many at most.
 
     Returns:
       The counts after that position and the position after them.
     """
-    raise NotImplementedError
+    crashes: list[Crash] = []
+    position = after
+    for pair in reversed(quarantine.crash_by_pair):
+        if quarantine.position_by_pair[pair] <= after:
+            break
+        crashes.append(quarantine.crash_by_pair[pair])
+    crashes.reverse()
+    chosen = crashes[:limit]
+    if chosen:
+        last = chosen[-1]
+        position = quarantine.position_by_pair[last.fingerprint, last.event]
+    return tuple(chosen), position
 
 
 def expire(quarantine: Quarantine, now_ms: int) -> int:
     """Drop counts of more than 600 s ago; return how many."""
-    raise NotImplementedError
+    past = [
+        pair
+        for pair, crash in quarantine.crash_by_pair.items()
+        if now_ms - crash.at_ms >= EXPIRY_MS
+    ]
+    for pair in past:
+        _drop(quarantine, pair)
+    return len(past)
+
+
+def _is_quarantined(times: dict[str, int], now_ms: int) -> bool:
+    recent = sum(1 for at_ms in times.values() if now_ms - at_ms < EXPIRY_MS)
+    return recent >= CRASHES_TO_QUARANTINE
+
+
+def _drop(quarantine: Quarantine, pair: tuple[str, str]) -> None:
+    del quarantine.crash_by_pair[pair]
+    del quarantine.position_by_pair[pair]
+    fingerprint, event = pair
+    times = quarantine.times_by_fingerprint[fingerprint]
+    del times[event]
+    if not times:
+        del quarantine.times_by_fingerprint[fingerprint]
--- /dev/null
+++ b/amaranthcrank/dispatch/quarantine_test.py
@@ -0,0 +1,77 @@
+"""Tests of quarantine."""
+
+import unittest
+
+from amaranthcrank.dispatch import quarantine
+
+NOW_MS = 5_000_000
+
+
+class QuarantineTest(unittest.TestCase):
+    """Counts, expiry and exchange."""
+
+    def setUp(self):
+        """Start with no counts."""
+        self.state = quarantine.open_quarantine()
+
+    def _crash(self, event, fingerprints=('f',), now_ms=NOW_MS):
+        return quarantine.note_crash(self.state, event, fingerprints, now_ms)
+
+    def _held(self, now_ms=NOW_MS):
+        return quarantine.is_quarantined(self.state, 'f', now_ms)
+
+    def test_one_crash_heard_twice_counts_once(self):
+        """An innocent request must not be refused after one crash."""
+        self._crash('t1/a')
+        heard = quarantine.Crash('f', 't1/a', NOW_MS)
+        self.assertEqual((), quarantine.merge(self.state, (heard,), NOW_MS))
+        self.assertFalse(self._held())
+
+    def test_two_crashes(self):
+        """The second crash quarantines for 600 s from its first count."""
+        self.assertEqual((), self._crash('t1/a', ('f', 'g')))
+        self.assertEqual(('f',), self._crash('t2/b'))
+        self.assertTrue(self._held(NOW_MS + quarantine.EXPIRY_MS - 1))
+        self.assertFalse(self._held(NOW_MS + quarantine.EXPIRY_MS))
+        self.assertFalse(quarantine.is_quarantined(self.state, 'g', NOW_MS))
+
+    def test_expire_empties_the_state(self):
+        """Old counts must not stay in memory or come back from a peer."""
+        self._crash('t1/a')
+        crashes, _ = quarantine.export(self.state, 0)
+        late_ms = NOW_MS + quarantine.EXPIRY_MS
+        self.assertEqual(1, quarantine.expire(self.state, late_ms))
+        quarantine.merge(self.state, crashes, late_ms)
+        self.assertEqual(((), 0), quarantine.export(self.state, 0))
+        self.assertFalse(self.state.times_by_fingerprint)
+
+    def test_export_in_parts_reaches_a_peer_whole(self):
+        """Counts beyond the bound of one heartbeat go with the next."""
+        for number in range(10):
+            self._crash(f't/{number}', (f'f{number}', 'f'))
+        peer = quarantine.open_quarantine()
+        position = 0
+        for _ in range(7):
+            crashes, position = quarantine.export(self.state, position, 3)
+            self.assertLessEqual(len(crashes), 3)
+            quarantine.merge(peer, crashes, NOW_MS)
+        self.assertEqual(self.state.crash_by_pair, peer.crash_by_pair)
+        self.assertEqual(
+            ((), position), quarantine.export(self.state, position, 3)
+        )
+
+    def test_memory_is_bounded(self):
+        """A stream of crashes must not grow the state without bound."""
+        for number in range(quarantine.MAX_CRASHES + 5):
+            self._crash(f't/{number}', (f'f{number}',))
+        self.assertEqual(quarantine.MAX_CRASHES, len(self.state.crash_by_pair))
+        self.assertEqual(
+            quarantine.MAX_CRASHES, len(self.state.times_by_fingerprint)
+        )
+
+    def test_parts_of_a_fingerprint_do_not_run_together(self):
+        """Two requests must not share a fingerprint by their borders."""
+        self.assertNotEqual(
+            quarantine.fingerprint('ab', 'c', b''),
+            quarantine.fingerprint('a', 'bc', b''),
+        )
--- a/amaranthcrank/dispatch/retries.py
+++ b/amaranthcrank/dispatch/retries.py
@@ -5,6 +5,13 @@
 
 from amaranthcrank.core import codes
 
+BUDGET_SHARE = 0.1
+BUDGET_BURST = 10.0
+BACKOFF_BASE_S = 0.02
+BACKOFF_CAP_S = 1.0
+# More attempts than this seldom help and hold a place at the entry host.
+MAX_ATTEMPTS = 6
+
 # What is known about the attempt that failed.
 NOT_SENT = 'not_sent'
 NOT_RUN = 'not_run'
@@ -40,22 +47,61 @@
 
 
 class RetryBudget:
-    """Retries that a host may still make, in tokens of one retry."""
+    """Retries that a host may still make, in tokens of one retry.
+
+    Attributes:
+      share: What a first attempt earns.
+      burst: The most that is saved up.
+      tokens: What is left.
+    """
 
+    __slots__ = ('burst', 'share', 'tokens')
 
-def open_budget(share: float = 0.1, burst: float = 10.0) -> RetryBudget:
+    def __init__(self, share: float, burst: float) -> None:
+        """Start full."""
+        self.share = share
+        self.burst = burst
+        self.tokens = burst
+
+
+def open_budget(
+    share: float = BUDGET_SHARE, burst: float = BUDGET_BURST
+) -> RetryBudget:
     """Open a full budget."""
-    raise NotImplementedError
+    return RetryBudget(share, burst)
 
 
 def note_request(budget: RetryBudget) -> None:
     """Earn the share of one retry for a first attempt."""
-    raise NotImplementedError
+    budget.tokens = min(budget.burst, budget.tokens + budget.share)
 
 
 def backoff_s(attempt: int, random: abc.Callable[[], float]) -> float:
     """Return the wait after a number of failed attempts, with full jitter."""
-    raise NotImplementedError
+    # The bound on the exponent keeps the power from overflowing.
+    ceiling = BACKOFF_BASE_S * 2 ** min(attempt, 16)
+    return random() * min(BACKOFF_CAP_S, ceiling)
+
+
+def combine(earlier: Failure | None, latest: Failure) -> Failure:
+    """Return what is known of a request after one more failed attempt.
+
+    A repeatable request whose first attempt may have run and whose second was
+    refused may have run: the refusal alone would claim that it did not.
+    """
+    if earlier is None or earlier.kind != MAYBE_RAN:
+        return latest
+    return earlier._replace(retry_after_s=latest.retry_after_s)
+
+
+def may_repeat(repeatable: bool, failure: Failure) -> bool:
+    """Tell whether a failed attempt may be followed by another.
+
+    Work that may not repeat is tried again only where it is known that the
+    attempt sent nothing or the upstream did not run it. The further attempt
+    keeps the token of the first, whose intent is still held.
+    """
+    return repeatable or failure.kind in (NOT_SENT, NOT_RUN)
 
 
 def next_attempt(
@@ -72,7 +118,7 @@
 
     Args:
       repeatable: Whether the request may run more than once.
-      failure: What is known of the failed attempt.
+      failure: What is known after the failed attempts, from `combine`.
       now: Monotonic seconds.
       deadline_at: The request's deadline, monotonic seconds.
       attempt: How many attempts have failed, 1 after the first.
@@ -83,4 +129,18 @@
     Returns:
       The decision.
     """
-    raise NotImplementedError
+    if not may_repeat(repeatable, failure):
+        return _stop(failure)
+    if attempt >= MAX_ATTEMPTS:
+        return _stop(failure)
+    at = now + max(backoff_s(attempt, random), failure.retry_after_s)
+    if at + service_s > deadline_at:
+        return _stop(failure)
+    if budget.tokens < 1:
+        return _stop(failure)
+    budget.tokens -= 1
+    return NextAttempt(True, at, codes.OK)
+
+
+def _stop(failure: Failure) -> NextAttempt:
+    return NextAttempt(False, 0.0, failure.code)
--- /dev/null
+++ b/amaranthcrank/dispatch/retries_test.py
@@ -0,0 +1,82 @@
+"""Tests of retries."""
+
+import unittest
+
+from amaranthcrank.core import codes
+from amaranthcrank.dispatch import retries
+
+
+def _half():
+    return 0.5
+
+
+def _failure(kind, retry_after_s=0.0, code=codes.OUTCOME_UNKNOWN):
+    return retries.Failure(kind, code, retry_after_s)
+
+
+def _next(failure, repeatable=True, deadline_at=5.0, attempt=1, budget=None):
+    return retries.next_attempt(
+        repeatable,
+        failure,
+        0.0,
+        deadline_at,
+        attempt,
+        budget or retries.open_budget(),
+        0.01,
+        _half,
+    )
+
+
+class RetriesTest(unittest.TestCase):
+    """Whether and when to try again."""
+
+    def test_only_repeatable_work_after_it_may_have_run(self):
+        """Work that may not repeat must not be sent a second time."""
+        for repeatable, kind, expected in (
+            (True, retries.MAYBE_RAN, True),
+            (False, retries.MAYBE_RAN, False),
+            (False, retries.NOT_RUN, True),
+            (False, retries.NOT_SENT, True),
+        ):
+            decision = _next(_failure(kind), repeatable)
+            self.assertEqual(expected, decision.retry)
+
+    def test_refusal_after_a_lost_answer_stays_unknown(self):
+        """A retry that was refused must not hide an earlier run."""
+        lost = _failure(retries.MAYBE_RAN)
+        shed = _failure(retries.NOT_RUN, 0.2, codes.UPSTREAM_REFUSED)
+        both = retries.combine(lost, shed)
+        self.assertEqual(retries.MAYBE_RAN, both.kind)
+        self.assertEqual(codes.OUTCOME_UNKNOWN, both.code)
+        self.assertEqual(0.2, both.retry_after_s)
+        self.assertEqual(lost, retries.combine(shed, lost))
+        self.assertEqual(shed, retries.combine(None, shed))
+
+    def test_no_retry_past_the_deadline(self):
+        """An attempt that cannot finish in time wastes a slot."""
+        failure = _failure(retries.NOT_RUN, retry_after_s=1.0)
+        self.assertEqual(1.0, _next(failure).at)
+        self.assertTrue(_next(failure, deadline_at=1.01).retry)
+        self.assertFalse(_next(failure, deadline_at=1.0).retry)
+
+    def test_budget(self):
+        """Retries stay within the burst and a tenth of the requests."""
+        budget = retries.open_budget()
+        failure = _failure(retries.NOT_RUN)
+        made = 0
+        for _ in range(1_000):
+            retries.note_request(budget)
+            while _next(failure, budget=budget).retry:
+                made += 1
+        self.assertIn(made, range(105, 112))
+
+    def test_backoff_grows_to_its_cap(self):
+        """Retries spread out instead of coming in step."""
+        waits = [retries.backoff_s(attempt, _half) for attempt in range(1, 40)]
+        self.assertEqual(sorted(waits), waits)
+        self.assertEqual(retries.BACKOFF_CAP_S / 2, waits[-1])
+        self.assertFalse(
+            _next(
+                _failure(retries.NOT_RUN), attempt=retries.MAX_ATTEMPTS
+            ).retry
+        )
