--- /dev/null
+++ b/amaranthcrank/admission/limits_test.py
@@ -0,0 +1,57 @@
+"""Tests of the adaptive limit."""
+
+import unittest
+
+from amaranthcrank.admission import limits
+
+
+def _answer(limit, latency_s, count, now=0.0):
+    for _ in range(count):
+        now += latency_s
+        limits.note_done(limit, latency_s, now)
+    return now
+
+
+class LimitTest(unittest.TestCase):
+    """The limit between 1 and the slots."""
+
+    def test_cold_start(self):
+        """A cold upstream gets one request at a time first."""
+        limit = limits.open_limit(4)
+        self.assertEqual(1, limits.current(limit))
+        _answer(limit, 0.1, 12)
+        self.assertEqual(4, limits.current(limit))
+        limits.restarted(limit)
+        self.assertEqual(1, limits.current(limit))
+
+    def test_cold_latencies_do_not_set_the_base(self):
+        """Slow first answers must not hide a later overload."""
+        limit = limits.open_limit(4)
+        now = _answer(limit, 1.0, limits.COLD_ANSWERS)
+        now = _answer(limit, 0.01, 60, now)
+        self.assertEqual(4, limits.current(limit))
+        _answer(limit, 0.05, 10, now)
+        self.assertLess(limits.current(limit), 4)
+
+    def test_shedding_cuts_once_for_one_burst(self):
+        """Requests shed together count as one sign of overload."""
+        limit = limits.open_limit(4, cold=False)
+        now = _answer(limit, 0.1, 20)
+        for _ in range(4):
+            limits.note_shed(limit, now)
+        self.assertEqual(2, limits.current(limit))
+        for number in range(20):
+            limits.note_shed(limit, now + number)
+        self.assertEqual(1, limits.current(limit))
+
+    def test_recovers(self):
+        """The limit comes back to the slots after an overload."""
+        limit = limits.open_limit(4, cold=False)
+        now = _answer(limit, 0.1, 20)
+        now = _answer(limit, 0.5, 20, now)
+        self.assertEqual(1, limits.current(limit))
+        _answer(limit, 0.1, 60, now)
+        self.assertEqual(4, limits.current(limit))
+        limits.set_slots(limit, 3)
+        self.assertEqual(3, limits.current(limit))
+        self.assertAlmostEqual(0.1, limits.service_s(limit), places=2)
