Add the store stand-in

Refusing a body over 1 MiB before it is read was ruled out too: the reset of the connection can overtake the answer.

Conclusion: a watch counts as one call, writes under a fault are applied either not at all (outage) or in full (lost answer).

--- /dev/null
+++ b/standins/store_test.py
@@ -0,0 +1,242 @@
+"""Tests of the store stand-in."""
+
+import contextlib
+import json
+import threading
+import unittest
+
+import urllib3
+
+from standins import http_server
+from standins import store
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self):
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.now_s = 100.0
+        self.state = store.StoreState(
+            host_list_lag_ms=500, clock=lambda: self.now_s
+        )
+        self.address = stack.enter_context(
+            http_server.running(store.handler_of(self.state), self.state.close)
+        )
+        self.pool = stack.enter_context(
+            urllib3.PoolManager(retries=False, timeout=10, maxsize=8)
+        )
+
+    def call(self, method, path, body=None, **headers):
+        named = {
+            name.replace('_', '-'): each for name, each in headers.items()
+        }
+        return self.pool.request(
+            method, f'http://{self.address}{path}', body=body, headers=named
+        )
+
+    def create(self, path, body=b'one'):
+        return self.call('PUT', path, body, If_None_Match='*')
+
+    def faults(self, **faults):
+        answer = self.call('POST', '/faults', json.dumps(faults).encode())
+        self.assertEqual(200, answer.status)
+
+    def test_versions_and_etag(self):
+        """Guards against versions that do not grow by one a write."""
+        created = self.create('/objects/cells/a')
+        self.assertEqual(
+            (201, '"1"'), (created.status, created.headers['ETag'])
+        )
+        changed = self.call('PUT', '/objects/cells/a', b'two', If_Match='"1"')
+        self.assertEqual(
+            (200, '"2"'), (changed.status, changed.headers['ETag'])
+        )
+        read = self.call('GET', '/objects/cells/a')
+        self.assertEqual((b'two', '"2"'), (read.data, read.headers['ETag']))
+
+    def test_conditions(self):
+        """Guards against a write that ignores or lacks its condition."""
+        path = '/objects/cells/a'
+        self.assertEqual(
+            412, self.call('PUT', path, b'x', If_Match='"1"').status
+        )
+        self.assertEqual(
+            412, self.call('PUT', path, b'x', If_Match='"0"').status
+        )
+        self.create(path)
+        refused = self.create(path, b'x')
+        self.assertEqual(
+            (412, '"1"'), (refused.status, refused.headers['ETag'])
+        )
+        self.assertEqual(
+            412, self.call('PUT', path, b'x', If_Match='"2"').status
+        )
+        self.assertEqual(428, self.call('PUT', path, b'x').status)
+        self.assertEqual(b'one', self.call('GET', path).data)
+
+    def test_races_have_one_winner(self):
+        """Guards against two conditional writes that both win."""
+        self.create('/objects/cells/a')
+        statuses = []
+
+        def write(number):
+            answer = self.call(
+                'PUT', '/objects/cells/a', b'%d' % number, If_Match='"1"'
+            )
+            statuses.append(answer.status)
+
+        threads = [
+            threading.Thread(target=write, args=(each,)) for each in range(8)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([200] + [412] * 7, sorted(statuses))
+
+    def test_value_size(self):
+        """Guards against a limit that is off by one or resets."""
+        limit = http_server.MAX_BODY_BYTES
+        self.assertEqual(
+            201, self.create('/objects/cells/a', b'x' * limit).status
+        )
+        self.assertEqual(
+            413, self.create('/objects/cells/b', b'x' * (limit + 1)).status
+        )
+        self.assertEqual(limit, len(self.call('GET', '/objects/cells/a').data))
+
+    def test_list_and_revision_per_kind(self):
+        """Guards against kinds that share a revision."""
+        self.create('/objects/cells/a')
+        self.create('/objects/tickets/1')
+        self.call('PUT', '/objects/cells/a', b'2', If_Match='"1"')
+        self.assertEqual(
+            {'revision': 2, 'objects': [{'name': 'a', 'version': 2}]},
+            self.call('GET', '/objects/cells').json(),
+        )
+        self.assertEqual(
+            1, self.call('GET', '/objects/tickets').json()['revision']
+        )
+
+    def test_watch_returns_at_once_when_behind(self):
+        """Guards against a change between list and watch that is missed."""
+        self.create('/objects/cells/a')
+        answer = self.call('GET', '/objects/cells?watch=0&wait_ms=60000')
+        self.assertEqual(1, answer.json()['revision'])
+
+    def test_watch_waits_for_a_change_and_counts_once(self):
+        """Guards against watches that poll or wake for other kinds."""
+        answers = []
+        watcher = threading.Thread(
+            target=lambda: answers.append(
+                self.call('GET', '/objects/cells?watch=0&wait_ms=60000')
+            )
+        )
+        watcher.start()
+        while not self.state.watching:
+            pass
+        self.create('/objects/tickets/1')
+        self.create('/objects/cells/a')
+        watcher.join()
+        self.assertEqual(1, answers[0].json()['revision'])
+        counts = self.call('GET', '/counters').json()
+        self.assertEqual(
+            (3, 1, 2), (counts['calls'], counts['reads'], counts['writes'])
+        )
+
+    def test_watch_times_out_with_the_same_revision(self):
+        """Guards against a watch that never ends without a change."""
+        answer = self.call('GET', '/objects/cells?watch=0&wait_ms=20')
+        self.assertEqual({'revision': 0, 'objects': []}, answer.json())
+        self.assertEqual(
+            400, self.call('GET', '/objects/cells?watch=x').status
+        )
+
+    def test_host_list_lags(self):
+        """Guards against a host list that is fresher than the platform's."""
+        body = {'address': 'h:1', 'failure_domain': 'd', 'state': 'live'}
+        self.call('PUT', '/hosts/h1', json.dumps(body).encode())
+        self.assertEqual([], self.call('GET', '/hosts').json()['hosts'])
+        self.now_s += 0.5
+        body['state'] = 'leaving'
+        self.call('PUT', '/hosts/h1', json.dumps(body).encode())
+        self.assertEqual(
+            ['live'],
+            [
+                each['state']
+                for each in self.call('GET', '/hosts').json()['hosts']
+            ],
+        )
+        self.now_s += 0.5
+        self.assertEqual(
+            [{'id': 'h1', **body}], self.call('GET', '/hosts').json()['hosts']
+        )
+
+    def test_outage_for_some_calls(self):
+        """Guards against a refused write that took effect."""
+        self.faults(outage={'mode': '503', 'calls': 2})
+        self.assertEqual(503, self.create('/objects/cells/a').status)
+        self.assertEqual(503, self.call('GET', '/hosts').status)
+        self.assertEqual(404, self.call('GET', '/objects/cells/a').status)
+
+    def test_hanging_outage_until_switched_off(self):
+        """Guards against a call that hung and took effect afterwards."""
+        self.faults(outage={'mode': 'hang'})
+        with self.assertRaises(urllib3.exceptions.ReadTimeoutError):
+            self.pool.request(
+                'PUT',
+                f'http://{self.address}/objects/cells/a',
+                body=b'x',
+                headers={'If-None-Match': '*'},
+                timeout=0.05,
+            )
+        self.faults(outage=None)
+        self.assertEqual(404, self.call('GET', '/objects/cells/a').status)
+
+    def test_outage_ends_a_waiting_watch(self):
+        """Guards against a watch that survives an outage of the store."""
+        errors = []
+
+        def watch():
+            try:
+                self.call('GET', '/objects/cells?watch=0&wait_ms=60000')
+            except urllib3.exceptions.HTTPError as error:
+                errors.append(error)
+
+        watcher = threading.Thread(target=watch)
+        watcher.start()
+        while not self.state.watching:
+            pass
+        self.faults(outage={'mode': 'hang'})
+        watcher.join(10)
+        self.assertFalse(watcher.is_alive())
+        self.assertEqual(1, len(errors))
+
+    def test_lost_answers_take_effect(self):
+        """Guards against a lost answer whose write was dropped as well."""
+        self.faults(lost_answer={'mode': 'close', 'calls': 1})
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            self.create('/objects/cells/a')
+        self.assertEqual(b'one', self.call('GET', '/objects/cells/a').data)
+        self.faults(lost_answer={'mode': '500', 'calls': 1})
+        lost = self.call('PUT', '/objects/cells/a', b'two', If_Match='"1"')
+        self.assertEqual(500, lost.status)
+        self.assertEqual(b'two', self.call('GET', '/objects/cells/a').data)
+
+    def test_slowness_is_counted_down(self):
+        """Guards against a fault that outlives its number of calls."""
+        self.faults(slow={'ms': 30, 'calls': 1})
+        self.call('GET', '/objects/cells')
+        self.assertEqual({}, self.call('GET', '/faults').json())
+
+    def test_bad_faults(self):
+        """Guards against a mistyped fault that is silently not applied."""
+        for fault in (
+            {'outtage': {}},
+            {'outage': {'mode': 'x'}},
+            {'slow': {'ms': -1}},
+            {'slow': {'ms': 1, 'calls': 0}},
+            {'outage': 3},
+        ):
+            answer = self.call('POST', '/faults', json.dumps(fault).encode())
+            self.assertEqual(400, answer.status, fault)
