--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -181,6 +181,63 @@
     'The dispatching host did not answer in time.',
 )
 
+STORE_UNREACHABLE = Code(
+    720,
+    'STORE_UNREACHABLE',
+    503,
+    NOT_APPLICABLE,
+    'The store did not answer; a write had no effect.',
+)
+STORE_CONFLICT = Code(
+    721,
+    'STORE_CONFLICT',
+    409,
+    NOT_APPLICABLE,
+    'The object has another version; the write had no effect.',
+)
+STORE_ANSWER_LOST = Code(
+    722,
+    'STORE_ANSWER_LOST',
+    504,
+    NOT_APPLICABLE,
+    'The answer to a write was lost; it may still take effect.',
+)
+STORE_BAD_ANSWER = Code(
+    723,
+    'STORE_BAD_ANSWER',
+    502,
+    NOT_APPLICABLE,
+    'The answer of the store is not understood.',
+)
+STORE_REFUSED = Code(
+    724,
+    'STORE_REFUSED',
+    400,
+    NOT_APPLICABLE,
+    'The store does not accept the call.',
+)
+STORE_VALUE_TOO_LARGE = Code(
+    725,
+    'STORE_VALUE_TOO_LARGE',
+    413,
+    NOT_APPLICABLE,
+    'The value is over 1 MiB; nothing was sent.',
+)
+STORE_OVERTAKEN = Code(
+    726,
+    'STORE_OVERTAKEN',
+    409,
+    NOT_APPLICABLE,
+    'The answer to a write was lost and later versions followed.',
+)
+BAD_HOST_LIST = Code(
+    727,
+    'BAD_HOST_LIST',
+    502,
+    NOT_APPLICABLE,
+    "An entry of the platform's host list is not understood.",
+)
+
 CODES = tuple(
     value for value in list(globals().values()) if isinstance(value, Code)
 )
--- /dev/null
+++ b/amaranthcrank/record/store_client.py
@@ -0,0 +1,439 @@
+"""Client of the platform's object API."""
+
+from collections import abc
+import json
+import typing
+from urllib import parse
+
+import expression
+import urllib3
+
+from amaranthcrank.core import codes
+from amaranthcrank.core import model
+from amaranthcrank.observe import host_list
+
+# The version of an object that does not exist.
+ABSENT = 0
+
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 1.0
+# A conditional write may be sent again without harm: only one can apply.
+WRITE_ATTEMPTS = 3
+# A waiting watch holds a connection beside the calls of other threads.
+POOL_CONNECTIONS = 8
+
+
+class StoredObject(typing.NamedTuple):
+    """One object as it was read.
+
+    Attributes:
+      kind: The kind.
+      name: The name within the kind.
+      version: Its version, ABSENT where it does not exist.
+      value: Its value, empty where it does not exist.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+class Written(typing.NamedTuple):
+    """A write that took effect.
+
+    Attributes:
+      version: The version it made.
+      read_back: The answer was lost, and reading showed the effect.
+    """
+
+    version: int
+    read_back: bool
+
+
+class Listing(typing.NamedTuple):
+    """The objects of one kind.
+
+    Attributes:
+      kind: The kind.
+      revision: Grows with each write of the kind; where a watch goes on.
+      version_by_name: The version of each object.
+    """
+
+    kind: str
+    revision: int
+    version_by_name: dict[str, int]
+
+
+class HostsAnswer(typing.NamedTuple):
+    """The platform's host list.
+
+    Attributes:
+      hosts: The entries that are understood.
+      errors: What is wrong with the others.
+    """
+
+    hosts: host_list.HostList
+    errors: tuple[codes.Problem, ...]
+
+
+class StoreClient:
+    """The connections to the store and the limits of a call.
+
+    Attributes:
+      address: host:port of the store.
+      connect_timeout_s: Limit for a new connection.
+      read_timeout_s: Limit for each wait on an answer.
+      write_attempts: How often a write is sent while its outcome is open.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        write_attempts: int = WRITE_ATTEMPTS,
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self.address = address
+        self.connect_timeout_s = connect_timeout_s
+        self.read_timeout_s = read_timeout_s
+        self.write_attempts = write_attempts
+        self.pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=POOL_CONNECTIONS, retries=False
+        )
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.pool.close()
+
+    def __enter__(self) -> 'StoreClient':
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        self.close()
+
+
+def get_object(
+    client: StoreClient, kind: str, name: str
+) -> expression.Result[StoredObject, codes.Problem]:
+    """Read one object.
+
+    Args:
+      client: The connections.
+      kind: The kind.
+      name: The name within the kind.
+
+    Returns:
+      The object, with version ABSENT where it does not exist, or a Problem.
+    """
+    path = _object_path(kind, name)
+    answer = _call(client, 'GET', path)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    response = answer.ok
+    if response.status == 404:
+        return expression.Ok(StoredObject(kind, name, ABSENT, b''))
+    if response.status != 200:
+        return expression.Error(_status_problem(path, response))
+    version = _version_of(response)
+    if version is None:
+        return expression.Error(_bad_answer(path, 'no version in the ETag'))
+    return expression.Ok(StoredObject(kind, name, version, response.data))
+
+
+def put_object(
+    client: StoreClient,
+    kind: str,
+    name: str,
+    value: bytes,
+    expected_version: int,
+) -> expression.Result[Written, codes.Problem]:
+    """Write one object if its version is the expected one.
+
+    Where the answer is lost, the object is read back. The write has taken
+    effect if the next version holds exactly this value, so a value that must
+    be told from an equal one of another writer has to contain an id. Where
+    the version is unchanged, the write is sent again.
+
+    Args:
+      client: The connections.
+      kind: The kind.
+      name: The name within the kind.
+      value: The whole new value, up to 1 MiB.
+      expected_version: The version that it replaces, or ABSENT.
+
+    Returns:
+      The version written, or a Problem. After STORE_ANSWER_LOST the write may
+      still take effect; after STORE_OVERTAKEN it may have taken effect before
+      a later version; after any other code it has no effect.
+    """
+    path = _object_path(kind, name)
+    if len(value) > model.MAX_BODY_BYTES:
+        return expression.Error(
+            codes.Problem(
+                codes.STORE_VALUE_TOO_LARGE, path, f'{len(value)} bytes'
+            )
+        )
+    lost: codes.Problem | None = None
+    for _ in range(client.write_attempts):
+        sent = _send_write(client, path, value, expected_version)
+        if sent.is_ok():
+            return expression.Ok(Written(sent.ok, False))
+        problem = sent.error
+        if lost is None and problem.code != codes.STORE_ANSWER_LOST:
+            return expression.Error(problem)
+        # An earlier attempt may be what this attempt met, so from the first
+        # lost answer on only the stored object decides.
+        lost = lost or problem
+        read = get_object(client, kind, name)
+        if read.is_error():
+            return expression.Error(
+                lost._replace(
+                    detail=f'{lost.detail}; read back: {read.error.detail}'
+                )
+            )
+        outcome = _resolve(read.ok, value, expected_version, path)
+        if outcome is not None:
+            return outcome
+    return expression.Error(
+        lost._replace(detail=f'{lost.detail}; not in effect so far')
+    )
+
+
+def list_objects(
+    client: StoreClient, kind: str
+) -> expression.Result[Listing, codes.Problem]:
+    """List the names and versions of a kind."""
+    return _listing(client, kind, f'/objects/{_quoted(kind)}', 0.0)
+
+
+def watch_kind(
+    client: StoreClient, kind: str, revision: int, wait_ms: int
+) -> expression.Result[Listing, codes.Problem]:
+    """Wait until a kind has another revision.
+
+    Args:
+      client: The connections.
+      kind: The kind.
+      revision: The revision of the last listing.
+      wait_ms: How long the store waits for a change.
+
+    Returns:
+      The listing after the wait, with the same revision where nothing
+      changed, or a Problem.
+    """
+    path = f'/objects/{_quoted(kind)}?watch={revision}&wait_ms={wait_ms}'
+    return _listing(client, kind, path, wait_ms / 1000)
+
+
+def list_hosts(
+    client: StoreClient,
+) -> expression.Result[HostsAnswer, codes.Problem]:
+    """Read the platform's host list."""
+    answer = _call(client, 'GET', '/hosts')
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if answer.ok.status != 200:
+        return expression.Error(_status_problem('/hosts', answer.ok))
+    return expression.Ok(
+        HostsAnswer(*host_list.parse_host_list(answer.ok.data))
+    )
+
+
+def put_host(
+    client: StoreClient,
+    host: str,
+    address: str,
+    failure_domain: str,
+    state: str,
+) -> expression.Result[str, codes.Problem]:
+    """Register a host with the platform; sending it again is harmless.
+
+    Args:
+      client: The connections.
+      host: Its id.
+      address: host:port.
+      failure_domain: The failure domain it runs in.
+      state: host_list.LIVE or host_list.LEAVING.
+
+    Returns:
+      The id, or a Problem; STORE_ANSWER_LOST where it may have taken effect.
+    """
+    path = f'/hosts/{_quoted(host)}'
+    body = json.dumps(
+        {
+            'address': address,
+            'failure_domain': failure_domain,
+            'state': state,
+        }
+    ).encode()
+    answer = _call(client, 'PUT', path, body)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if answer.ok.status != 200:
+        return expression.Error(_status_problem(path, answer.ok, write=True))
+    return expression.Ok(host)
+
+
+def _resolve(
+    found: StoredObject, value: bytes, expected_version: int, path: str
+) -> expression.Result[Written, codes.Problem] | None:
+    """Tell the outcome of a write from what is stored.
+
+    Returns:
+      The outcome, or None where the version is still the expected one.
+    """
+    if found.version == expected_version:
+        return None
+    if found.version == expected_version + 1:
+        if found.value == value:
+            return expression.Ok(Written(found.version, True))
+        return expression.Error(
+            _conflict(path, expected_version, found.version)
+        )
+    if found.version < expected_version:
+        return expression.Error(
+            _conflict(path, expected_version, found.version)
+        )
+    return expression.Error(
+        codes.Problem(
+            codes.STORE_OVERTAKEN,
+            path,
+            f'expected version {expected_version}, found {found.version}',
+        )
+    )
+
+
+def _send_write(
+    client: StoreClient, path: str, value: bytes, expected_version: int
+) -> expression.Result[int, codes.Problem]:
+    if expected_version == ABSENT:
+        condition = {'If-None-Match': '*'}
+    else:
+        condition = {'If-Match': f'"{expected_version}"'}
+    answer = _call(client, 'PUT', path, value, condition)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    response = answer.ok
+    if response.status == 412:
+        return expression.Error(
+            _conflict(path, expected_version, _version_of(response) or ABSENT)
+        )
+    if response.status not in (200, 201):
+        return expression.Error(_status_problem(path, response, write=True))
+    version = _version_of(response)
+    if version != expected_version + 1:
+        # The write took effect, but this answer does not prove it.
+        return expression.Error(
+            codes.Problem(
+                codes.STORE_ANSWER_LOST,
+                path,
+                f'answered version {version} after {expected_version}',
+            )
+        )
+    return expression.Ok(version)
+
+
+def _listing(
+    client: StoreClient, kind: str, path: str, wait_s: float
+) -> expression.Result[Listing, codes.Problem]:
+    answer = _call(client, 'GET', path, wait_s=wait_s)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if answer.ok.status != 200:
+        return expression.Error(_status_problem(path, answer.ok))
+    try:
+        content = json.loads(answer.ok.data)
+        return expression.Ok(
+            Listing(
+                kind,
+                int(content['revision']),
+                {
+                    str(each['name']): int(each['version'])
+                    for each in content['objects']
+                },
+            )
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return expression.Error(_bad_answer(path, f'not a listing: {error}'))
+
+
+def _call(
+    client: StoreClient,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: abc.Mapping[str, str] | None = None,
+    wait_s: float = 0.0,
+) -> expression.Result[urllib3.BaseHTTPResponse, codes.Problem]:
+    timeout = urllib3.Timeout(
+        connect=client.connect_timeout_s, read=client.read_timeout_s + wait_s
+    )
+    try:
+        response = client.pool.request(
+            method,
+            path,
+            body=body,
+            headers=headers,
+            timeout=timeout,
+            redirect=False,
+        )
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    ) as error:
+        return expression.Error(_problem(codes.STORE_UNREACHABLE, path, error))
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        # The request may have arrived.
+        code = codes.STORE_UNREACHABLE
+        if method == 'PUT':
+            code = codes.STORE_ANSWER_LOST
+        return expression.Error(_problem(code, path, error))
+    return expression.Ok(response)
+
+
+def _status_problem(
+    path: str, response: urllib3.BaseHTTPResponse, write: bool = False
+) -> codes.Problem:
+    detail = f'status {response.status}'
+    if response.status == 503:
+        return codes.Problem(codes.STORE_UNREACHABLE, path, detail)
+    if response.status >= 500:
+        # Other 5xx answers do not say whether a write took effect.
+        code = codes.STORE_ANSWER_LOST if write else codes.STORE_UNREACHABLE
+        return codes.Problem(code, path, detail)
+    if response.status >= 400:
+        return codes.Problem(codes.STORE_REFUSED, path, detail)
+    code = codes.STORE_ANSWER_LOST if write else codes.STORE_BAD_ANSWER
+    return codes.Problem(code, path, detail)
+
+
+def _conflict(path: str, expected: int, found: int) -> codes.Problem:
+    return codes.Problem(
+        codes.STORE_CONFLICT,
+        path,
+        f'expected version {expected}, found {found}',
+    )
+
+
+def _bad_answer(path: str, detail: str) -> codes.Problem:
+    return codes.Problem(codes.STORE_BAD_ANSWER, path, detail)
+
+
+def _problem(code: codes.Code, path: str, error: Exception) -> codes.Problem:
+    return codes.Problem(code, path, f'{type(error).__name__}: {error}')
+
+
+def _version_of(response: urllib3.BaseHTTPResponse) -> int | None:
+    tag = response.headers.get('ETag', '')
+    digits = tag[1:-1] if tag[:1] == '"' == tag[-1:] else ''
+    return int(digits) if digits.isascii() and digits.isdigit() else None
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f'/objects/{_quoted(kind)}/{_quoted(name)}'
+
+
+def _quoted(text: str) -> str:
+    return parse.quote(text, safe='')
