--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 import threading
-import time
 import typing
 from urllib import parse
 
@@ -32,7 +31,6 @@
       query: The last value of each query field.
       headers: The headers by lower-case name.
       body: The whole body.
-      received_at: When the headers had arrived, monotonic seconds.
     """
 
     method: str
@@ -40,7 +38,6 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
-    received_at: float
 
 
 class Answer(typing.NamedTuple):
@@ -257,9 +254,8 @@
 
 
 def _answer(handler: Handler, environ) -> Answer:
-    received_at = time.monotonic()
     try:
-        call = _read_call(environ, received_at)
+        call = _read_call(environ)
         if call is None:
             return error_answer(413, f'a body is over {MAX_READ_BYTES} bytes')
         return handler(call)
@@ -270,7 +266,7 @@
         ) from None
 
 
-def _read_call(environ, received_at: float) -> Call | None:
+def _read_call(environ) -> Call | None:
     body = _read_body(environ)
     if body is None:
         return None
@@ -289,7 +285,6 @@
         dict(parse.parse_qsl(query, keep_blank_values=True)),
         headers,
         body,
-        received_at,
     )
 
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -68,7 +68,8 @@
     """Everything the store holds.
 
     Attributes:
-      lock: Guards the rest; notified on each change of an object or fault.
+      lock: Guards the rest; notified on each change of an object, a fault or
+        the number of watches.
       stored_by_name: For each kind, its objects by name.
       revision_by_kind: Grows by one with each write of the kind.
       changes_by_host: The registrations of each host, oldest first.
@@ -336,6 +337,7 @@
         )
     with state.lock:
         state.watching += 1
+        state.lock.notify_all()
         state.lock.wait_for(
             lambda: (
                 state.closed
--- a/standins/store_test.py
+++ b/standins/store_test.py
@@ -41,6 +41,13 @@
         answer = self.call('POST', '/faults', json.dumps(faults).encode())
         self.assertEqual(200, answer.status)
 
+    def wait_for_watch(self):
+        with self.state.lock:
+            watching = self.state.lock.wait_for(
+                lambda: self.state.watching, 10
+            )
+        self.assertTrue(watching)
+
     def test_versions_and_etag(self):
         """Guards against versions that do not grow by one a write."""
         created = self.create('/objects/cells/a')
@@ -133,8 +140,7 @@
             )
         )
         watcher.start()
-        while not self.state.watching:
-            pass
+        self.wait_for_watch()
         self.create('/objects/tickets/1')
         self.create('/objects/cells/a')
         watcher.join()
@@ -205,8 +211,7 @@
 
         watcher = threading.Thread(target=watch)
         watcher.start()
-        while not self.state.watching:
-            pass
+        self.wait_for_watch()
         self.faults(outage={'mode': 'hang'})
         watcher.join(10)
         self.assertFalse(watcher.is_alive())
--- /dev/null
+++ b/standins/upstream_test.py
@@ -0,0 +1,487 @@
+"""Tests of the upstream stand-in and its recorder."""
+
+import contextlib
+import json
+import threading
+import unittest
+
+import urllib3
+
+from amaranthcrank.core import model
+from standins import http_server
+from standins import recorder
+from standins import upstream
+
+
+class UpstreamTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 1000.0
+        self.make(service_ms=0)
+
+    def make(self, **settings):
+        self.state = upstream.UpstreamState(
+            upstream.Settings('t1', 'soaklog', **settings),
+            clock=lambda: self.now_s,
+        )
+        self.addCleanup(self.state.close)
+
+    def call(self, method, path, content=None, body=b'', **headers):
+        if content is not None:
+            body = json.dumps(content).encode()
+        named = {
+            name.replace('_', '-').lower(): each
+            for name, each in headers.items()
+        }
+        segments = tuple(path.split('/')[1:])
+        return upstream.handle(
+            self.state,
+            http_server.Call(method, segments, {}, named, body),
+        )
+
+    def current(self):
+        return json.loads(self.call('GET', '/grant').body)
+
+    def grant(self, version=1, slots=((7, 1),), **changes):
+        current = self.current()
+        return self.call(
+            'POST',
+            '/grant',
+            {
+                'incarnation': current['incarnation'],
+                'challenge': current['challenge'],
+                'version': version,
+                'slots': [['soaklog', *each] for each in slots],
+                **changes,
+            },
+        )
+
+    def work(self, method='POST', key='k1', body=b'', **headers):
+        named = {
+            'X_Fence': '1',
+            'X_Slot': '7',
+            'X_Grant_Incarnation': self.state.incarnation,
+            'X_Request_Id': 'id1',
+            **headers,
+        }
+        return self.call(method, f'/keys/soaklog/{key}', body=body, **named)
+
+    def not_run(self, answer):
+        return answer.status, dict(answer.headers).get('X-Not-Run')
+
+    def test_work_needs_its_grant(self):
+        """Guards against work that runs without ownership of its slot."""
+        fence = 409, 'fence'
+        self.assertEqual(fence, self.not_run(self.work()))
+        self.assertEqual(200, self.grant().status)
+        self.assertEqual(200, self.work().status)
+        for headers in (
+            {'X_Fence': '2'},
+            {'X_Slot': '8'},
+            {'X_Grant_Incarnation': 'other'},
+        ):
+            self.assertEqual(fence, self.not_run(self.work(**headers)))
+        self.assertEqual(1, len(self.state.ran))
+
+    def test_lease_counts_from_the_challenge(self):
+        """Guards against a late renewal that extends the lease."""
+        challenge = self.current()['challenge']
+        self.now_s += model.GRANT_LEASE_S - 0.1
+        self.assertEqual(200, self.grant(challenge=challenge).status)
+        self.assertEqual(200, self.work().status)
+        self.now_s += 0.1
+        self.assertEqual((409, 'fence'), self.not_run(self.work()))
+        self.assertEqual(409, self.grant(challenge=challenge).status)
+        self.assertEqual((409, 'fence'), self.not_run(self.work()))
+
+    def test_grant_is_refused_with_current_values(self):
+        """Guards against grants of a stale incarnation or version."""
+        self.grant(version=5)
+        for changes in (
+            {'incarnation': 'other'},
+            {'challenge': 'other'},
+            {'version': 4},
+        ):
+            answer = self.grant(**{'version': 5, **changes})
+            self.assertEqual(409, answer.status)
+            current = json.loads(answer.body)
+            self.assertEqual(5, current['version'])
+            self.assertEqual(
+                200, self.grant(5, challenge=current['challenge']).status
+            )
+
+    def test_grant_replaces_the_slots(self):
+        """Guards against a slot that stays after it was moved away."""
+        self.grant(1, slots=((7, 1), (8, 1)))
+        self.now_s += 0.1
+        self.grant(2, slots=((8, 2),))
+        self.assertEqual((409, 'fence'), self.not_run(self.work()))
+        holds = json.loads(self.call('GET', '/holds').body)
+        self.assertEqual([['soaklog', 8, 2]], holds['current']['slots'])
+        lengths = {
+            tuple(each[:3]): each[4] - each[3] for each in holds['history']
+        }
+        self.assertAlmostEqual(100, lengths['soaklog', 7, 1], delta=1)
+        self.assertAlmostEqual(100, lengths['soaklog', 8, 1], delta=1)
+        self.assertAlmostEqual(600, lengths['soaklog', 8, 2], delta=1)
+
+    def test_holds_have_a_gap_where_the_lease_lapsed(self):
+        """Guards against a history that hides a lapsed lease."""
+        self.grant()
+        self.now_s += 0.3
+        self.grant()
+        self.now_s += 5
+        self.assertIsNone(
+            json.loads(self.call('GET', '/holds').body)['current']
+        )
+        self.grant()
+        history = json.loads(self.call('GET', '/holds').body)['history']
+        self.assertEqual(2, len(history))
+        self.assertAlmostEqual(900, history[0][4] - history[0][3], delta=1)
+
+    def test_release(self):
+        """Guards against renewals that bring a released slot back."""
+        self.grant(1)
+        late = self.current()
+        answer = self.call(
+            'POST', '/release', {'version': 2, 'slots': [['soaklog', 7]]}
+        )
+        content = json.loads(answer.body)
+        self.assertEqual([['soaklog', 7, 0]], content['slots'])
+        self.assertEqual(2, content['version'])
+        self.assertEqual((409, 'fence'), self.not_run(self.work()))
+        self.assertEqual(
+            409, self.grant(1, challenge=late['challenge']).status
+        )
+        old = self.call(
+            'POST', '/release', {'version': 1, 'slots': [['soaklog', 7]]}
+        )
+        self.assertEqual(409, old.status)
+
+    def test_slots_and_cancel(self):
+        """Guards against more runs than slots and lost cancellations."""
+        self.make(service_ms=60_000, slots=1)
+        self.grant()
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(self.work()))
+        thread.start()
+        with self.state.lock:
+            running = self.state.lock.wait_for(lambda: self.state.jobs, 10)
+        self.assertTrue(running)
+        self.assertEqual((503, 'shed'), self.not_run(self.work()))
+        released = self.call(
+            'POST', '/release', {'version': 1, 'slots': [['soaklog', 7, 1]]}
+        )
+        self.assertEqual(
+            [['soaklog', 7, 1]], json.loads(released.body)['slots']
+        )
+        self.assertEqual(1, self.current()['in_flight'])
+        cancelled = self.call('POST', '/cancel', {'request_id': 'id1'})
+        self.assertEqual({'state': 'running'}, json.loads(cancelled.body))
+        thread.join()
+        # It had taken effect, so it must not claim that it did not run.
+        self.assertEqual((499, None), self.not_run(answers[0]))
+        self.assertEqual(0, self.current()['in_flight'])
+
+    def test_cancel_before_arrival(self):
+        """Guards against work that runs after its cancellation."""
+        self.grant()
+        answer = self.call('POST', '/cancel', {'request_id': 'id1'})
+        self.assertEqual({'state': 'not_seen'}, json.loads(answer.body))
+        self.assertEqual((499, 'cancelled'), self.not_run(self.work()))
+        self.assertEqual(200, self.work().status)
+        answer = self.call('POST', '/cancel', {'request_id': 'id1'})
+        self.assertEqual({'state': 'finished'}, json.loads(answer.body))
+
+    def test_deadline(self):
+        """Guards against a late run that is reported as not run."""
+        self.make(service_ms=60_000)
+        self.grant()
+        self.assertEqual(
+            (504, 'deadline'), self.not_run(self.work(X_Deadline_Ms='0'))
+        )
+        self.assertEqual([], self.state.ran)
+        self.assertEqual(
+            (504, None), self.not_run(self.work(X_Deadline_Ms='1'))
+        )
+        self.assertEqual(1, len(self.state.ran))
+
+    def test_drain(self):
+        """Guards against new work at an upstream that leaves."""
+        self.grant()
+        drained = self.call('POST', '/drain')
+        self.assertTrue(json.loads(drained.body)['draining'])
+        self.assertEqual((503, 'draining'), self.not_run(self.work()))
+        self.assertEqual(200, self.grant().status)
+        self.call('POST', '/drain', {'draining': False})
+        self.assertEqual(200, self.work().status)
+
+    def test_cold_start_and_shedding(self):
+        """Guards against refusals that lack their reason."""
+        self.make(service_ms=0, cold_ms=500, cold_mode=upstream.REFUSE)
+        self.grant()
+        self.assertEqual((503, 'cold'), self.not_run(self.work()))
+        self.now_s += 0.5
+        self.call('POST', '/settings', {'shed_next': 1})
+        self.assertEqual((503, 'shed'), self.not_run(self.work()))
+        self.assertEqual(200, self.work().status)
+        self.assertEqual(
+            400, self.call('POST', '/settings', {'slots': 1}).status
+        )
+
+    def test_cold_start_that_is_slow(self):
+        """Guards against a cold start without effect on the run time."""
+        self.make(service_ms=1, cold_ms=500, cold_extra_ms=60_000)
+        self.grant()
+        self.assertEqual(504, self.work(X_Deadline_Ms='20').status)
+        self.now_s += 0.5
+        self.grant()
+        self.assertEqual(200, self.work(X_Deadline_Ms='20').status)
+
+    def test_unfenced(self):
+        """Guards against an unfenced upstream that checks all the same."""
+        self.make(service_ms=0, unfenced=True)
+        self.assertEqual(200, self.work(X_Fence='99').status)
+        self.assertEqual(200, self.grant().status)
+
+    def test_state_per_key(self):
+        """Guards against keys that share a counter."""
+        self.grant()
+        self.work('GET', X_Request_Id='a')
+        self.work('PUT', 'k2', X_Request_Id='b')
+        answer = self.work('PATCH', body=b'abc', X_Request_Id='c')
+        self.assertEqual(
+            {
+                'key': 'k1',
+                'service': 'soaklog',
+                'count': 2,
+                'request_id': 'c',
+                'body_bytes': 3,
+            },
+            json.loads(answer.body),
+        )
+        self.assertEqual(['a', 'c'], self.state.ids_by_key['soaklog', 'k1'])
+        ran = json.loads(self.call('GET', '/ran').body)
+        self.assertEqual(
+            [('a', True), ('b', False), ('c', False)],
+            [(each['request_id'], each['repeatable']) for each in ran],
+        )
+        self.assertEqual(
+            {(1, self.state.incarnation, int(self.now_s * 1000))},
+            {
+                (each['fence'], each['incarnation'], each['at_monotonic_ms'])
+                for each in ran
+            },
+        )
+
+    def test_bad_requests_do_not_run(self):
+        """Guards against malformed work that takes effect."""
+        self.make(service_ms=0, unfenced=True)
+        for answer in (
+            self.work(key=''),
+            self.work(X_Fence='x'),
+            self.work(body=b'x' * (http_server.MAX_BODY_BYTES + 1)),
+            self.call('POST', '/keys/other/k1'),
+        ):
+            self.assertEqual((400, 'request'), self.not_run(answer))
+        self.assertEqual([], self.state.ran)
+
+    def test_freeze_stalls_every_call(self):
+        """Guards against a frozen upstream that renews or runs."""
+        self.grant()
+        challenge = self.current()['challenge']
+        self.call('POST', '/freeze', {'ms': 5000})
+        answers = {}
+
+        def run(name, function, *values, **changes):
+            answers[name] = function(*values, **changes)
+
+        threads = [
+            threading.Thread(target=run, args=('work', self.work)),
+            threading.Thread(
+                target=run,
+                args=('grant', self.grant_with),
+                kwargs={'challenge': challenge},
+            ),
+        ]
+        for thread in threads:
+            thread.start()
+        with self.state.lock:
+            stalled = self.state.lock.wait_for(
+                lambda: self.state.stalled == 2, 10
+            )
+            self.assertTrue(stalled)
+            self.assertEqual({}, answers)
+            self.now_s += 5
+            self.state.lock.notify_all()
+        for thread in threads:
+            thread.join()
+        self.assertEqual((409, 'fence'), self.not_run(answers['work']))
+        self.assertEqual(409, answers['grant'].status)
+
+    def grant_with(self, challenge):
+        return self.call(
+            'POST',
+            '/grant',
+            {
+                'incarnation': self.state.incarnation,
+                'challenge': challenge,
+                'version': 1,
+                'slots': [['soaklog', 7, 1]],
+            },
+        )
+
+
+class UpstreamOverHttpTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.recorder = recorder.RecorderState()
+        self.recorder_address = self.stack.enter_context(
+            http_server.running(
+                recorder.handler_of(self.recorder), lambda: None
+            )
+        )
+        self.state = upstream.UpstreamState(
+            upstream.Settings(
+                't1',
+                'soaklog',
+                service_ms=0,
+                record_url=f'http://{self.recorder_address}',
+            ),
+            # A lease that lapses on a busy machine would fail the tests.
+            clock=lambda: 1000.0,
+        )
+        self.address = self.stack.enter_context(
+            http_server.running(
+                upstream.handler_of(self.state),
+                self.state.close,
+                connection_limit=2,
+            )
+        )
+        self.pool = self.stack.enter_context(
+            urllib3.PoolManager(retries=False, timeout=10)
+        )
+
+    def call(self, method, path, body=None, **headers):
+        named = {
+            name.replace('_', '-'): each for name, each in headers.items()
+        }
+        return self.pool.request(
+            method, f'http://{self.address}{path}', body=body, headers=named
+        )
+
+    def work(self, method, key, body=None, **headers):
+        fenced = {
+            'X_Fence': '1',
+            'X_Slot': '7',
+            'X_Grant_Incarnation': self.state.incarnation,
+        }
+        return self.call(
+            method, f'/keys/soaklog/{key}', body, **{**fenced, **headers}
+        )
+
+    def grant(self):
+        current = self.call('GET', '/grant').json()
+        content = {
+            'incarnation': current['incarnation'],
+            'challenge': current['challenge'],
+            'version': 1,
+            'slots': [['soaklog', 7, 1]],
+        }
+        answer = self.call('POST', '/grant', json.dumps(content).encode())
+        self.assertEqual(200, answer.status)
+
+    def test_methods_keys_and_echo(self):
+        """Guards against keys and bodies that change on the way."""
+        self.grant()
+        for method in ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'):
+            self.assertEqual(200, self.work(method, 'a%2Fb%20c').status)
+        self.assertEqual({('soaklog', 'a/b c')}, set(self.state.ids_by_key))
+        head = self.work('HEAD', 'k')
+        self.assertEqual(b'', head.data)
+        self.assertLess(0, int(head.headers['Content-Length']))
+        body = bytes(range(256)) * 4096
+        self.assertEqual(body, self.work('PUT', 'k', body, X_Echo='1').data)
+        self.assertEqual(
+            400, self.work('PUT', 'k', body + b'x', X_Echo='1').status
+        )
+
+    def test_runs_and_holds_are_recorded(self):
+        """Guards against runs that a killed process takes with it."""
+        self.grant()
+        self.work('POST', 'k', X_Request_Id='id1')
+        self.work('POST', 'k', X_Fence='9', X_Request_Id='id2')
+        everything = urllib3.request(
+            'GET', f'http://{self.recorder_address}/all'
+        ).json()
+        self.assertEqual(
+            ['id1'], [each['request_id'] for each in everything['ran']]
+        )
+        hold = everything['holds'][0]
+        self.assertEqual(
+            ('t1', 'soaklog', 7, 1),
+            (hold['target'], hold['service'], hold['slot'], hold['fence']),
+        )
+
+    def test_unrecorded_run_is_not_acknowledged(self):
+        """Guards against an answer for a run that no record shows."""
+        self.state.settings = self.state.settings._replace(
+            record_url=f'http://{self.recorder_address}/x', unfenced=True
+        )
+        answer = self.work('POST', 'k')
+        self.assertEqual(500, answer.status)
+        self.assertNotIn('X-Not-Run', answer.headers)
+
+    def test_connection_limit(self):
+        """Guards against an upstream that takes any number of connections."""
+        pools = [urllib3.PoolManager(retries=False) for _ in range(3)]
+        for pool in pools:
+            self.stack.enter_context(pool)
+        url = f'http://{self.address}/grant'
+        answers = [pool.request('GET', url) for pool in pools]
+        self.assertEqual([200, 200, 503], [each.status for each in answers])
+        self.assertEqual('connections', answers[2].headers['X-Not-Run'])
+
+
+class RecorderTest(unittest.TestCase):
+    def post(self, state, path, content):
+        call = http_server.Call(
+            'POST', (path,), {}, {}, json.dumps(content).encode()
+        )
+        return recorder.handle(state, call).status
+
+    def holds(self, number, until_ms, incarnation='i1', **changes):
+        return {
+            'target': 't1',
+            'incarnation': incarnation,
+            'number': number,
+            'holds': [['s', 7, 1, 100, until_ms]],
+            **changes,
+        }
+
+    def test_late_reports_do_not_shorten_a_hold(self):
+        """Guards against reports of two renewals that overtake each other."""
+        state = recorder.RecorderState()
+        self.post(state, 'holds', self.holds(2, 900))
+        self.post(state, 'holds', self.holds(1, 700))
+        call = http_server.Call('GET', ('all',), {}, {}, b'')
+        content = json.loads(recorder.handle(state, call).body)
+        self.assertEqual(
+            [900], [each['until_ms'] for each in content['holds']]
+        )
+        self.post(
+            state,
+            'holds',
+            self.holds(1, 0, 'i2', holds=[], started_ms=600),
+        )
+        content = json.loads(recorder.handle(state, call).body)
+        self.assertEqual(
+            [600], [each['until_ms'] for each in content['holds']]
+        )
+
+    def test_bad_reports(self):
+        """Guards against a report that is dropped without a word."""
+        state = recorder.RecorderState()
+        self.assertEqual(400, self.post(state, 'holds', {}))
+        self.assertEqual(400, self.post(state, 'ran', []))
+        self.assertEqual(404, self.post(state, 'other', {}))
