--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -181,6 +181,276 @@
     'The dispatching host did not answer in time.',
 )
 
+# Tickets and the operator interface.
+TICKET_CONFLICT = Code(
+    500,
+    'TICKET_CONFLICT',
+    409,
+    NOT_APPLICABLE,
+    'Another ticket was filed first; see the current state.',
+)
+TICKET_NOT_JSON = Code(
+    501,
+    'TICKET_NOT_JSON',
+    400,
+    NOT_APPLICABLE,
+    'The document is not one JSON object.',
+)
+TICKET_MISSING_FIELD = Code(
+    502, 'TICKET_MISSING_FIELD', 400, NOT_APPLICABLE, 'A field is missing.'
+)
+TICKET_UNKNOWN_FIELD = Code(
+    503, 'TICKET_UNKNOWN_FIELD', 400, NOT_APPLICABLE, 'A field is not known.'
+)
+TICKET_WRONG_TYPE = Code(
+    504,
+    'TICKET_WRONG_TYPE',
+    400,
+    NOT_APPLICABLE,
+    'A field has the wrong type.',
+)
+TICKET_DUPLICATE_FIELD = Code(
+    505,
+    'TICKET_DUPLICATE_FIELD',
+    400,
+    NOT_APPLICABLE,
+    'An object has the same field twice.',
+)
+TICKET_BAD_NAME = Code(
+    506, 'TICKET_BAD_NAME', 400, NOT_APPLICABLE, 'A name or key is not valid.'
+)
+TICKET_OUT_OF_BOUNDS = Code(
+    507,
+    'TICKET_OUT_OF_BOUNDS',
+    400,
+    NOT_APPLICABLE,
+    'A number is out of bounds.',
+)
+TICKET_RANGES_OVERLAP = Code(
+    508,
+    'TICKET_RANGES_OVERLAP',
+    400,
+    NOT_APPLICABLE,
+    'Slot ranges of a service overlap.',
+)
+TICKET_RANGES_MISSING = Code(
+    509,
+    'TICKET_RANGES_MISSING',
+    400,
+    NOT_APPLICABLE,
+    'Slots of a service are in no range.',
+)
+TICKET_UNKNOWN_CELL = Code(
+    510,
+    'TICKET_UNKNOWN_CELL',
+    400,
+    NOT_APPLICABLE,
+    'No ticket names this cell.',
+)
+TICKET_BAD_ADDRESS = Code(
+    511,
+    'TICKET_BAD_ADDRESS',
+    400,
+    NOT_APPLICABLE,
+    'An address is not host:port.',
+)
+TICKET_DUPLICATE_TARGET = Code(
+    512,
+    'TICKET_DUPLICATE_TARGET',
+    400,
+    NOT_APPLICABLE,
+    'Two targets have the same id.',
+)
+TICKET_FLOORS_OVER_WHOLE = Code(
+    513,
+    'TICKET_FLOORS_OVER_WHOLE',
+    400,
+    NOT_APPLICABLE,
+    'The floors leave nothing to urgent work.',
+)
+TICKET_UNKNOWN_PIN_TARGET = Code(
+    514,
+    'TICKET_UNKNOWN_PIN_TARGET',
+    400,
+    NOT_APPLICABLE,
+    'A pin names a target that is not there.',
+)
+TICKET_DRAINING_PIN_TARGET = Code(
+    515,
+    'TICKET_DRAINING_PIN_TARGET',
+    400,
+    NOT_APPLICABLE,
+    'A pin names a draining target.',
+)
+TICKET_NO_ACTIVE_TARGET = Code(
+    516,
+    'TICKET_NO_ACTIVE_TARGET',
+    400,
+    NOT_APPLICABLE,
+    'A cell has slots of a service but no active target for it.',
+)
+TICKET_UNKNOWN_LOST_CELL = Code(
+    517,
+    'TICKET_UNKNOWN_LOST_CELL',
+    400,
+    NOT_APPLICABLE,
+    'A lost cell is not in the ticket state.',
+)
+TICKET_SHARES_OVER_WHOLE = Code(
+    518,
+    'TICKET_SHARES_OVER_WHOLE',
+    400,
+    NOT_APPLICABLE,
+    'The shares of the link exceed the whole.',
+)
+TICKET_TOO_LARGE = Code(
+    519,
+    'TICKET_TOO_LARGE',
+    413,
+    NOT_APPLICABLE,
+    'The ticket is larger than the store accepts.',
+)
+TICKET_EMPTY = Code(
+    520, 'TICKET_EMPTY', 400, NOT_APPLICABLE, 'The ticket touches no section.'
+)
+TICKET_NOT_FOUND = Code(
+    521,
+    'TICKET_NOT_FOUND',
+    404,
+    NOT_APPLICABLE,
+    'There is no ticket with this number.',
+)
+TICKET_TOO_FEW_CONNECTIONS = Code(
+    522,
+    'TICKET_TOO_FEW_CONNECTIONS',
+    400,
+    NOT_APPLICABLE,
+    'A target takes fewer connections than its slots need.',
+)
+TICKET_SLOTS_CHANGED = Code(
+    523,
+    'TICKET_SLOTS_CHANGED',
+    400,
+    NOT_APPLICABLE,
+    'The number of slots of a service is fixed.',
+)
+TICKET_TARGET_CHANGED = Code(
+    524,
+    'TICKET_TARGET_CHANGED',
+    400,
+    NOT_APPLICABLE,
+    'A target keeps its service, cell and address.',
+)
+TICKET_DUPLICATE_ADDRESS = Code(
+    525,
+    'TICKET_DUPLICATE_ADDRESS',
+    400,
+    NOT_APPLICABLE,
+    'Two targets have the same address.',
+)
+TICKET_STORE_DOWN = Code(
+    526,
+    'TICKET_STORE_DOWN',
+    503,
+    NOT_APPLICABLE,
+    'The store does not answer; nothing was filed.',
+)
+TICKET_OUTCOME_UNKNOWN = Code(
+    527,
+    'TICKET_OUTCOME_UNKNOWN',
+    504,
+    NOT_APPLICABLE,
+    'The store did not confirm the ticket; read the list of tickets.',
+)
+OPERATOR_UNAUTHORIZED = Code(
+    540,
+    'OPERATOR_UNAUTHORIZED',
+    401,
+    NOT_APPLICABLE,
+    'The operator key is missing or not accepted.',
+)
+OPERATOR_BAD_PATH = Code(
+    541,
+    'OPERATOR_BAD_PATH',
+    404,
+    NOT_APPLICABLE,
+    'The operator interface has no such path.',
+)
+
+# Settings.
+SETTING_MISSING = Code(
+    600, 'SETTING_MISSING', 0, NOT_APPLICABLE, 'A required setting is missing.'
+)
+SETTING_BAD_NAME = Code(
+    601,
+    'SETTING_BAD_NAME',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not a valid name.',
+)
+SETTING_BAD_ADDRESS = Code(
+    602,
+    'SETTING_BAD_ADDRESS',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not host:port.',
+)
+SETTING_BAD_URL = Code(
+    603,
+    'SETTING_BAD_URL',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not an http or https URL.',
+)
+SETTING_BAD_KEYS = Code(
+    604,
+    'SETTING_BAD_KEYS',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not one key or two keys.',
+)
+SETTING_BAD_CHOICE = Code(
+    605,
+    'SETTING_BAD_CHOICE',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not one of the accepted words.',
+)
+SETTING_BAD_NUMBER = Code(
+    606,
+    'SETTING_BAD_NUMBER',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not a number within bounds.',
+)
+SETTING_BAD_PATH = Code(
+    607,
+    'SETTING_BAD_PATH',
+    0,
+    NOT_APPLICABLE,
+    'A setting is not a path in an existing directory.',
+)
+SETTING_UNKNOWN_FLAG = Code(
+    608, 'SETTING_UNKNOWN_FLAG', 0, NOT_APPLICABLE, 'A flag is not known.'
+)
+SETTING_NO_VALUE = Code(
+    609, 'SETTING_NO_VALUE', 0, NOT_APPLICABLE, 'A flag has no value.'
+)
+SETTING_SAME_ADDRESS = Code(
+    610,
+    'SETTING_SAME_ADDRESS',
+    0,
+    NOT_APPLICABLE,
+    'Two listeners have the same address.',
+)
+SETTING_SHARED_KEY = Code(
+    611,
+    'SETTING_SHARED_KEY',
+    0,
+    NOT_APPLICABLE,
+    'A key serves both hosts and operators.',
+)
+
 CODES = tuple(
     value for value in list(globals().values()) if isinstance(value, Code)
 )
