Read all settings from one table, with every problem at once

Cause: a host that starts with a mistyped setting is found late, and one error at a time costs a restart each. Conclusion: the 11 tests of the module pass; one checks each bad form by number, another that docs/settings.md has every row of the table.

--- a/amaranthcrank/core/settings.py
+++ b/amaranthcrank/core/settings.py
@@ -1,10 +1,33 @@
-"""Settings of the daemon, from flags and environment variables."""
+"""Settings of the daemon, from flags and environment variables.
+
+SETTINGS is the one table of settings. Everything else (reading, showing,
+the help text and docs/settings.md) follows from it.
+"""
 
 from collections import abc
+import math
+import os
+import re
 import typing
+import urllib.parse
 
 from amaranthcrank.core import codes
 
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+LOG_FORMATS = ('text', 'json')
+MASK = '****'
+
+# Shorter keys can be found by trying them against one recorded handshake.
+MIN_KEY_CHARACTERS = 16
+MAX_CALLER_THREADS = 1024
+MAX_CONNECTIONS = 65_536
+MAX_DRAIN_S = 600.0
+MAX_PORT = 65_535
+
+# Hashing joins names with `|` and `/`, so neither may be part of a name.
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_KEY = re.compile(r'[!-+\--~]{%d,256}' % MIN_KEY_CHARACTERS)
+
 
 class Settings(typing.NamedTuple):
     """The checked settings of one daemon.
@@ -49,6 +72,282 @@
     ready_file: str
 
 
+class Setting(typing.NamedTuple):
+    """One row of the table of settings.
+
+    Attributes:
+      name: The field of Settings.
+      default: The text of the default, None where a value is required.
+      parse: Makes the value from text; raises ValueError for a bad one.
+      accepted: What parse accepts, for people.
+      code: The result code of a bad value.
+      secret: Whether the value is masked wherever it is shown.
+      purpose: What it is for, in one phrase.
+    """
+
+    name: str
+    default: str | None
+    parse: abc.Callable[[str], typing.Any]
+    accepted: str
+    code: codes.Code
+    secret: bool
+    purpose: str
+
+    @property
+    def flag(self) -> str:
+        """The command-line flag."""
+        return '--' + self.name.replace('_', '-')
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return 'AMARANTHCRANK_' + self.name.upper()
+
+
+def _parse_name(text: str) -> str:
+    if not _NAME.fullmatch(text):
+        raise ValueError(text)
+    return text
+
+
+def _parse_address(text: str) -> tuple[str, int]:
+    parts = urllib.parse.urlsplit('//' + text)
+    if parts.port is None or not parts.hostname or parts.netloc != text:
+        raise ValueError(text)
+    if '@' in text or any(each.isspace() for each in text):
+        raise ValueError(text)
+    return parts.hostname, parts.port
+
+
+def _parse_url(text: str) -> str:
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme not in ('http', 'https') or not parts.hostname:
+        raise ValueError(text)
+    if parts.query or parts.fragment or parts.username is not None:
+        raise ValueError(text)
+    # Reading the port checks it.
+    if parts.port == 0 or any(each.isspace() for each in text):
+        raise ValueError(text)
+    return text.rstrip('/')
+
+
+def _parse_optional_url(text: str) -> str:
+    return _parse_url(text) if text else ''
+
+
+def _parse_keys(text: str) -> tuple[str, ...]:
+    keys = tuple(text.split(','))
+    if len(keys) > 2 or len(set(keys)) < len(keys):
+        raise ValueError('number of keys')
+    if not all(_KEY.fullmatch(each) for each in keys):
+        raise ValueError('form of a key')
+    return keys
+
+
+def _choice_of(words: tuple[str, ...]) -> abc.Callable[[str], str]:
+    def parse(text: str) -> str:
+        if text not in words:
+            raise ValueError(text)
+        return text
+
+    return parse
+
+
+def _integer_within(low: int, high: int) -> abc.Callable[[str], int]:
+    def parse(text: str) -> int:
+        if not re.fullmatch(r'[0-9]{1,9}', text):
+            raise ValueError(text)
+        if not low <= int(text) <= high:
+            raise ValueError(text)
+        return int(text)
+
+    return parse
+
+
+def _parse_seconds(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value) or not 0 <= value <= MAX_DRAIN_S:
+        raise ValueError(text)
+    return value
+
+
+def _parse_path(text: str) -> str:
+    if not text:
+        return ''
+    if text.endswith('/') or '\0' in text:
+        raise ValueError(text)
+    if not os.path.isdir(os.path.dirname(text) or '.'):
+        raise ValueError(text)
+    return text
+
+
+_NAME_TEXT = '1 to 64 of A-Z a-z 0-9 . _ -, starting with a letter or digit'
+_ADDRESS_TEXT = 'host:port with a port from 0 to 65535 (0: any free port)'
+_URL_TEXT = 'an http or https URL without user, query and fragment'
+_KEYS_TEXT = (
+    f'CURRENT or CURRENT,PREVIOUS; each {MIN_KEY_CHARACTERS} to 256 '
+    'printable characters without comma and space, not the same twice'
+)
+
+SETTINGS: tuple[Setting, ...] = (
+    Setting(
+        'host_id',
+        None,
+        _parse_name,
+        _NAME_TEXT,
+        codes.SETTING_BAD_NAME,
+        False,
+        'id of this entry host',
+    ),
+    Setting(
+        'cell',
+        '',
+        lambda text: _parse_name(text) if text else '',
+        _NAME_TEXT,
+        codes.SETTING_BAD_NAME,
+        False,
+        'cell of this host; the failure domain unless set',
+    ),
+    Setting(
+        'failure_domain',
+        None,
+        _parse_name,
+        _NAME_TEXT,
+        codes.SETTING_BAD_NAME,
+        False,
+        'failure domain of this host',
+    ),
+    Setting(
+        'region',
+        None,
+        _parse_name,
+        _NAME_TEXT,
+        codes.SETTING_BAD_NAME,
+        False,
+        'region of this host',
+    ),
+    Setting(
+        'caller_address',
+        '127.0.0.1:8080',
+        _parse_address,
+        _ADDRESS_TEXT,
+        codes.SETTING_BAD_ADDRESS,
+        False,
+        'where callers connect',
+    ),
+    Setting(
+        'peer_address',
+        '127.0.0.1:8081',
+        _parse_address,
+        _ADDRESS_TEXT,
+        codes.SETTING_BAD_ADDRESS,
+        False,
+        'where other entry hosts connect',
+    ),
+    Setting(
+        'operator_address',
+        '127.0.0.1:8082',
+        _parse_address,
+        _ADDRESS_TEXT,
+        codes.SETTING_BAD_ADDRESS,
+        False,
+        'where operators connect',
+    ),
+    Setting(
+        'store_url',
+        None,
+        _parse_url,
+        _URL_TEXT,
+        codes.SETTING_BAD_URL,
+        False,
+        "base URL of the platform's store",
+    ),
+    Setting(
+        'cluster_keys',
+        None,
+        _parse_keys,
+        _KEYS_TEXT,
+        codes.SETTING_BAD_KEYS,
+        True,
+        'keys that hosts share to authenticate links',
+    ),
+    Setting(
+        'operator_keys',
+        None,
+        _parse_keys,
+        _KEYS_TEXT,
+        codes.SETTING_BAD_KEYS,
+        True,
+        'keys that operators present',
+    ),
+    Setting(
+        'log_level',
+        'info',
+        _choice_of(LOG_LEVELS),
+        ', '.join(LOG_LEVELS),
+        codes.SETTING_BAD_CHOICE,
+        False,
+        'least level that is logged',
+    ),
+    Setting(
+        'log_format',
+        'text',
+        _choice_of(LOG_FORMATS),
+        ', '.join(LOG_FORMATS),
+        codes.SETTING_BAD_CHOICE,
+        False,
+        'form of a log line',
+    ),
+    Setting(
+        'otlp_endpoint',
+        '',
+        _parse_optional_url,
+        _URL_TEXT + ', or empty',
+        codes.SETTING_BAD_URL,
+        False,
+        'base URL of an OTLP/HTTP collector for traces; empty: none',
+    ),
+    Setting(
+        'caller_threads',
+        '64',
+        _integer_within(1, MAX_CALLER_THREADS),
+        f'an integer from 1 to {MAX_CALLER_THREADS}',
+        codes.SETTING_BAD_NUMBER,
+        False,
+        'threads that serve callers',
+    ),
+    Setting(
+        'max_connections',
+        '1024',
+        _integer_within(1, MAX_CONNECTIONS),
+        f'an integer from 1 to {MAX_CONNECTIONS}',
+        codes.SETTING_BAD_NUMBER,
+        False,
+        'connections of callers held at once',
+    ),
+    Setting(
+        'drain_s',
+        '30',
+        _parse_seconds,
+        f'a number of seconds from 0 to {MAX_DRAIN_S:g}',
+        codes.SETTING_BAD_NUMBER,
+        False,
+        'seconds a shutdown waits for requests in flight',
+    ),
+    Setting(
+        'ready_file',
+        '',
+        _parse_path,
+        'the path of a file in an existing directory, or empty',
+        codes.SETTING_BAD_PATH,
+        False,
+        'file that gets the bound addresses as JSON; empty: none',
+    ),
+)
+BY_NAME = {row.name: row for row in SETTINGS}
+BY_FLAG = {row.flag: row for row in SETTINGS}
+
+
 def split_flags(
     arguments: abc.Sequence[str],
 ) -> tuple[dict[str, str], tuple[codes.Problem, ...]]:
@@ -61,7 +360,33 @@
     Returns:
       The value by setting name (`host_id`), and the problems found.
     """
-    raise NotImplementedError
+    values: dict[str, str] = {}
+    problems: list[codes.Problem] = []
+    rest = list(arguments)
+    while rest:
+        flag, equals, value = rest.pop(0).partition('=')
+        row = BY_FLAG.get(flag)
+        if row is None:
+            # The value of a mistyped flag may be a secret.
+            problems.append(
+                codes.Problem(
+                    codes.SETTING_UNKNOWN_FLAG,
+                    flag,
+                    'see --help for the flags that are accepted',
+                )
+            )
+            if not equals and rest and not rest[0].startswith('--'):
+                rest.pop(0)
+            continue
+        if not equals and (not rest or rest[0].startswith('--')):
+            problems.append(
+                codes.Problem(
+                    codes.SETTING_NO_VALUE, flag, f'accepted: {row.accepted}'
+                )
+            )
+            continue
+        values[row.name] = value if equals else rest.pop(0)
+    return values, tuple(problems)
 
 
 def read_settings(
@@ -71,12 +396,33 @@
 
     Args:
       flags: The value by setting name (`host_id`); None is not given.
-      environ: The environment; flags go before it.
+      environ: The environment; flags go before it. An empty variable
+        counts as not set.
 
     Returns:
       The settings, or None and every problem found.
     """
-    raise NotImplementedError
+    values: dict[str, typing.Any] = {}
+    problems: list[codes.Problem] = []
+    for row in SETTINGS:
+        text, source = _find(row, flags, environ)
+        if text is None:
+            detail = f'set {row.flag} or {row.variable} to {row.accepted}'
+            problems.append(
+                codes.Problem(codes.SETTING_MISSING, row.name, detail)
+            )
+            continue
+        try:
+            values[row.name] = row.parse(text)
+        except ValueError:
+            shown = MASK if row.secret else repr(text)
+            detail = f'{shown} from {source}; accepted: {row.accepted}'
+            problems.append(codes.Problem(row.code, row.name, detail))
+    problems.extend(_check_together(values))
+    if problems:
+        return None, tuple(problems)
+    values['cell'] = values['cell'] or values['failure_domain']
+    return Settings(**values), ()
 
 
 def show_settings(
@@ -91,9 +437,76 @@
     Returns:
       One line a setting, with secrets masked.
     """
-    raise NotImplementedError
+    lines = []
+    for row in SETTINGS:
+        text, source = _find(row, flags, environ)
+        if row.name == 'cell' and not text:
+            text, source = _find(BY_NAME['failure_domain'], flags, environ)
+            source = 'failure_domain'
+        if text is None:
+            lines.append(f'{row.name} is not set')
+            continue
+        shown = MASK if row.secret else text
+        lines.append(f'{row.name}={shown} ({source})')
+    return tuple(lines)
 
 
 def usage() -> str:
     """Describe every flag, for --help."""
-    raise NotImplementedError
+    lines = [
+        'Usage: amaranthcrankd [--FLAG VALUE]...',
+        '',
+        'Each flag goes before its environment variable.',
+        '',
+    ]
+    for row in SETTINGS:
+        lines.append(f'  {row.flag} ({row.variable})')
+        lines.append(f'      {row.purpose}: {row.accepted}.')
+        if row.default is None:
+            lines.append('      Required.')
+        elif row.default:
+            lines.append(f'      Default: {row.default}.')
+    return '\n'.join(lines) + '\n'
+
+
+def _find(
+    row: Setting,
+    flags: abc.Mapping[str, str | None],
+    environ: abc.Mapping[str, str],
+) -> tuple[str | None, str]:
+    """Find the text of one setting and name its source."""
+    flagged = flags.get(row.name)
+    if flagged is not None:
+        return flagged, row.flag
+    if environ.get(row.variable):
+        return environ[row.variable], row.variable
+    return row.default, 'default'
+
+
+def _check_together(
+    values: abc.Mapping[str, typing.Any],
+) -> abc.Iterator[codes.Problem]:
+    """Find problems between settings that are fine one by one."""
+    listeners = ('caller_address', 'peer_address', 'operator_address')
+    name_by_address: dict[tuple[str, int], str] = {}
+    for name in listeners:
+        address = values.get(name)
+        if address is None or address[1] == 0:
+            continue
+        earlier = name_by_address.setdefault(address, name)
+        if earlier != name:
+            yield codes.Problem(
+                codes.SETTING_SAME_ADDRESS,
+                name,
+                f'{address[0]}:{address[1]} is also {earlier}; '
+                'accepted: a different address, or port 0',
+            )
+    shared = set(values.get('cluster_keys', ())).intersection(
+        values.get('operator_keys', ())
+    )
+    if shared:
+        yield codes.Problem(
+            codes.SETTING_SHARED_KEY,
+            'operator_keys',
+            f'{MASK} is also in cluster_keys; accepted: keys of their own',
+        )
--- /dev/null
+++ b/amaranthcrank/core/settings_test.py
@@ -0,0 +1,161 @@
+import os
+import tempfile
+import unittest
+
+from amaranthcrank.core import codes
+from amaranthcrank.core import settings
+
+GOOD = {
+    'AMARANTHCRANK_HOST_ID': 'balaju-1',
+    'AMARANTHCRANK_FAILURE_DOMAIN': 'ktm-balaju',
+    'AMARANTHCRANK_REGION': 'kathmandu',
+    'AMARANTHCRANK_STORE_URL': 'http://127.0.0.1:9000/',
+    'AMARANTHCRANK_CLUSTER_KEYS': 'cluster-key-00000001',
+    'AMARANTHCRANK_OPERATOR_KEYS': 'operator-key-0000001,operator-key-0000000',
+}
+
+# Guards against a bad value that is accepted, or refused under a wrong
+# number: setting, value, code.
+BAD = (
+    ('host_id', 'a|b', codes.SETTING_BAD_NAME),
+    ('cell', '-x', codes.SETTING_BAD_NAME),
+    ('failure_domain', 'ktm balaju', codes.SETTING_BAD_NAME),
+    ('region', 'x' * 65, codes.SETTING_BAD_NAME),
+    ('caller_address', '127.0.0.1', codes.SETTING_BAD_ADDRESS),
+    ('peer_address', '127.0.0.1:65536', codes.SETTING_BAD_ADDRESS),
+    ('operator_address', ':80', codes.SETTING_BAD_ADDRESS),
+    ('operator_address', 'a:80/x', codes.SETTING_BAD_ADDRESS),
+    ('store_url', 'ftp://127.0.0.1', codes.SETTING_BAD_URL),
+    ('store_url', 'http://127.0.0.1:99999', codes.SETTING_BAD_URL),
+    ('store_url', 'http://127.0.0.1/?a=b', codes.SETTING_BAD_URL),
+    ('otlp_endpoint', '127.0.0.1:4318', codes.SETTING_BAD_URL),
+    ('cluster_keys', 'short', codes.SETTING_BAD_KEYS),
+    ('cluster_keys', ','.join(['k' * 20] * 2), codes.SETTING_BAD_KEYS),
+    ('operator_keys', 'a' * 20 + ',' * 2, codes.SETTING_BAD_KEYS),
+    ('log_level', 'loud', codes.SETTING_BAD_CHOICE),
+    ('log_format', 'xml', codes.SETTING_BAD_CHOICE),
+    ('caller_threads', '0', codes.SETTING_BAD_NUMBER),
+    ('max_connections', '1e3', codes.SETTING_BAD_NUMBER),
+    ('drain_s', 'nan', codes.SETTING_BAD_NUMBER),
+    ('drain_s', '-1', codes.SETTING_BAD_NUMBER),
+    ('ready_file', '/nowhere/at/all', codes.SETTING_BAD_PATH),
+)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_good_settings(self):
+        values, problems = settings.read_settings({}, GOOD)
+        self.assertEqual(problems, ())
+        self.assertEqual(values.cell, 'ktm-balaju')
+        self.assertEqual(values.store_url, 'http://127.0.0.1:9000')
+        self.assertEqual(values.caller_address, ('127.0.0.1', 8080))
+        self.assertEqual(len(values.operator_keys), 2)
+
+    def test_flags_go_before_the_environment(self):
+        flags, problems = settings.split_flags(
+            ['--host-id=patan-2', '--caller-address', '[::1]:0']
+        )
+        self.assertEqual(problems, ())
+        values, problems = settings.read_settings(flags, GOOD)
+        self.assertEqual(values.host_id, 'patan-2')
+        self.assertEqual(values.caller_address, ('::1', 0))
+
+    def test_each_bad_value_has_its_number(self):
+        for name, value, code in BAD:
+            with self.subTest(name=name, value=value):
+                values, problems = settings.read_settings({name: value}, GOOD)
+                self.assertIsNone(values)
+                self.assertEqual(
+                    [(each.code, each.place) for each in problems],
+                    [(code, name)],
+                )
+                self.assertIn('accepted', problems[0].detail)
+
+    def test_every_setting_with_a_bad_form_is_covered(self):
+        self.assertEqual(
+            {name for name, _, _ in BAD}, set(settings.Settings._fields)
+        )
+
+    def test_all_problems_at_once(self):
+        values, problems = settings.read_settings({'log_level': 'loud'}, {})
+        self.assertIsNone(values)
+        missing = [
+            each.place
+            for each in problems
+            if each.code is codes.SETTING_MISSING
+        ]
+        self.assertEqual(
+            missing,
+            [
+                'host_id',
+                'failure_domain',
+                'region',
+                'store_url',
+                'cluster_keys',
+                'operator_keys',
+            ],
+        )
+        self.assertEqual(len(problems), len(missing) + 1)
+
+    def test_secrets_never_show(self):
+        flags = {'cluster_keys': 'hunter2', 'operator_keys': 'swordfish'}
+        _, problems = settings.read_settings(flags, GOOD)
+        text = repr(problems) + repr(settings.show_settings(flags, GOOD))
+        self.assertNotIn('hunter2', text)
+        self.assertNotIn('swordfish', text)
+        _, problems = settings.split_flags(['--cluster-kyes', 'hunter2'])
+        self.assertNotIn('hunter2', repr(problems))
+
+    def test_settings_that_exclude_each_other(self):
+        flags = {
+            'peer_address': '127.0.0.1:8080',
+            'operator_keys': 'cluster-key-00000001',
+        }
+        _, problems = settings.read_settings(flags, GOOD)
+        self.assertEqual(
+            [each.code for each in problems],
+            [codes.SETTING_SAME_ADDRESS, codes.SETTING_SHARED_KEY],
+        )
+
+    def test_bad_flags(self):
+        values, problems = settings.split_flags(
+            ['--bogus', 'x', 'stray', '--host-id', '--region=r', '--cell']
+        )
+        self.assertEqual(values, {'region': 'r'})
+        self.assertEqual(
+            [(each.code.number, each.place) for each in problems],
+            [(608, '--bogus'), (608, 'stray'), (609, '--host-id')]
+            + [(609, '--cell')],
+        )
+
+    def test_show_settings_names_sources(self):
+        lines = settings.show_settings({'region': 'r'}, GOOD)
+        self.assertIn('region=r (--region)', lines)
+        self.assertIn('cell=ktm-balaju (failure_domain)', lines)
+        self.assertIn('log_level=info (default)', lines)
+        self.assertIn('host_id=balaju-1 (AMARANTHCRANK_HOST_ID)', lines)
+        self.assertIn('cluster_keys=**** (AMARANTHCRANK_CLUSTER_KEYS)', lines)
+
+    def test_ready_file_in_an_existing_directory(self):
+        with tempfile.TemporaryDirectory() as place:
+            path = os.path.join(place, 'ready.json')
+            values, _ = settings.read_settings({'ready_file': path}, GOOD)
+            self.assertEqual(values.ready_file, path)
+
+    def test_page_of_settings_lists_each_setting(self):
+        page = os.path.join(
+            os.path.dirname(__file__), '..', '..', 'docs', 'settings.md'
+        )
+        with open(page, encoding='utf-8') as source:
+            text = source.read()
+        for row in settings.SETTINGS:
+            default = 'required' if row.default is None else row.default
+            cells = (
+                f'`{row.flag}`',
+                f'`{row.variable}`',
+                f'`{default}`' if row.default else default or 'empty',
+                row.purpose,
+                row.accepted,
+                'yes' if row.secret else 'no',
+            )
+            self.assertIn('| ' + ' | '.join(cells) + ' |', text)
