--- a/amaranthcrank/core/logs.py
+++ b/amaranthcrank/core/logs.py
@@ -1,13 +1,30 @@
 """Logs: short sentences with a fixed prefix for each part."""
 
 import contextlib
+import json
+import logging
+import sys
+import threading
 import time
 import typing
 
 import logbook
+from logbook import compat
 
 from amaranthcrank.core import settings
 
+_LEVEL_BY_NAME = {
+    'debug': logbook.DEBUG,
+    'info': logbook.INFO,
+    'warning': logbook.WARNING,
+    'error': logbook.ERROR,
+}
+# Keys and ids of callers reach log lines; a line feed in one would forge a
+# line of its own.
+_ESCAPES = {
+    number: f'\\x{number:02x}' for number in (*range(32), *range(127, 160))
+} | {0x2028: '\\u2028', 0x2029: '\\u2029'}
+
 
 def open_logs(
     stack: contextlib.ExitStack,
@@ -16,12 +33,32 @@
 ) -> None:
     """Send the log records of all threads to a stream.
 
+    Warnings that libraries log by the standard module go there too.
+
     Args:
       stack: Restores the previous handlers when it closes.
       values: Gives log_level, log_format and host_id.
       stream: Where lines go; standard error unless given.
     """
-    raise NotImplementedError
+    # Without it, records under the level reach logbook's default handler.
+    null = logbook.NullHandler()
+    null.push_application()
+    stack.callback(null.pop_application)
+
+    handler = logbook.StreamHandler(
+        stream or sys.stderr, level=_LEVEL_BY_NAME[values.log_level]
+    )
+    if values.log_format == 'json':
+        handler.formatter = _json_formatter(values.host_id)
+    else:
+        handler.formatter = _format_text
+    handler.push_application()
+    stack.callback(handler.pop_application)
+
+    redirect = compat.RedirectLoggingHandler()
+    redirect.setLevel(logging.WARNING)
+    logging.getLogger().addHandler(redirect)
+    stack.callback(logging.getLogger().removeHandler, redirect)
 
 
 def logger(part: str) -> logbook.Logger:
@@ -33,11 +70,14 @@
     Returns:
       A logger that formats with `{}`: `log.info('Linked to {}.', host)`.
     """
-    raise NotImplementedError
+    return logbook.Logger(part)
 
 
 class RateLimited:
-    """Logs at most so many lines per interval and counts the rest."""
+    """Logs at most so many lines per interval and counts the rest.
+
+    The count goes to the end of the first line of a later interval.
+    """
 
     def __init__(
         self,
@@ -46,16 +86,73 @@
         interval_s: float = 10.0,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
-        raise NotImplementedError
+        self._log = log
+        self._lines = lines
+        self._interval_s = interval_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._started_at = clock()
+        self._logged = 0
+        self._left_out = 0
 
     def info(self, message: str, *arguments: object) -> None:
         """Log at level info unless the interval's lines are spent."""
-        raise NotImplementedError
+        self._write(logbook.INFO, message, arguments)
 
     def warning(self, message: str, *arguments: object) -> None:
         """Log at level warning unless the interval's lines are spent."""
-        raise NotImplementedError
+        self._write(logbook.WARNING, message, arguments)
 
     def error(self, message: str, *arguments: object) -> None:
         """Log at level error unless the interval's lines are spent."""
-        raise NotImplementedError
+        self._write(logbook.ERROR, message, arguments)
+
+    def _write(
+        self, level: int, message: str, arguments: tuple[object, ...]
+    ) -> None:
+        with self._lock:
+            now = self._clock()
+            if now - self._started_at >= self._interval_s:
+                self._started_at = now
+                self._logged = 0
+            if self._logged >= self._lines:
+                self._left_out += 1
+                return
+            self._logged += 1
+            left_out, self._left_out = self._left_out, 0
+        if left_out:
+            message += ' ({} similar lines left out.)'
+            arguments = (*arguments, left_out)
+        self._log.log(level, message, *arguments)
+
+
+def _timestamp(record: logbook.LogRecord) -> str:
+    return record.time.isoformat(timespec='milliseconds') + 'Z'
+
+
+def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    line = f'{_timestamp(record)} {record.level_name} [{record.channel}] '
+    line += record.message
+    if record.exc_info:
+        line += f' ({record.formatted_exception})'
+    return line.translate(_ESCAPES)
+
+
+def _json_formatter(
+    host_id: str,
+) -> typing.Callable[[logbook.LogRecord, logbook.Handler], str]:
+    def format_json(
+        record: logbook.LogRecord, handler: logbook.Handler
+    ) -> str:
+        fields: dict[str, object] = {
+            'time': _timestamp(record),
+            'level': record.level_name.lower(),
+            'host': host_id,
+            'part': record.channel,
+            'message': record.message,
+        }
+        if record.exc_info:
+            fields['exception'] = record.formatted_exception
+        return json.dumps(fields)
+
+    return format_json
--- a/amaranthcrank/core/metrics.py
+++ b/amaranthcrank/core/metrics.py
@@ -1,8 +1,42 @@
-"""Counters, gauges and latency histograms of one process."""
+"""Counters, gauges and latency histograms of one process.
 
+One registry belongs to the process; the functions of the module use it.
+Latency is shown over the last one to two windows, because quantiles since
+the start of a process hide what changed during the last minutes. Counters
+and sums run from the start.
+"""
+
+import threading
 import time
 import typing
 
+from hdrh import histogram
+
+from amaranthcrank.core import codes
+
+PREFIX = 'amaranthcrank_'
+QUANTILES = (0.5, 0.9, 0.99)
+WINDOW_S = 60.0
+# Two digits keep a histogram at 2,688 counts of 8 bytes (22 KB).
+SIGNIFICANT_DIGITS = 2
+MAX_LATENCY_US = 120_000_000
+# A service that no ticket names must not add histograms: callers choose the
+# name, so one label takes all services beyond this number.
+MAX_SERVICES = 128
+OTHER_SERVICE = 'other'
+
+_Labels = tuple[tuple[str, str], ...]
+
+
+class _Latency:
+    """The latencies of one service and rank."""
+
+    def __init__(self) -> None:
+        self.current = _new_histogram()
+        self.previous = _new_histogram()
+        self.count = 0
+        self.sum_s = 0.0
+
 
 class Registry:
     """The metrics of one process; safe to use from several threads."""
@@ -10,7 +44,14 @@
     def __init__(
         self, clock: typing.Callable[[], float] = time.monotonic
     ) -> None:
-        raise NotImplementedError
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._window_started_at = clock()
+        self._latency_by_labels: dict[tuple[str, str], _Latency] = {}
+        self._count_by_labels: dict[tuple[str, str, int], int] = {}
+        self._gauge_by_name: dict[str, dict[_Labels, float]] = {}
+        self._counter_by_name: dict[str, dict[_Labels, float]] = {}
+        self._services: set[str] = set()
 
     def record_request(
         self, service: str, rank: str, code: int, seconds: float
@@ -23,45 +64,161 @@
           code: The number of its result code.
           seconds: From the arrival of the request to the answer.
         """
-        raise NotImplementedError
+        micros = min(max(int(seconds * 1e6), 1), MAX_LATENCY_US)
+        with self._lock:
+            if service not in self._services:
+                if len(self._services) < MAX_SERVICES:
+                    self._services.add(service)
+                else:
+                    service = OTHER_SERVICE
+            labels = (service, rank, code)
+            count = self._count_by_labels.get(labels, 0)
+            self._count_by_labels[labels] = count + 1
+            self._rotate()
+            latency = self._latency_by_labels.get((service, rank))
+            if latency is None:
+                latency = _Latency()
+                self._latency_by_labels[service, rank] = latency
+            latency.current.record_value(micros)
+            latency.count += 1
+            latency.sum_s += seconds
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge, shown as `amaranthcrank_<name>`."""
-        raise NotImplementedError
+        with self._lock:
+            values = self._gauge_by_name.setdefault(name, {})
+            values[_key_of(labels)] = value
 
     def drop_gauge(self, name: str, **labels: str) -> None:
         """Drop a gauge, such as one of a target that is gone."""
-        raise NotImplementedError
+        with self._lock:
+            self._gauge_by_name.get(name, {}).pop(_key_of(labels), None)
 
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter, shown as `amaranthcrank_<name>_total`."""
-        raise NotImplementedError
+        with self._lock:
+            values = self._counter_by_name.setdefault(name, {})
+            key = _key_of(labels)
+            values[key] = values.get(key, 0) + amount
 
     def render(self) -> str:
         """Return all metrics in the text exposition format."""
-        raise NotImplementedError
+        with self._lock:
+            self._rotate()
+            lines = [
+                *self._render_requests(),
+                *self._render_latencies(),
+                *_render_values('gauge', '', self._gauge_by_name),
+                *_render_values('counter', '_total', self._counter_by_name),
+            ]
+        return '\n'.join(lines) + '\n'
+
+    def _rotate(self) -> None:
+        elapsed = self._clock() - self._window_started_at
+        if elapsed < WINDOW_S:
+            return
+        self._window_started_at += elapsed - elapsed % WINDOW_S
+        for latency in self._latency_by_labels.values():
+            latency.previous, latency.current = (
+                latency.current,
+                latency.previous,
+            )
+            latency.current.reset()
+            if elapsed >= 2 * WINDOW_S:
+                latency.previous.reset()
+
+    def _render_requests(self) -> typing.Iterator[str]:
+        yield f'# TYPE {PREFIX}requests_total counter'
+        for labels, count in sorted(self._count_by_labels.items()):
+            service, rank, number = labels
+            code = codes.BY_NUMBER.get(number)
+            pairs = (
+                ('code', str(number)),
+                ('outcome', code.outcome if code else 'none'),
+                ('rank', rank),
+                ('service', service),
+            )
+            yield f'{PREFIX}requests_total{_render_labels(pairs)} {count}'
+
+    def _render_latencies(self) -> typing.Iterator[str]:
+        name = f'{PREFIX}request_seconds'
+        largest = []
+        yield f'# TYPE {name} summary'
+        for labels, latency in sorted(self._latency_by_labels.items()):
+            service, rank = labels
+            pairs = (('rank', rank), ('service', service))
+            window = _new_histogram()
+            window.add(latency.previous)
+            window.add(latency.current)
+            plain = _render_labels(pairs)
+            largest.append(
+                f'{name}_max{plain} {window.get_max_value() / 1e6:g}'
+            )
+            for quantile in QUANTILES:
+                value = window.get_value_at_percentile(quantile * 100) / 1e6
+                shown = _render_labels((*pairs, ('quantile', f'{quantile}')))
+                yield f'{name}{shown} {value:g}'
+            yield f'{name}_sum{plain} {latency.sum_s:g}'
+            yield f'{name}_count{plain} {latency.count}'
+        yield f'# TYPE {name}_max gauge'
+        yield from largest
+
+
+_PROCESS = Registry()
 
 
 def record_request(service: str, rank: str, code: int, seconds: float) -> None:
     """Count one answered request in the registry of this process."""
-    raise NotImplementedError
+    _PROCESS.record_request(service, rank, code, seconds)
 
 
 def set_gauge(name: str, value: float, **labels: str) -> None:
     """Set a gauge in the registry of this process."""
-    raise NotImplementedError
+    _PROCESS.set_gauge(name, value, **labels)
 
 
 def drop_gauge(name: str, **labels: str) -> None:
     """Drop a gauge from the registry of this process."""
-    raise NotImplementedError
+    _PROCESS.drop_gauge(name, **labels)
 
 
 def add(name: str, amount: float = 1, **labels: str) -> None:
     """Add to a counter in the registry of this process."""
-    raise NotImplementedError
+    _PROCESS.add(name, amount, **labels)
 
 
 def render() -> str:
     """Return the metrics of this process in the text exposition format."""
-    raise NotImplementedError
+    return _PROCESS.render()
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+
+
+def _key_of(labels: dict[str, str]) -> _Labels:
+    return tuple(sorted(labels.items()))
+
+
+def _render_values(
+    kind: str, suffix: str, values_by_name: dict[str, dict[_Labels, float]]
+) -> typing.Iterator[str]:
+    for name, values in sorted(values_by_name.items()):
+        if not values:
+            continue
+        shown = f'{PREFIX}{name}{suffix}'
+        yield f'# TYPE {shown} {kind}'
+        for labels, value in sorted(values.items()):
+            yield f'{shown}{_render_labels(labels)} {value:.15g}'
+
+
+def _render_labels(labels: _Labels) -> str:
+    if not labels:
+        return ''
+    pairs = (f'{name}="{_escape(value)}"' for name, value in labels)
+    return '{' + ','.join(pairs) + '}'
+
+
+def _escape(value: str) -> str:
+    escaped = str(value).replace('\\', '\\\\').replace('"', '\\"')
+    return escaped.replace('\n', '\\n')
