Parse, check, fold and compare change tickets

Cause: operators change the fleet by tickets only, so a ticket that the fleet cannot follow has to be refused with every fault, its number and its place. Two targets may not share an address (525), because a grant replaces the upstream's list. Floors of 1 in all are refused, not only floors over 1: with exactly 1 each urgent dispatch earns another rank a turn. Ruled out: storing the touched values next to the state, which holds them already; a ticket lists the names of the sections.

--- a/amaranthcrank/core/settings.py
+++ b/amaranthcrank/core/settings.py
@@ -12,6 +12,7 @@
 import urllib.parse
 
 from amaranthcrank.core import codes
+from amaranthcrank.core import names
 
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 LOG_FORMATS = ('text', 'json')
@@ -22,10 +23,7 @@
 MAX_CALLER_THREADS = 1024
 MAX_CONNECTIONS = 65_536
 MAX_DRAIN_S = 600.0
-MAX_PORT = 65_535
 
-# Hashing joins names with `|` and `/`, so neither may be part of a name.
-_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _KEY = re.compile(r'[!-+\--~]{%d,256}' % MIN_KEY_CHARACTERS)
 
 
@@ -105,18 +103,16 @@
 
 
 def _parse_name(text: str) -> str:
-    if not _NAME.fullmatch(text):
+    if not names.is_name(text):
         raise ValueError(text)
     return text
 
 
 def _parse_address(text: str) -> tuple[str, int]:
-    parts = urllib.parse.urlsplit('//' + text)
-    if parts.port is None or not parts.hostname or parts.netloc != text:
+    address = names.split_address(text)
+    if address is None:
         raise ValueError(text)
-    if '@' in text or any(each.isspace() for each in text):
-        raise ValueError(text)
-    return parts.hostname, parts.port
+    return address
 
 
 def _parse_url(text: str) -> str:
@@ -181,7 +177,6 @@
     return text
 
 
-_NAME_TEXT = '1 to 64 of A-Z a-z 0-9 . _ -, starting with a letter or digit'
 _ADDRESS_TEXT = 'host:port with a port from 0 to 65535 (0: any free port)'
 _URL_TEXT = 'an http or https URL without user, query and fragment'
 _KEYS_TEXT = (
@@ -194,7 +189,7 @@
         'host_id',
         None,
         _parse_name,
-        _NAME_TEXT,
+        names.NAME_TEXT,
         codes.SETTING_BAD_NAME,
         False,
         'id of this entry host',
@@ -203,7 +198,7 @@
         'cell',
         '',
         lambda text: _parse_name(text) if text else '',
-        _NAME_TEXT,
+        names.NAME_TEXT,
         codes.SETTING_BAD_NAME,
         False,
         'cell of this host; the failure domain unless set',
@@ -212,7 +207,7 @@
         'failure_domain',
         None,
         _parse_name,
-        _NAME_TEXT,
+        names.NAME_TEXT,
         codes.SETTING_BAD_NAME,
         False,
         'failure domain of this host',
@@ -221,7 +216,7 @@
         'region',
         None,
         _parse_name,
-        _NAME_TEXT,
+        names.NAME_TEXT,
         codes.SETTING_BAD_NAME,
         False,
         'region of this host',
--- a/amaranthcrank/record/tickets.py
+++ b/amaranthcrank/record/tickets.py
@@ -1,10 +1,23 @@
-"""Change tickets: parse, check, fold into the state, diff, encode."""
+"""Change tickets: parse, check, fold into the state, diff, encode.
+
+A range `{"cell", "from", "to"}` holds the slots from `from` up to, but
+without, `to`. A document removes a service or a cell by null.
+"""
 
 from collections import abc
+import json
 import typing
 
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
+from amaranthcrank.record import ticket_checks
+
+ACTIVE = ticket_checks.ACTIVE
+DRAINING = ticket_checks.DRAINING
+# The sections that a document touches entry by entry; others are whole.
+NAMED_SECTIONS = ticket_checks.NAMED_SECTIONS
+# The platform's store takes values of up to a megabyte.
+MAX_TICKET_BYTES = 1_000_000
 
 State = dict[str, typing.Any]
 Touches = dict[str, typing.Any]
@@ -62,7 +75,34 @@
     Returns:
       The document, or None and the problems found.
     """
-    raise NotImplementedError
+    if len(data) > MAX_TICKET_BYTES:
+        detail = f'{len(data)} bytes; accepted: up to {MAX_TICKET_BYTES}'
+        return None, (codes.Problem(codes.TICKET_TOO_LARGE, '', detail),)
+    problems: list[codes.Problem] = []
+    try:
+        fields = json.loads(
+            data.decode('utf-8'),
+            object_pairs_hook=_pairs_hook(problems),
+            parse_constant=_refuse_constant,
+        )
+    except (ValueError, RecursionError) as error:
+        detail = f'{error}; accepted: one JSON object in UTF-8'
+        return None, (codes.Problem(codes.TICKET_NOT_JSON, '', detail),)
+    if not isinstance(fields, dict):
+        detail = 'accepted: one JSON object'
+        return None, (codes.Problem(codes.TICKET_NOT_JSON, '', detail),)
+    problems.extend(
+        ticket_checks.check_document_fields(fields, tuple(required))
+    )
+    if problems:
+        return None, tuple(problems)
+    document = Document(
+        author=fields.get('author', ''),
+        uid=fields.get('uid', ''),
+        expected=fields.get('expected'),
+        touches=fields.get('touches', {}),
+    )
+    return document, ()
 
 
 def check_document(
@@ -78,12 +118,55 @@
     Returns:
       Every problem found; empty when the ticket may be filed.
     """
-    raise NotImplementedError
+    problems: list[codes.Problem] = []
+    if document.expected is not None and document.expected != number:
+        detail = f'expected ticket {document.expected}, current is {number}'
+        problems.append(
+            codes.Problem(codes.TICKET_CONFLICT, 'expected', detail)
+        )
+    shape = ticket_checks.check_shape(document.touches)
+    problems.extend(shape.problems)
+    new_state = fold(state, shape.sound_touches)
+    problems.extend(ticket_checks.check_whole(state, new_state, shape))
+    ticket = make_ticket(
+        document._replace(touches=shape.sound_touches), state, number, 0
+    )
+    size = len(encode(ticket))
+    if size > MAX_TICKET_BYTES:
+        detail = (
+            f'{size} bytes with the whole state; '
+            f'accepted: up to {MAX_TICKET_BYTES}'
+        )
+        problems.append(codes.Problem(codes.TICKET_TOO_LARGE, '', detail))
+    return tuple(problems)
 
 
 def fold(state: State, touches: Touches) -> State:
     """Make the state after a ticket; touched sections are replaced whole."""
-    raise NotImplementedError
+    new_state = {**model.EMPTY_STATE, **state}
+    for section, value in touches.items():
+        if section not in NAMED_SECTIONS:
+            new_state[section] = value
+            continue
+        entries = dict(new_state[section])
+        for name, entry in value.items():
+            if entry is None:
+                entries.pop(name, None)
+                continue
+            entries[name] = entry
+        new_state[section] = entries
+    return new_state
+
+
+def sections_of(touches: Touches) -> tuple[str, ...]:
+    """Return the names of the sections that a document touches, sorted."""
+    sections = []
+    for section, value in touches.items():
+        if section not in NAMED_SECTIONS:
+            sections.append(section)
+            continue
+        sections.extend(f'{section}/{name}' for name in value)
+    return tuple(sorted(sections))
 
 
 def make_ticket(
@@ -100,17 +183,72 @@
     Returns:
       The ticket with number + 1 and the state folded.
     """
-    raise NotImplementedError
+    return Ticket(
+        number=number + 1,
+        uid=document.uid,
+        author=document.author,
+        filed_at_ms=filed_at_ms,
+        touches=sections_of(document.touches),
+        state=fold(state, document.touches),
+    )
 
 
 def diff(old: State, new: State) -> tuple[str, ...]:
-    """Describe what changes from one state to another, one line each."""
-    raise NotImplementedError
+    """Describe what changes from one state to another, one line each.
+
+    Lines start with `+` (added), `-` (removed) or `~` (changed).
+    """
+    return tuple(_diff_values('', old, new))
 
 
 def targets_of(state: State) -> dict[str, model.Target]:
     """Return the targets of all services by id."""
-    raise NotImplementedError
+    target_by_id = {}
+    for name, service in state.get('services', {}).items():
+        for target, entry in service['targets'].items():
+            target_by_id[target] = model.Target(
+                target=target,
+                service=name,
+                cell=entry['cell'],
+                address=entry['address'],
+                slots=entry['slots'],
+                connections=entry['connections'],
+                fenced=entry['fenced'],
+                draining=entry['state'] == DRAINING,
+            )
+    return target_by_id
+
+
+def touches_for_target_state(
+    state: State, target: str, target_state: str, drop_pins: bool = False
+) -> Touches | None:
+    """Make the touches that state a service whole with one target changed.
+
+    Args:
+      state: The current state.
+      target: The id of the target.
+      target_state: `active` or `draining`.
+      drop_pins: Whether pins to the target are left out.
+
+    Returns:
+      The touches, or None when no service has the target.
+    """
+    for name, service in state.get('services', {}).items():
+        if target not in service['targets']:
+            continue
+        entry = {**service['targets'][target], 'state': target_state}
+        changed = {
+            **service,
+            'targets': {**service['targets'], target: entry},
+        }
+        if drop_pins:
+            changed['pins'] = {
+                key: pinned
+                for key, pinned in service['pins'].items()
+                if pinned != target
+            }
+        return {'services': {name: changed}}
+    return None
 
 
 def cell_of_slot(service: dict[str, typing.Any], slot: int) -> str:
@@ -119,17 +257,31 @@
     A range holds the slots from `from` up to, but without, `to`. The slot
     of a pinned key is in the cell of its target.
     """
-    raise NotImplementedError
+    position = slot - service['slots']
+    if position >= 0:
+        pinned = sorted(service['pins'].items())
+        if position >= len(pinned):
+            return ''
+        return service['targets'][pinned[position][1]]['cell']
+    for entry in service['ranges']:
+        if entry['from'] <= slot < entry['to']:
+            return entry['cell']
+    return ''
 
 
 def pin_slots(service: dict[str, typing.Any]) -> dict[str, int]:
     """Return the slot of each pinned key: slots + its sorted position."""
-    raise NotImplementedError
+    return {
+        key: service['slots'] + position
+        for position, key in enumerate(sorted(service['pins']))
+    }
 
 
 def encode(ticket: Ticket) -> bytes:
     """Encode a ticket as the store keeps it; the same bytes each time."""
-    raise NotImplementedError
+    return json.dumps(
+        ticket._asdict(), sort_keys=True, separators=(',', ':')
+    ).encode('ascii')
 
 
 def decode(data: bytes) -> Ticket:
@@ -138,4 +290,67 @@
     Raises:
       ValueError: The bytes are not a ticket.
     """
-    raise NotImplementedError
+    fields = json.loads(data)
+    if not isinstance(fields, dict) or set(fields) != set(Ticket._fields):
+        raise ValueError('The fields are not those of a ticket.')
+    types = (int, str, str, int, list, dict)
+    for name, kind in zip(Ticket._fields, types, strict=True):
+        if type(fields[name]) is not kind:
+            raise ValueError(f'The field {name} of a ticket has a bad type.')
+    if set(fields['state']) != set(model.EMPTY_STATE):
+        raise ValueError('The state of a ticket lacks sections.')
+    return Ticket(**{**fields, 'touches': tuple(fields['touches'])})
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f'{name} is not a JSON number')
+
+
+def _pairs_hook(
+    problems: list[codes.Problem],
+) -> abc.Callable[[list[tuple[str, typing.Any]]], dict[str, typing.Any]]:
+    def make_object(
+        pairs: list[tuple[str, typing.Any]],
+    ) -> dict[str, typing.Any]:
+        fields = dict(pairs)
+        if len(fields) < len(pairs):
+            names = [name for name, _ in pairs]
+            twice = sorted({each for each in names if names.count(each) > 1})
+            for name in twice:
+                problems.append(
+                    codes.Problem(
+                        codes.TICKET_DUPLICATE_FIELD,
+                        ticket_checks.shown(name),
+                        'accepted: each field once in an object',
+                    )
+                )
+        return fields
+
+    return make_object
+
+
+def _diff_values(
+    path: str, old: typing.Any, new: typing.Any
+) -> abc.Iterator[str]:
+    if old == new:
+        return
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        yield f'~ {path}: {_summary(old)} -> {_summary(new)}'
+        return
+    for name in sorted(set(old) | set(new)):
+        place = f'{path}/{name}' if path else name
+        if name not in old:
+            yield f'+ {place}: {_summary(new[name])}'
+        elif name not in new:
+            yield f'- {place}: {_summary(old[name])}'
+        else:
+            yield from _diff_values(place, old[name], new[name])
+
+
+def _summary(value: typing.Any) -> str:
+    """Put a value on one line; ranges as `cell from..to`."""
+    if isinstance(value, list) and value and isinstance(value[0], dict):
+        return ', '.join(
+            f'{each["cell"]} {each["from"]}..{each["to"]}' for each in value
+        )
+    return json.dumps(value, sort_keys=True)
