Shape the documents that operators read

Cause: the daemon makes status, owner and queues documents and the command prints them; one module for both keeps the shapes equal. Lost cells and lost hosts are left out.

--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -362,6 +362,13 @@
     NOT_APPLICABLE,
     'The store did not confirm the ticket; read the list of tickets.',
 )
+TICKET_UNKNOWN_TARGET = Code(
+    528,
+    'TICKET_UNKNOWN_TARGET',
+    404,
+    NOT_APPLICABLE,
+    'No service of the current ticket has this target.',
+)
 OPERATOR_UNAUTHORIZED = Code(
     540,
     'OPERATOR_UNAUTHORIZED',
--- a/amaranthcrank/core/settings.py
+++ b/amaranthcrank/core/settings.py
@@ -115,7 +115,8 @@
     return address
 
 
-def _parse_url(text: str) -> str:
+def parse_url(text: str) -> str:
+    """Check a base URL; raises ValueError for a bad one."""
     parts = urllib.parse.urlsplit(text)
     if parts.scheme not in ('http', 'https') or not parts.hostname:
         raise ValueError(text)
@@ -128,7 +129,7 @@
 
 
 def _parse_optional_url(text: str) -> str:
-    return _parse_url(text) if text else ''
+    return parse_url(text) if text else ''
 
 
 def _parse_keys(text: str) -> tuple[str, ...]:
@@ -178,7 +179,7 @@
 
 
 _ADDRESS_TEXT = 'host:port with a port from 0 to 65535 (0: any free port)'
-_URL_TEXT = 'an http or https URL without user, query and fragment'
+URL_TEXT = 'an http or https URL without user, query and fragment'
 _KEYS_TEXT = (
     f'CURRENT or CURRENT,PREVIOUS; each {MIN_KEY_CHARACTERS} to 256 '
     'printable characters without comma and space, not the same twice'
@@ -251,8 +252,8 @@
     Setting(
         'store_url',
         None,
-        _parse_url,
-        _URL_TEXT,
+        parse_url,
+        URL_TEXT,
         codes.SETTING_BAD_URL,
         False,
         "base URL of the platform's store",
@@ -297,7 +298,7 @@
         'otlp_endpoint',
         '',
         _parse_optional_url,
-        _URL_TEXT + ', or empty',
+        URL_TEXT + ', or empty',
         codes.SETTING_BAD_URL,
         False,
         'base URL of an OTLP/HTTP collector for traces; empty: none',
--- /dev/null
+++ b/amaranthcrank/publish/status.py
@@ -0,0 +1,285 @@
+"""What `status`, `owner` and `queues` show, as JSON and as text.
+
+The operator interface of a host serves the documents, and the command
+prints them; both use this module, so that the shapes stay the same.
+"""
+
+from collections import abc
+import typing
+
+from amaranthcrank.core import model
+
+Document = dict[str, typing.Any]
+
+
+class HostView(typing.NamedTuple):
+    """What is known of one host.
+
+    Attributes:
+      ticket: The newest ticket it is known to follow.
+      ready: Whether it serves callers.
+      silent_ms: Time since it was heard from.
+    """
+
+    ticket: int
+    ready: bool
+    silent_ms: int
+
+
+class TargetView(typing.NamedTuple):
+    """What is known of one target.
+
+    Attributes:
+      state: Such as `active`, `draining` or `down`.
+      slots: How many slots it owns.
+      fenced: Whether it checks fences.
+    """
+
+    state: str
+    slots: int
+    fenced: bool
+
+
+class CellView(typing.NamedTuple):
+    """What is known of one cell.
+
+    Attributes:
+      version: The version of its record.
+      effective: The newest version that is adopted and waited for.
+      settled_ticket: As in the record.
+      controller: The host that acts, empty where none is heard from.
+      host_by_id: Its hosts.
+      target_by_id: Its targets.
+    """
+
+    version: int
+    effective: int
+    settled_ticket: int
+    controller: str
+    host_by_id: dict[str, HostView]
+    target_by_id: dict[str, TargetView]
+
+
+class StoreView(typing.NamedTuple):
+    """Whether the store answers.
+
+    Attributes:
+      reachable: Whether its last answer came in time.
+      since_ms: Since when that is so, Unix time.
+    """
+
+    reachable: bool
+    since_ms: int
+
+
+class QueueView(typing.NamedTuple):
+    """The queue of one target.
+
+    Attributes:
+      limit: How many requests may be in flight now.
+      in_flight: How many are.
+      waiting_by_rank: How many wait in each rank.
+    """
+
+    limit: int
+    in_flight: int
+    waiting_by_rank: dict[str, int]
+
+
+def status_document(
+    host: str,
+    cell: str,
+    ready: bool,
+    ticket: int,
+    store: StoreView,
+    view_by_cell: abc.Mapping[str, CellView],
+    state: abc.Mapping[str, typing.Any],
+) -> Document:
+    """Make the document of `GET /status`.
+
+    Args:
+      host: The host that answers.
+      cell: Its cell.
+      ready: Whether it serves callers.
+      ticket: The newest ticket it knows.
+      store: Whether the store answers.
+      view_by_cell: What it knows of each cell.
+      state: The state of the ticket. A cell of the state that is not among
+        the views, or that has no hosts there, keeps the ticket from
+        counting as in force; lost cells and lost hosts do not.
+
+    Returns:
+      The document.
+    """
+    lost_cells = set(state.get('lost_cells', ()))
+    lost_hosts = set(state.get('lost_hosts', ()))
+    lagging = []
+    heard = set()
+    for name, view in view_by_cell.items():
+        if name in lost_cells:
+            continue
+        for each, host_view in view.host_by_id.items():
+            if each in lost_hosts:
+                continue
+            heard.add(name)
+            if host_view.ticket < ticket:
+                lagging.append(each)
+    unheard = set(state.get('cells', {})) - heard - lost_cells
+    return {
+        'host': host,
+        'cell': cell,
+        'ready': ready,
+        'ticket': ticket,
+        'in_force': ready and not lagging and not unheard,
+        'lagging': sorted(lagging),
+        'store': store._asdict(),
+        'cells': {
+            name: _cell_document(view)
+            for name, view in sorted(view_by_cell.items())
+        },
+    }
+
+
+def owner_document(
+    service: str,
+    key: str,
+    slot: int,
+    cell: str,
+    target: str,
+    fence: int,
+    pinned: bool,
+) -> Document:
+    """Make the document of `GET /owner/<service>/<key>`."""
+    return {
+        'service': service,
+        'key': key,
+        'slot': slot,
+        'cell': cell,
+        'target': target,
+        'fence': fence,
+        'pinned': pinned,
+    }
+
+
+def queues_document(
+    view_by_target: abc.Mapping[str, QueueView],
+) -> Document:
+    """Make the document of `GET /queues`."""
+    return {
+        target: {
+            'limit': view.limit,
+            'in_flight': view.in_flight,
+            'waiting': {
+                rank: view.waiting_by_rank.get(rank, 0) for rank in model.RANKS
+            },
+        }
+        for target, view in sorted(view_by_target.items())
+    }
+
+
+def status_text(document: Document) -> str:
+    """Put the document of `GET /status` into tables."""
+    ready = 'ready' if document['ready'] else 'not ready'
+    force = 'in force everywhere'
+    if not document['in_force']:
+        lagging = ', '.join(document['lagging']) or 'none known'
+        force = f'not in force everywhere (lagging: {lagging})'
+    store = 'reachable' if document['store']['reachable'] else 'unreachable'
+    hosts = []
+    targets = []
+    cells = []
+    for name, cell in document['cells'].items():
+        cells.append(
+            (
+                name,
+                cell['version'],
+                cell['effective'],
+                cell['settled_ticket'],
+                cell['controller'] or '-',
+            )
+        )
+        for host, each in cell['hosts'].items():
+            yes_no = 'yes' if each['ready'] else 'no'
+            hosts.append(
+                (name, host, each['ticket'], yes_no, each['silent_ms'])
+            )
+        for target, each in cell['targets'].items():
+            yes_no = 'yes' if each['fenced'] else 'no'
+            targets.append(
+                (name, target, each['state'], each['slots'], yes_no)
+            )
+    return '\n\n'.join(
+        (
+            f'Host {document["host"]} of cell {document["cell"]}: {ready}\n'
+            f'Ticket {document["ticket"]}: {force}\n'
+            f'Store: {store} since {document["store"]["since_ms"]} ms '
+            '(Unix time)',
+            table(
+                ('CELL', 'VERSION', 'EFFECTIVE', 'SETTLED', 'CONTROLLER'),
+                cells,
+            ),
+            table(('CELL', 'HOST', 'TICKET', 'READY', 'SILENT_MS'), hosts),
+            table(('CELL', 'TARGET', 'STATE', 'SLOTS', 'FENCED'), targets),
+        )
+    )
+
+
+def owner_text(document: Document) -> str:
+    """Put the document of `GET /owner/<service>/<key>` into lines."""
+    return '\n'.join(
+        f'{name}: {_plain(value)}' for name, value in document.items()
+    )
+
+
+def queues_text(document: Document) -> str:
+    """Put the document of `GET /queues` into a table."""
+    rows = []
+    for target, queue in document.items():
+        waiting = tuple(queue['waiting'].get(rank, 0) for rank in model.RANKS)
+        rows.append((target, queue['limit'], queue['in_flight'], *waiting))
+    ranks = tuple(rank.upper() for rank in model.RANKS)
+    return table(('TARGET', 'LIMIT', 'IN_FLIGHT', *ranks), rows)
+
+
+def table(
+    header: abc.Sequence[str], rows: abc.Iterable[abc.Sequence[typing.Any]]
+) -> str:
+    """Align rows under a header."""
+    lines = [header, *([_plain(each) for each in row] for row in rows)]
+    widths = [
+        max(len(line[column]) for line in lines)
+        for column in range(len(header))
+    ]
+    return '\n'.join(
+        '  '.join(
+            text.ljust(width) for text, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def _cell_document(view: CellView) -> Document:
+    return {
+        'version': view.version,
+        'effective': view.effective,
+        'settled_ticket': view.settled_ticket,
+        'controller': view.controller,
+        'hosts': {
+            host: each._asdict()
+            for host, each in sorted(view.host_by_id.items())
+        },
+        'targets': {
+            target: each._asdict()
+            for target, each in sorted(view.target_by_id.items())
+        },
+    }
+
+
+def _plain(value: typing.Any) -> str:
+    """Put a value on one line, without control characters."""
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    text = str(value)
+    if text.isprintable():
+        return text
+    return text.encode('unicode_escape').decode('ascii')
