--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -97,6 +97,25 @@
 ID_AHEAD = Code(
     214, 'ID_AHEAD', 400, NOT_RUN, 'The request id is stamped in the future.'
 )
+BAD_HTTP = Code(215, 'BAD_HTTP', 400, NOT_RUN, 'The HTTP is malformed.')
+HEADERS_TOO_LARGE = Code(
+    216, 'HEADERS_TOO_LARGE', 431, NOT_RUN, 'The headers are too large.'
+)
+BAD_QUERY = Code(
+    217, 'BAD_QUERY', 400, NOT_RUN, 'The query is not percent-encoded.'
+)
+BAD_HEADER = Code(
+    218, 'BAD_HEADER', 400, NOT_RUN, 'A header holds control characters.'
+)
+LENGTH_REQUIRED = Code(
+    219, 'LENGTH_REQUIRED', 411, NOT_RUN, 'A body needs a Content-Length.'
+)
+REQUEST_TIMEOUT = Code(
+    220, 'REQUEST_TIMEOUT', 408, NOT_RUN, 'The request came in too slowly.'
+)
+BAD_OPERATOR_KEY = Code(
+    221, 'BAD_OPERATOR_KEY', 401, NOT_RUN, 'The operator key is not accepted.'
+)
 
 OVERLOADED = Code(
     300, 'OVERLOADED', 503, NOT_RUN, 'The queue cannot meet the deadline.'
@@ -148,6 +167,16 @@
 RETRIES_SPENT = Code(
     313, 'RETRIES_SPENT', 503, NOT_RUN, 'No attempt ran the request.'
 )
+UPSTREAM_UNREACHABLE = Code(
+    314,
+    'UPSTREAM_UNREACHABLE',
+    503,
+    NOT_RUN,
+    'No connection to the upstream; nothing was sent.',
+)
+TOO_MANY_CONNECTIONS = Code(
+    315, 'TOO_MANY_CONNECTIONS', 503, NOT_RUN, 'The host has no room for it.'
+)
 
 OUTCOME_UNKNOWN = Code(
     400, 'OUTCOME_UNKNOWN', 502, UNKNOWN, 'It was sent; no answer came back.'
@@ -180,6 +209,44 @@
     UNKNOWN,
     'The dispatching host did not answer in time.',
 )
+INTERNAL = Code(
+    405, 'INTERNAL', 500, UNKNOWN, 'The host failed while answering.'
+)
+ANSWER_TOO_LARGE = Code(
+    406, 'ANSWER_TOO_LARGE', 502, UNKNOWN, 'The answer is over 1 MiB.'
+)
+
+BAD_FRAME = Code(
+    700, 'BAD_FRAME', 0, NOT_APPLICABLE, 'The frame is malformed.'
+)
+FRAME_TOO_LARGE = Code(
+    701, 'FRAME_TOO_LARGE', 0, NOT_APPLICABLE, 'The frame is over 2 MiB.'
+)
+UNKNOWN_FRAME_TYPE = Code(
+    702, 'UNKNOWN_FRAME_TYPE', 0, NOT_APPLICABLE, 'The type is not known.'
+)
+UNKNOWN_HOST = Code(
+    703, 'UNKNOWN_HOST', 0, NOT_APPLICABLE, 'The host is not a known peer.'
+)
+AUTH_FAILED = Code(
+    704, 'AUTH_FAILED', 0, NOT_APPLICABLE, 'The host does not know the key.'
+)
+NOT_LINKED = Code(
+    705, 'NOT_LINKED', 0, NOT_APPLICABLE, 'There is no link to the host.'
+)
+QUEUE_FULL = Code(
+    706, 'QUEUE_FULL', 0, NOT_APPLICABLE, "The link's queue is full."
+)
+LINK_BROKEN = Code(
+    707, 'LINK_BROKEN', 0, NOT_APPLICABLE, 'The link broke before the answer.'
+)
+BAD_CONTROL_ANSWER = Code(
+    708,
+    'BAD_CONTROL_ANSWER',
+    0,
+    NOT_APPLICABLE,
+    'The upstream answered a control request with something else than JSON.',
+)
 
 CODES = tuple(
     value for value in list(globals().values()) if isinstance(value, Code)
