Add the control actor, the request path and the daemon

Cause: the decision modules had no process that runs them.

Conclusion: blocking calls run on threads of their own and come back to the control actor as messages, so that a frozen upstream or store delays nothing else.

--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -97,25 +97,6 @@
 ID_AHEAD = Code(
     214, 'ID_AHEAD', 400, NOT_RUN, 'The request id is stamped in the future.'
 )
-BAD_HTTP = Code(215, 'BAD_HTTP', 400, NOT_RUN, 'The HTTP is malformed.')
-HEADERS_TOO_LARGE = Code(
-    216, 'HEADERS_TOO_LARGE', 431, NOT_RUN, 'The headers are too large.'
-)
-BAD_QUERY = Code(
-    217, 'BAD_QUERY', 400, NOT_RUN, 'The query is not percent-encoded.'
-)
-BAD_HEADER = Code(
-    218, 'BAD_HEADER', 400, NOT_RUN, 'A header holds control characters.'
-)
-LENGTH_REQUIRED = Code(
-    219, 'LENGTH_REQUIRED', 411, NOT_RUN, 'A body needs a Content-Length.'
-)
-REQUEST_TIMEOUT = Code(
-    220, 'REQUEST_TIMEOUT', 408, NOT_RUN, 'The request came in too slowly.'
-)
-BAD_OPERATOR_KEY = Code(
-    221, 'BAD_OPERATOR_KEY', 401, NOT_RUN, 'The operator key is not accepted.'
-)
 
 OVERLOADED = Code(
     300, 'OVERLOADED', 503, NOT_RUN, 'The queue cannot meet the deadline.'
@@ -167,16 +148,6 @@
 RETRIES_SPENT = Code(
     313, 'RETRIES_SPENT', 503, NOT_RUN, 'No attempt ran the request.'
 )
-UPSTREAM_UNREACHABLE = Code(
-    314,
-    'UPSTREAM_UNREACHABLE',
-    503,
-    NOT_RUN,
-    'No connection to the upstream; nothing was sent.',
-)
-TOO_MANY_CONNECTIONS = Code(
-    315, 'TOO_MANY_CONNECTIONS', 503, NOT_RUN, 'The host has no room for it.'
-)
 
 OUTCOME_UNKNOWN = Code(
     400, 'OUTCOME_UNKNOWN', 502, UNKNOWN, 'It was sent; no answer came back.'
@@ -209,112 +180,41 @@
     UNKNOWN,
     'The dispatching host did not answer in time.',
 )
-INTERNAL = Code(
-    405, 'INTERNAL', 500, UNKNOWN, 'The host failed while answering.'
-)
-ANSWER_TOO_LARGE = Code(
-    406, 'ANSWER_TOO_LARGE', 502, UNKNOWN, 'The answer is over 1 MiB.'
-)
-
-BAD_FRAME = Code(
-    700, 'BAD_FRAME', 0, NOT_APPLICABLE, 'The frame is malformed.'
-)
-FRAME_TOO_LARGE = Code(
-    701, 'FRAME_TOO_LARGE', 0, NOT_APPLICABLE, 'The frame is over 2 MiB.'
-)
-UNKNOWN_FRAME_TYPE = Code(
-    702, 'UNKNOWN_FRAME_TYPE', 0, NOT_APPLICABLE, 'The type is not known.'
-)
-UNKNOWN_HOST = Code(
-    703, 'UNKNOWN_HOST', 0, NOT_APPLICABLE, 'The host is not a known peer.'
-)
-AUTH_FAILED = Code(
-    704, 'AUTH_FAILED', 0, NOT_APPLICABLE, 'The host does not know the key.'
-)
-NOT_LINKED = Code(
-    705, 'NOT_LINKED', 0, NOT_APPLICABLE, 'There is no link to the host.'
+HEADERS_TOO_LARGE = Code(
+    216, 'HEADERS_TOO_LARGE', 431, NOT_RUN, 'The headers are too large.'
 )
-QUEUE_FULL = Code(
-    706, 'QUEUE_FULL', 0, NOT_APPLICABLE, "The link's queue is full."
+BAD_QUERY = Code(
+    217, 'BAD_QUERY', 400, NOT_RUN, 'The query is not percent-encoded.'
 )
-LINK_BROKEN = Code(
-    707, 'LINK_BROKEN', 0, NOT_APPLICABLE, 'The link broke before the answer.'
+BAD_HEADER = Code(
+    218, 'BAD_HEADER', 400, NOT_RUN, 'A header holds control characters.'
 )
-BAD_CONTROL_ANSWER = Code(
-    708,
-    'BAD_CONTROL_ANSWER',
-    0,
-    NOT_APPLICABLE,
-    'The upstream answered a control request with something else than JSON.',
+LENGTH_REQUIRED = Code(
+    219, 'LENGTH_REQUIRED', 411, NOT_RUN, 'A body needs a Content-Length.'
 )
-
-BAD_RECORD = Code(
-    720, 'BAD_RECORD', 0, NOT_APPLICABLE, 'The cell record is not valid.'
+REQUEST_TIMEOUT = Code(
+    220, 'REQUEST_TIMEOUT', 408, NOT_RUN, 'The request came in too slowly.'
 )
-CHANGE_PENDING = Code(
-    721,
-    'CHANGE_PENDING',
-    0,
-    NOT_APPLICABLE,
-    'An earlier change of the attesters is not in force yet.',
+BAD_OPERATOR_KEY = Code(
+    221, 'BAD_OPERATOR_KEY', 401, NOT_RUN, 'The operator key is not accepted.'
 )
-TOO_MANY_HOSTS = Code(
-    722, 'TOO_MANY_HOSTS', 0, NOT_APPLICABLE, 'A cell has at most 12 hosts.'
-STORE_UNREACHABLE = Code(
-    720,
-    'STORE_UNREACHABLE',
+UPSTREAM_UNREACHABLE = Code(
+    314,
+    'UPSTREAM_UNREACHABLE',
     503,
-    NOT_APPLICABLE,
-    'The store did not answer; a write had no effect.',
-)
-STORE_CONFLICT = Code(
-    721,
-    'STORE_CONFLICT',
-    409,
-    NOT_APPLICABLE,
-    'The object has another version; the write had no effect.',
-)
-STORE_ANSWER_LOST = Code(
-    722,
-    'STORE_ANSWER_LOST',
-    504,
-    NOT_APPLICABLE,
-    'The answer to a write was lost; it may still take effect.',
-)
-STORE_BAD_ANSWER = Code(
-    723,
-    'STORE_BAD_ANSWER',
-    502,
-    NOT_APPLICABLE,
-    'The answer of the store is not understood.',
+    NOT_RUN,
+    'No connection to the upstream; nothing was sent.',
 )
-STORE_REFUSED = Code(
-    724,
-    'STORE_REFUSED',
-    400,
-    NOT_APPLICABLE,
-    'The store does not accept the call.',
+TOO_MANY_CONNECTIONS = Code(
+    315, 'TOO_MANY_CONNECTIONS', 503, NOT_RUN, 'The host has no room for it.'
 )
-STORE_VALUE_TOO_LARGE = Code(
-    725,
-    'STORE_VALUE_TOO_LARGE',
-    413,
-    NOT_APPLICABLE,
-    'The value is over 1 MiB; nothing was sent.',
+INTERNAL = Code(
+    405, 'INTERNAL', 500, UNKNOWN, 'The host failed while answering.'
 )
-STORE_OVERTAKEN = Code(
-    726,
-    'STORE_OVERTAKEN',
-    409,
-    NOT_APPLICABLE,
-    'The answer to a write was lost and later versions followed.',
+ANSWER_TOO_LARGE = Code(
+    406, 'ANSWER_TOO_LARGE', 502, UNKNOWN, 'The answer is over 1 MiB.'
 )
-BAD_HOST_LIST = Code(
-    727,
-    'BAD_HOST_LIST',
-    502,
-    NOT_APPLICABLE,
-    "An entry of the platform's host list is not understood.",
+
 # Tickets and the operator interface.
 TICKET_CONFLICT = Code(
     500,
@@ -592,6 +492,108 @@
     'A key serves both hosts and operators.',
 )
 
+# Frames, links, store and records.
+BAD_FRAME = Code(
+    700, 'BAD_FRAME', 0, NOT_APPLICABLE, 'The frame is malformed.'
+)
+FRAME_TOO_LARGE = Code(
+    701, 'FRAME_TOO_LARGE', 0, NOT_APPLICABLE, 'The frame is over 2 MiB.'
+)
+UNKNOWN_FRAME_TYPE = Code(
+    702, 'UNKNOWN_FRAME_TYPE', 0, NOT_APPLICABLE, 'The type is not known.'
+)
+UNKNOWN_HOST = Code(
+    703, 'UNKNOWN_HOST', 0, NOT_APPLICABLE, 'The host is not a known peer.'
+)
+AUTH_FAILED = Code(
+    704, 'AUTH_FAILED', 0, NOT_APPLICABLE, 'The host does not know the key.'
+)
+NOT_LINKED = Code(
+    705, 'NOT_LINKED', 0, NOT_APPLICABLE, 'There is no link to the host.'
+)
+QUEUE_FULL = Code(
+    706, 'QUEUE_FULL', 0, NOT_APPLICABLE, "The link's queue is full."
+)
+LINK_BROKEN = Code(
+    707, 'LINK_BROKEN', 0, NOT_APPLICABLE, 'The link broke before the answer.'
+)
+BAD_CONTROL_ANSWER = Code(
+    708,
+    'BAD_CONTROL_ANSWER',
+    0,
+    NOT_APPLICABLE,
+    'The upstream answered a control request with something else than JSON.',
+)
+STORE_UNREACHABLE = Code(
+    720,
+    'STORE_UNREACHABLE',
+    503,
+    NOT_APPLICABLE,
+    'The store did not answer; a write had no effect.',
+)
+STORE_CONFLICT = Code(
+    721,
+    'STORE_CONFLICT',
+    409,
+    NOT_APPLICABLE,
+    'The object has another version; the write had no effect.',
+)
+STORE_ANSWER_LOST = Code(
+    722,
+    'STORE_ANSWER_LOST',
+    504,
+    NOT_APPLICABLE,
+    'The answer to a write was lost; it may still take effect.',
+)
+STORE_BAD_ANSWER = Code(
+    723,
+    'STORE_BAD_ANSWER',
+    502,
+    NOT_APPLICABLE,
+    'The answer of the store is not understood.',
+)
+STORE_REFUSED = Code(
+    724,
+    'STORE_REFUSED',
+    400,
+    NOT_APPLICABLE,
+    'The store does not accept the call.',
+)
+STORE_VALUE_TOO_LARGE = Code(
+    725,
+    'STORE_VALUE_TOO_LARGE',
+    413,
+    NOT_APPLICABLE,
+    'The value is over 1 MiB; nothing was sent.',
+)
+STORE_OVERTAKEN = Code(
+    726,
+    'STORE_OVERTAKEN',
+    409,
+    NOT_APPLICABLE,
+    'The answer to a write was lost and later versions followed.',
+)
+BAD_HOST_LIST = Code(
+    727,
+    'BAD_HOST_LIST',
+    502,
+    NOT_APPLICABLE,
+    "An entry of the platform's host list is not understood.",
+)
+BAD_RECORD = Code(
+    730, 'BAD_RECORD', 0, NOT_APPLICABLE, 'The cell record is not valid.'
+)
+CHANGE_PENDING = Code(
+    731,
+    'CHANGE_PENDING',
+    0,
+    NOT_APPLICABLE,
+    'An earlier change of the attesters is not in force yet.',
+)
+TOO_MANY_HOSTS = Code(
+    732, 'TOO_MANY_HOSTS', 0, NOT_APPLICABLE, 'A cell has at most 12 hosts.'
+)
+
 CODES = tuple(
     value for value in list(globals().values()) if isinstance(value, Code)
 )
--- a/amaranthcrank/core/settings.py
+++ b/amaranthcrank/core/settings.py
@@ -38,6 +38,8 @@
       caller_address: (host, port) to listen on for callers; port may be 0.
       peer_address: (host, port) to listen on for other hosts.
       operator_address: (host, port) to listen on for operators.
+      peers: The address of other hosts by id, used until the host list is
+        read; during a store outage it is the only source.
       store_url: The base URL of the platform's store, no slash at the end.
       cluster_keys: Keys shared by the hosts: the current one, then the
         previous one during rotation.
@@ -58,6 +60,7 @@
     caller_address: tuple[str, int]
     peer_address: tuple[str, int]
     operator_address: tuple[str, int]
+    peers: dict[str, tuple[str, int]]
     store_url: str
     cluster_keys: tuple[str, ...]
     operator_keys: tuple[str, ...]
@@ -115,6 +118,14 @@
     return address
 
 
+def _parse_peers(text: str) -> dict[str, tuple[str, int]]:
+    address_by_host = {}
+    for entry in text.split(',') if text else ():
+        host, _, address = entry.partition('=')
+        address_by_host[_parse_name(host)] = _parse_address(address)
+    return address_by_host
+
+
 def parse_url(text: str) -> str:
     """Check a base URL; raises ValueError for a bad one."""
     parts = urllib.parse.urlsplit(text)
@@ -249,6 +260,15 @@
         False,
         'where operators connect',
     ),
+    Setting(
+        'peers',
+        '',
+        _parse_peers,
+        'ID=HOST:PORT, separated by commas',
+        codes.SETTING_BAD_ADDRESS,
+        False,
+        'addresses of other entry hosts until the host list is read',
+    ),
     Setting(
         'store_url',
         None,
--- /dev/null
+++ b/amaranthcrank/daemon/duties.py
@@ -0,0 +1,284 @@
+"""What the acting controller of a cell does: one write at a time."""
+
+import typing
+
+from amaranthcrank.core import logs
+from amaranthcrank.core import model
+from amaranthcrank.daemon import tasks as tasks_module
+from amaranthcrank.grant import standing
+from amaranthcrank.observe import failure_detector
+from amaranthcrank.plan import assignment
+from amaranthcrank.publish import status
+from amaranthcrank.record import cell_record
+from amaranthcrank.record import settlement
+
+if typing.TYPE_CHECKING:
+    from amaranthcrank.daemon import control
+
+log = logs.logger('control')
+
+
+def perform(
+    state: 'control.ControlState', live: tuple[str, ...], now: float
+) -> None:
+    """Start the write that is due, if one is.
+
+    Args:
+      state: The control state.
+      live: Hosts of the cell that dispatch.
+      now: Monotonic seconds.
+    """
+    agreement = state.standing_by_cell[state.cell]
+    controlling = standing.acting_controller(agreement, now) == state.host
+    state.tasks.controlling = controlling
+    state.tasks.settled = agreement.recovered and state.ticket is not None
+    for cell, each in state.standing_by_cell.items():
+        if not each.recovered:
+            tasks_module.read_record(state.tasks, cell)
+    if state.writing or agreement.record is None or not agreement.recovered:
+        return
+    following = _joined(state, agreement)
+    if following is None and controlling:
+        following = _due_record(state, agreement, live, now)
+    if following is not None:
+        _write(state, following)
+
+
+def create_record(state: 'control.ControlState') -> None:
+    """Write version 1 of the cell's record with this host in it."""
+    if state.writing:
+        return
+    _write(
+        state,
+        cell_record.first_record(
+            state.cell, (state.host,), _third_attester(state), 0
+        ),
+    )
+
+
+def pack(record: model.CellRecord | None) -> bytes:
+    """Encode a record for a frame, empty without one."""
+    return cell_record.encode(record) if record else b''
+
+
+def _write(state: 'control.ControlState', following: model.CellRecord) -> None:
+    state.writing = True
+    tasks_module.write_record(state.tasks, following)
+
+
+def _third_attester(state: 'control.ControlState') -> str | None:
+    section = state.state['cells'].get(state.cell, {})
+    return section.get('attester')
+
+
+def _joined(
+    state: 'control.ControlState', agreement: standing.StandingState
+) -> model.CellRecord | None:
+    """Return the record with this host added, None if it is in it."""
+    record = agreement.record
+    if state.host in record.hosts or state.leaving:
+        return None
+    hosts = (*record.hosts, state.host)
+    following, _ = cell_record.with_hosts(
+        record, hosts, _third_attester(state)
+    )
+    return following
+
+
+def _due_record(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    live: tuple[str, ...],
+    now: float,
+) -> model.CellRecord | None:
+    """Return the next version that is due, None if none is."""
+    record = agreement.record
+    if record.previous_attesters:
+        if standing.list_change_in_force(agreement):
+            return cell_record.with_change_finished(record)
+    following = _without_silent(state, agreement, now)
+    if following is None:
+        following = _planned(state, agreement, live, now)
+    if following is None:
+        following = _settled(state, agreement, now)
+    return following
+
+
+def _without_silent(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    now: float,
+) -> model.CellRecord | None:
+    record = agreement.record
+    silent = failure_detector.hosts_to_remove(agreement, state.started_at, now)
+    hosts = tuple(each for each in record.hosts if each not in silent)
+    following, problems = cell_record.with_hosts(
+        record, hosts, _third_attester(state)
+    )
+    if problems or following is record:
+        return None
+    if silent:
+        log.warning('Silent hosts {} leave the cell.', silent)
+    return following
+
+
+def _planned(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    live: tuple[str, ...],
+    now: float,
+) -> model.CellRecord | None:
+    """Return the record with every slot on a usable target."""
+    if state.ticket is None:
+        return None
+    record = agreement.record
+    effective = standing.effective_version(agreement, now)
+    due = _settlement(state, agreement, effective)
+    if due.take or due.missing or due.waiting_for:
+        _ask_others(state, due)
+    held = frozenset(record.assignment_by_slot)
+    pins = {}
+    for slot, target in settlement.pinned_slots(
+        state.state, state.cell
+    ).items():
+        pins[slot] = target
+    wanted = (due.wanted & held) | frozenset(due.take)
+    planned, moves = assignment.plan_slots(
+        record.assignment_by_slot,
+        wanted - frozenset(pins),
+        _targets(state),
+        pins,
+        _unusable(state, live),
+        record.version + 1,
+    )
+    following = cell_record.with_assignments(
+        record,
+        planned,
+        effective,
+        state.ticket.number,
+        settlement.refenced_slots(record, state.state, state.cell),
+    )
+    if following is record:
+        return None
+    if moves:
+        log.info('{} slot(s) get an owner.', len(moves))
+    return following
+
+
+def _settlement(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    effective: int,
+) -> settlement.Settlement:
+    settled_by_cell = {}
+    for cell, record in state.other_record_by_cell.items():
+        if record is not None:
+            settled_by_cell[cell] = record.settled_ticket
+    return settlement.settle(
+        state.cell,
+        state.ticket.number,
+        state.state,
+        agreement.record,
+        effective,
+        settled_by_cell,
+    )
+
+
+def _ask_others(
+    state: 'control.ControlState', due: settlement.Settlement
+) -> None:
+    if not due.missing and not due.waiting_for:
+        return
+    cells = tuple(each for each in state.state['cells'] if each != state.cell)
+    tasks_module.read_others(
+        state.tasks, cells, due.missing, state.ticket.number
+    )
+
+
+def _settled(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    now: float,
+) -> model.CellRecord | None:
+    if state.ticket is None:
+        return None
+    effective = standing.effective_version(agreement, now)
+    due = _settlement(state, agreement, effective)
+    if not due.raise_settled:
+        return None
+    return cell_record.with_settled_ticket(
+        agreement.record, state.ticket.number
+    )
+
+
+def _targets(state: 'control.ControlState') -> tuple[model.Target, ...]:
+    found = []
+    for target in state.target_by_id.values():
+        if target.cell == state.cell:
+            found.append(target)
+    return tuple(found)
+
+
+def _unusable(
+    state: 'control.ControlState', live: tuple[str, ...]
+) -> frozenset[str]:
+    """Return targets that their dispatching hosts report as unusable."""
+    found = set(state.unusable_by_host.get(state.host, ()))
+    for host, reported in state.unusable_by_host.items():
+        if host in live:
+            found.update(reported)
+    return frozenset(found)
+
+
+def describe(state: 'control.ControlState', now: float) -> status.CellView:
+    """Describe the cell as this host knows it, for operators."""
+    agreement = state.standing_by_cell[state.cell]
+    record = agreement.record
+    return status.CellView(
+        record.version if record else 0,
+        standing.effective_version(agreement, now),
+        record.settled_ticket if record else 0,
+        standing.acting_controller(agreement, now),
+        _host_views(state, agreement, now),
+        _target_views(state, record),
+    )
+
+
+def _host_views(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    now: float,
+) -> dict[str, status.HostView]:
+    number = state.ticket.number if state.ticket else 0
+    ready = state.holder.view.ready
+    view_by_host = {state.host: status.HostView(number, ready, 0)}
+    for host in agreement.record.hosts if agreement.record else ():
+        if host == state.host:
+            continue
+        peer = agreement.peer_by_host.get(host, standing.NO_PEER)
+        silent_s = min(now - peer.heard_at, now - state.started_at)
+        serving = peer.ticket > 0 and host not in state.leaving_hosts
+        view_by_host[host] = status.HostView(
+            peer.ticket, serving, int(silent_s * 1000)
+        )
+    return view_by_host
+
+
+def _target_views(
+    state: 'control.ControlState', record: model.CellRecord | None
+) -> dict[str, status.TargetView]:
+    slots_by_target: dict[str, int] = {}
+    if record:
+        for each in record.assignment_by_slot.values():
+            count = slots_by_target.get(each.target, 0)
+            slots_by_target[each.target] = count + 1
+    unusable = _unusable(state, state.holder.view.live_hosts)
+    view_by_target = {}
+    for target in _targets(state):
+        condition = 'draining' if target.draining else 'active'
+        if target.target in unusable:
+            condition = 'unusable'
+        view_by_target[target.target] = status.TargetView(
+            condition, slots_by_target.get(target.target, 0), target.fenced
+        )
+    return view_by_target
--- /dev/null
+++ b/amaranthcrank/daemon/main.py
@@ -0,0 +1,329 @@
+"""Start-up and shutdown of the daemon amaranthcrankd."""
+
+import contextlib
+import itertools
+import json
+import os
+import signal
+import sys
+import threading
+import time
+import typing
+import uuid
+
+import click
+import pykka
+import typer
+import urllib3
+
+from amaranthcrank.admission import gate
+from amaranthcrank.core import codes
+from amaranthcrank.core import logs
+from amaranthcrank.core import metrics
+from amaranthcrank.core import settings as settings_module
+from amaranthcrank.core import tracing
+from amaranthcrank.daemon import control
+from amaranthcrank.daemon import messages
+from amaranthcrank.daemon import operators as operators_module
+from amaranthcrank.daemon import requests
+from amaranthcrank.daemon import tasks as tasks_module
+from amaranthcrank.dispatch import dispatcher
+from amaranthcrank.dispatch import ledger_actor
+from amaranthcrank.dispatch import retries
+from amaranthcrank.dispatch import work as work_module
+from amaranthcrank.grant import renewals
+from amaranthcrank.intake import server
+from amaranthcrank.peers import frames
+from amaranthcrank.peers import links as links_module
+from amaranthcrank.publish import view as view_module
+
+log = logs.logger('daemon')
+
+# Heartbeats that say the host leaves reach the peers within one interval,
+# and the balancer reads /readyz about twice a second.
+LEAVE_NOTICE_S = 0.5
+DRAIN_POLL_S = 0.02
+USAGE_EXIT = 2
+
+
+class Daemon(typing.NamedTuple):
+    """The parts of a running daemon that shutdown needs.
+
+    Attributes:
+      control_ref: The control actor.
+      callers: The server for callers.
+      operators: The server for operators.
+      links: The links to the peers.
+      ref_by_target: The dispatchers.
+    """
+
+    control_ref: pykka.ActorRef
+    callers: server.Bound
+    operators: server.Bound
+    links: links_module.Links
+    ref_by_target: dict[str, pykka.ActorRef]
+
+
+def run() -> None:
+    """Run the command amaranthcrankd."""
+    try:
+        code = _command().main(standalone_mode=False)
+    except click.NoSuchOption as error:
+        code = _refuse(codes.SETTING_UNKNOWN_FLAG, error.option_name or '')
+    except click.ClickException as error:
+        code = _refuse(codes.SETTING_NO_VALUE, error.format_message())
+    sys.exit(code or 0)
+
+
+def _command() -> click.Command:
+    """Make the command with one option for each setting."""
+    options = []
+    for row in settings_module.SETTINGS:
+        text = f'{row.purpose}: {row.accepted}'
+        options.append(
+            typer.core.TyperOption(
+                param_decls=[row.flag, row.name], help=text, default=None
+            )
+        )
+    options.append(
+        typer.core.TyperOption(
+            param_decls=['--show-settings', 'show'],
+            is_flag=True,
+            default=False,
+            help='Show each setting and where it came from, then exit.',
+        )
+    )
+    return typer.core.TyperCommand(
+        'amaranthcrankd', params=options, callback=_main
+    )
+
+
+def _main(show: bool, **flags: str | None) -> int:
+    if show:
+        for line in settings_module.show_settings(flags, os.environ):
+            print(line)
+    settings, problems = settings_module.read_settings(flags, os.environ)
+    for problem in problems:
+        _refuse(problem.code, f'{problem.place}: {problem.detail}')
+    if settings is None:
+        return USAGE_EXIT
+    if not show:
+        serve(settings)
+    return 0
+
+
+def _refuse(code: codes.Code, detail: str) -> int:
+    line = f'{code.number} {code.name}: {code.text} {detail}'
+    print(line, file=sys.stderr)
+    return USAGE_EXIT
+
+
+def serve(settings: settings_module.Settings) -> None:
+    """Run the daemon until a signal ends it.
+
+    Args:
+      settings: The checked settings.
+    """
+    stopping = threading.Event()
+
+    def on_signal(number: int, frame: typing.Any) -> None:
+        if stopping.is_set():
+            # A second signal ends the process without waiting.
+            os._exit(1)
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    with contextlib.ExitStack() as stack:
+        logs.open_logs(stack, settings)
+        tracing.open_tracing(stack, settings)
+        stack.callback(pykka.ActorRegistry.stop_all, timeout=1.0)
+        daemon = _start(stack, settings, stopping)
+        _write_ready_file(settings, daemon)
+        log.info('Host {} listens.', settings.host_id)
+        stopping.wait()
+        _drain(daemon, settings)
+
+
+def _start(
+    stack: contextlib.ExitStack,
+    settings: settings_module.Settings,
+    stopping: threading.Event,
+) -> Daemon:
+    incarnation = uuid.uuid4().hex[:12]
+    holder = view_module.ViewHolder()
+    ledger_ref = ledger_actor.start(settings.host_id)
+    handlers: dict[str, typing.Any] = {}
+
+    def on_frame(host: str, frame: frames.Frame) -> None:
+        handler = handlers.get(frame['type'])
+        if handler is not None:
+            handler(host, frame)
+
+    known = dict(settings.peers)
+    known.pop(settings.host_id, None)
+    links = links_module.open_links(
+        stack,
+        settings.host_id,
+        settings.peer_address,
+        tuple(each.encode() for each in settings.cluster_keys),
+        on_frame,
+        known,
+    )
+    attempts = itertools.count(1)
+    context = work_module.Context(
+        settings.host_id,
+        incarnation,
+        holder,
+        links,
+        ledger_ref,
+        lambda: next(attempts),
+    )
+    state, ref = _start_control(stack, settings, context)
+    node = requests.Node(
+        settings.cell,
+        context,
+        holder,
+        state.gate_ref,
+        state.dispatcher_by_target,
+        retries.open_budget(),
+        itertools.count(1),
+    )
+    operators = operators_module.Operators(node, ref, state.tasks.client)
+    _add_handlers(handlers, node, operators, ref)
+    callers = server.open_caller_server(
+        stack,
+        settings.caller_address,
+        settings.caller_threads,
+        settings.max_connections,
+        lambda request: requests.handle(node, request),
+        lambda: holder.view.ready,
+        metrics.render,
+        lambda: holder.view.table_by_service or None,
+    )
+    bound = server.open_operator_server(
+        stack,
+        settings.operator_address,
+        settings.operator_keys,
+        operators_module.routes_of(operators),
+    )
+    tasks_module.start(state.tasks)
+    _start_timer(stopping, ref)
+    return Daemon(
+        ref, callers, bound, links, state.dispatcher_by_target
+    )
+
+
+def _start_control(
+    stack: contextlib.ExitStack,
+    settings: settings_module.Settings,
+    context: work_module.Context,
+) -> tuple[control.ControlState, pykka.ActorRef]:
+    url = urllib3.util.parse_url(settings.store_url)
+    refs: list[pykka.ActorRef] = []
+
+    def tell(message: typing.Any) -> None:
+        # Threads may still end a call while the actors stop.
+        with contextlib.suppress(pykka.ActorDeadError):
+            refs[0].tell(message)
+
+    tasks = tasks_module.Tasks(stack, url.netloc, context.links, tell)
+    state = control.ControlState(
+        settings,
+        context.incarnation,
+        context.links,
+        context.holder,
+        context.ledger_ref,
+        context,
+        tasks,
+        renewals.Renewer(stack, tell),
+        gate.start(),
+    )
+    refs.append(control.start(state))
+    return state, refs[0]
+
+
+def _add_handlers(
+    handlers: dict[str, typing.Any],
+    node: requests.Node,
+    operators: operators_module.Operators,
+    control_ref: pykka.ActorRef,
+) -> None:
+    """Set what happens to each type of frame."""
+
+    def to_control(host: str, frame: frames.Frame) -> None:
+        control_ref.tell(messages.FrameIn(host, frame))
+
+    for kind in control.FRAME_HANDLERS:
+        handlers[kind] = to_control
+    handlers[frames.REQUEST] = lambda host, frame: requests.on_request_frame(
+        node, host, frame
+    )
+    handlers[frames.INTENT] = lambda host, frame: work_module.on_intent_frame(
+        node.context, host, frame
+    )
+    handlers[frames.STATUS] = (
+        lambda host, frame: operators_module.on_status_frame(
+            operators, host, frame
+        )
+    )
+
+
+def _start_timer(stopping: threading.Event, ref: pykka.ActorRef) -> None:
+    """Send ticks; they go on during shutdown, which needs heartbeats."""
+
+    def tick() -> None:
+        pause = threading.Event()
+        while True:
+            try:
+                ref.tell(messages.Tick())
+            except pykka.ActorDeadError:
+                return
+            pause.wait(control.TICK_S)
+
+    threading.Thread(target=tick, name='timer', daemon=True).start()
+
+
+def _write_ready_file(
+    settings: settings_module.Settings, daemon: Daemon
+) -> None:
+    """Tell whoever started the process where it listens."""
+    if not settings.ready_file:
+        return
+    peer_host, peer_port = links_module.bound_address(daemon.links)
+    addresses = {
+        'callers': f'{daemon.callers.host}:{daemon.callers.port}',
+        'operators': f'{daemon.operators.host}:{daemon.operators.port}',
+        'peers': f'{peer_host}:{peer_port}',
+    }
+    temporary = settings.ready_file + '.new'
+    with open(temporary, 'w') as file:
+        json.dump(addresses, file)
+    os.replace(temporary, settings.ready_file)
+
+
+def _drain(daemon: Daemon, settings: settings_module.Settings) -> None:
+    """Hand dispatching to the peers and finish what is in flight."""
+    log.info('The host leaves; requests in flight are finished.')
+    daemon.control_ref.tell(messages.Leave())
+    time.sleep(LEAVE_NOTICE_S)
+    end_at = time.monotonic() + settings.drain_s
+    left = server.stop_accepting(daemon.callers, settings.drain_s)
+    # Peers may have forwarded requests that still run on upstreams.
+    while _in_flight(daemon) and time.monotonic() < end_at:
+        time.sleep(DRAIN_POLL_S)
+    left += _in_flight(daemon)
+    if left:
+        log.warning('{} request(s) were cut off at the limit.', left)
+
+
+def _in_flight(daemon: Daemon) -> int:
+    """Count the requests that this host runs on upstreams."""
+    count = 0
+    for ref in list(daemon.ref_by_target.values()):
+        count += ref.ask(dispatcher.Load()).in_flight
+    return count
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/amaranthcrank/daemon/requests.py
@@ -0,0 +1,347 @@
+"""The path of a request through one host.
+
+At the entry host: route, admit, send to the dispatching host, and try again
+where that is safe. At the dispatching host: queue for the target.
+"""
+
+from concurrent import futures
+import itertools
+import random
+import time
+import typing
+
+import pykka
+
+from amaranthcrank.admission import gate
+from amaranthcrank.core import codes
+from amaranthcrank.core import hashing
+from amaranthcrank.core import metrics
+from amaranthcrank.core import model
+from amaranthcrank.core import tracing
+from amaranthcrank.dispatch import dispatcher
+from amaranthcrank.dispatch import ledger_actor
+from amaranthcrank.dispatch import retries
+from amaranthcrank.dispatch import work as work_module
+from amaranthcrank.peers import frames
+from amaranthcrank.peers import links as links_module
+from amaranthcrank.publish import view as view_module
+from amaranthcrank.routing import route
+
+# Refusals that end by themselves: the key has no owner yet, or hosts disagree
+# for a moment. Nothing was sent, so they are tried again for any work.
+PASSING_CODES = frozenset(
+    (
+        codes.NO_OWNER,
+        codes.NO_STANDING,
+        codes.CELL_UNREACHABLE,
+        codes.NO_INTENT,
+        codes.UPSTREAM_UNREACHABLE,
+        codes.UPSTREAM_REFUSED,
+    )
+)
+PASSING_WAIT_MIN_S = 0.02
+PASSING_WAIT_MAX_S = 0.08
+# The dispatching host answers at the deadline; its answer needs a moment.
+ANSWER_GRACE_S = 0.25
+# A host that gets a request after this many hops dispatches it itself: any
+# host with standing may, and two that disagree must not pass it to and fro.
+MAX_HOPS = 2
+ACTOR_TIMEOUT_S = 1.0
+
+
+class Node(typing.NamedTuple):
+    """What the request path of a host needs.
+
+    Attributes:
+      cell: The own cell.
+      context: The host, its links and its ledger.
+      holder: The view of the control side.
+      gate_ref: The actor that turns requests away.
+      ref_by_target: Dispatchers of the own cell's targets; the control actor
+        changes it, readers look up one name at a time.
+      budget: The retry budget of the entry host.
+      counter: Numbers work.
+    """
+
+    cell: str
+    context: work_module.Context
+    holder: view_module.ViewHolder
+    gate_ref: pykka.ActorRef
+    ref_by_target: dict[str, pykka.ActorRef]
+    budget: retries.RetryBudget
+    counter: 'itertools.count[int]'
+
+
+def handle(node: Node, request: model.Request) -> model.Outcome:
+    """Answer a caller's request; blocks until its deadline at most.
+
+    Args:
+      node: This host.
+      request: The checked request.
+
+    Returns:
+      The outcome.
+    """
+    started = time.monotonic()
+    deadline_at = started + request.deadline_ms / 1000
+    retries.note_request(node.budget)
+    with tracing.span(
+        'intake', request.traceparent, service=request.service
+    ) as traceparent:
+        request = request._replace(traceparent=traceparent)
+        outcome = _try_until(node, request, deadline_at)
+    if not request.repeatable and outcome.code.outcome == codes.NOT_RUN:
+        outcome = _confirm_refusal(node, request, outcome)
+    seconds = time.monotonic() - started
+    metrics.record_request(
+        request.service, request.rank, outcome.code.number, seconds
+    )
+    return outcome
+
+
+def on_request_frame(node: Node, host: str, frame: frames.Frame) -> None:
+    """Take a request that another host forwarded.
+
+    Args:
+      node: This host.
+      host: The host that sent the frame.
+      frame: The frame; its answer goes back on the same link.
+    """
+    forwarded, problems = frames.forwarded_of(frame)
+    if forwarded is None:
+        refused = model.refusal(problems[0].code, problems[0].detail)
+        _reply(node, host, frame['id'], refused)
+        return
+    deadline_at = time.monotonic() + forwarded.request.deadline_ms / 1000
+    pending = _send(node, forwarded.request, deadline_at, forwarded.hops)
+
+    def answer(done: futures.Future) -> None:
+        _reply(node, host, frame['id'], done.result())
+
+    pending.add_done_callback(answer)
+
+
+def _reply(
+    node: Node, host: str, frame_id: int, outcome: model.Outcome
+) -> None:
+    answer = frames.answer_frame(outcome)
+    links_module.reply(node.context.links, host, frame_id, answer)
+
+
+def _try_until(
+    node: Node, request: model.Request, deadline_at: float
+) -> model.Outcome:
+    attempt = 0
+    while True:
+        attempt += 1
+        outcome = _try_once(node, request, deadline_at)
+        if outcome.code.outcome == codes.SERVED:
+            return outcome
+        now = time.monotonic()
+        at = _next_attempt_at(
+            node, request, outcome, attempt, deadline_at, now
+        )
+        if at is None:
+            return outcome
+        time.sleep(max(0.0, at - now))
+
+
+def _next_attempt_at(
+    node: Node,
+    request: model.Request,
+    outcome: model.Outcome,
+    attempt: int,
+    deadline_at: float,
+    now: float,
+) -> float | None:
+    """Return when to try again, None where the outcome stands."""
+    code = outcome.code
+    if code in PASSING_CODES and outcome.detail != 'shed':
+        wait_s = random.uniform(PASSING_WAIT_MIN_S, PASSING_WAIT_MAX_S)
+        at = now + max(wait_s, outcome.retry_after_ms / 1000)
+        return at if at < deadline_at else None
+    kind = _failure_kind(outcome)
+    if kind is None:
+        return None
+    failure = retries.Failure(kind, code, outcome.retry_after_ms / 1000)
+    decision = retries.next_attempt(
+        request.repeatable,
+        failure,
+        now,
+        deadline_at,
+        attempt,
+        node.budget,
+        0.0,
+        random.random,
+    )
+    return decision.at if decision.retry else None
+
+
+def _failure_kind(outcome: model.Outcome) -> str | None:
+    if outcome.code.outcome == codes.UNKNOWN:
+        return retries.MAYBE_RAN
+    if outcome.code is codes.UPSTREAM_REFUSED:
+        return retries.NOT_RUN
+    return None
+
+
+def _try_once(
+    node: Node, request: model.Request, deadline_at: float
+) -> model.Outcome:
+    pending = _send(node, request, deadline_at, 0)
+    left_s = deadline_at + ANSWER_GRACE_S - time.monotonic()
+    try:
+        return pending.result(max(0.0, left_s))
+    except futures.TimeoutError:
+        return model.refusal(codes.ANSWER_LOST)
+
+
+def _send(
+    node: Node, request: model.Request, deadline_at: float, hops: int
+) -> 'futures.Future[model.Outcome]':
+    """Send a request one step further towards its target."""
+    view = node.holder.view
+    if view.ticket == 0 or view.record is None:
+        return _refused(codes.NOT_READY)
+    home = route.home_of(view.table_by_service, request.service, request.key)
+    if home is None:
+        return _refused(codes.NO_OWNER)
+    if home.cell != node.cell:
+        if hops:
+            return _refused(codes.NO_OWNER, 'the sender has another ticket')
+        return _send_to_cell(node, view, request, home, deadline_at)
+    slot = route.slot_in_record(view.record, home.slot, request.key)
+    assignment = view.record.assignment_by_slot.get(slot)
+    if assignment is None:
+        return _refused(codes.NO_OWNER)
+    chosen = hashing.rendezvous(assignment.target, view.live_hosts, 1)
+    here = node.context.host
+    if chosen in ((), (here,)) or hops >= MAX_HOPS:
+        return _queue(node, request, home, slot, assignment, deadline_at)
+    return _forward(node, chosen[0], request, home.cell, deadline_at, hops)
+
+
+def _send_to_cell(
+    node: Node,
+    view: view_module.View,
+    request: model.Request,
+    home: model.Route,
+    deadline_at: float,
+) -> 'futures.Future[model.Outcome]':
+    linked = links_module.connected(node.context.links)
+    candidates = []
+    for host in view.hosts_by_cell.get(home.cell, ()):
+        if host in linked:
+            candidates.append(host)
+    name = f'{home.slot.service}/{home.slot.slot}'
+    chosen = hashing.rendezvous(name, candidates, 1)
+    if not chosen:
+        return _refused(codes.CELL_UNREACHABLE)
+    crosses = route.region_of(view.state, home.cell) != route.region_of(
+        view.state, node.cell
+    )
+    check = gate.Check(
+        request.service, home.cell, request.rank, len(request.body), crosses
+    )
+    admission = node.gate_ref.ask(check, timeout=ACTOR_TIMEOUT_S)
+    if admission.code is not None:
+        return _refused(admission.code, '', admission.retry_after_ms)
+    pending = _forward(node, chosen[0], request, home.cell, deadline_at, 0)
+    pending.add_done_callback(lambda done: _note(node, check, done.result()))
+    return pending
+
+
+def _note(node: Node, check: gate.Check, outcome: model.Outcome) -> None:
+    node.gate_ref.tell(
+        gate.Note(
+            check.service,
+            check.cell,
+            check.rank,
+            outcome.code is codes.OVERLOADED,
+            outcome.retry_after_ms,
+        )
+    )
+
+
+def _forward(
+    node: Node,
+    host: str,
+    request: model.Request,
+    cell: str,
+    deadline_at: float,
+    hops: int,
+) -> 'futures.Future[model.Outcome]':
+    left_ms = int((deadline_at - time.monotonic()) * 1000)
+    if left_ms <= 0:
+        return _refused(codes.EXPIRED)
+    with tracing.span(
+        'forward', request.traceparent, host=host, cell=cell
+    ) as traceparent:
+        request = request._replace(
+            deadline_ms=left_ms, traceparent=traceparent
+        )
+        frame = frames.request_frame(
+            frames.Forwarded(request, hops + 1, node.holder.view.ticket)
+        )
+        call = links_module.call(node.context.links, host, frame)
+    pending: futures.Future[model.Outcome] = futures.Future()
+    call.add_done_callback(
+        lambda done: pending.set_result(_outcome_of_call(done))
+    )
+    return pending
+
+
+def _outcome_of_call(done: futures.Future) -> model.Outcome:
+    """Return the outcome that a call to a peer ended with."""
+    error = done.exception()
+    if isinstance(error, links_module.LinkError):
+        code = codes.ANSWER_LOST if error.sent else codes.CELL_UNREACHABLE
+        return model.refusal(code, error.problem.detail)
+    if error is not None:
+        return model.refusal(codes.ANSWER_LOST, str(error))
+    outcome, problems = frames.outcome_of(done.result())
+    if outcome is None:
+        return model.refusal(codes.ANSWER_LOST, problems[0].detail)
+    return outcome
+
+
+def _queue(
+    node: Node,
+    request: model.Request,
+    home: model.Route,
+    slot: model.SlotId,
+    assignment: model.Assignment,
+    deadline_at: float,
+) -> 'futures.Future[model.Outcome]':
+    """Queue a request at this host's dispatcher of the owner."""
+    ref = node.ref_by_target.get(assignment.target)
+    if ref is None:
+        return _refused(codes.NO_OWNER)
+    pending: futures.Future[model.Outcome] = futures.Future()
+    work = work_module.Work(
+        str(next(node.counter)), request, home.slot, slot, deadline_at, pending
+    )
+    try:
+        ref.tell(dispatcher.Submit(work))
+    except pykka.ActorDeadError:
+        return _refused(codes.NO_OWNER)
+    return pending
+
+
+def _confirm_refusal(
+    node: Node, request: model.Request, outcome: model.Outcome
+) -> model.Outcome:
+    """Answer unknown where this host knows the id from an earlier attempt."""
+    ask = ledger_actor.RefusalCode(request.request_id, '', outcome.code)
+    code = node.context.ledger_ref.ask(ask, timeout=ACTOR_TIMEOUT_S)
+    if code is outcome.code:
+        return outcome
+    return model.refusal(code)
+
+
+def _refused(
+    code: codes.Code, detail: str = '', retry_after_ms: int = 0
+) -> 'futures.Future[model.Outcome]':
+    pending: futures.Future[model.Outcome] = futures.Future()
+    pending.set_result(model.refusal(code, detail, retry_after_ms))
+    return pending
--- /dev/null
+++ b/amaranthcrank/dispatch/work.py
@@ -0,0 +1,331 @@
+"""Work at a dispatching host: intents, one send, and its outcome."""
+
+from collections import abc
+from concurrent import futures
+import hashlib
+import time
+import typing
+
+import pykka
+
+from amaranthcrank.core import codes
+from amaranthcrank.core import model
+from amaranthcrank.core import tracing
+from amaranthcrank.dispatch import ledger
+from amaranthcrank.dispatch import ledger_actor
+from amaranthcrank.dispatch import upstream_client
+from amaranthcrank.peers import frames
+from amaranthcrank.peers import links as links_module
+from amaranthcrank.publish import view as view_module
+
+# Between failure domains a frame takes 0.5 ms; a holder that needs longer
+# than this is replaced by the third one.
+INTENT_TIMEOUT_S = 0.1
+ACTOR_TIMEOUT_S = 1.0
+
+
+class Work(typing.NamedTuple):
+    """One request at its dispatching host.
+
+    Attributes:
+      number: Unique within the process; request ids can repeat.
+      request: The request.
+      hash_slot: The slot that its key hashes to.
+      slot: The slot under which it is served; another one for a pinned key.
+      deadline_at: Monotonic seconds.
+      reply: Gets the outcome.
+    """
+
+    number: str
+    request: model.Request
+    hash_slot: model.SlotId
+    slot: model.SlotId
+    deadline_at: float
+    reply: futures.Future
+
+
+class Finished(typing.NamedTuple):
+    """The end of one send.
+
+    Attributes:
+      work: The work.
+      outcome: Its outcome.
+      latency_s: From send to answer, 0 where nothing was sent.
+      shed: Whether the upstream shed it or timed out.
+      broken: Whether the connection broke as in a crash.
+      incarnation: The upstream's incarnation that it was sent to.
+    """
+
+    work: Work
+    outcome: model.Outcome
+    latency_s: float = 0.0
+    shed: bool = False
+    broken: bool = False
+    incarnation: str = ''
+
+
+class Context(typing.NamedTuple):
+    """What sending needs of the host.
+
+    Attributes:
+      host: The id of this host.
+      incarnation: Of this process.
+      holder: The view of the control side.
+      links: The links to the peers.
+      ledger_ref: The ledger actor.
+      next_number: Counts attempts.
+    """
+
+    host: str
+    incarnation: str
+    holder: view_module.ViewHolder
+    links: links_module.Links
+    ledger_ref: pykka.ActorRef
+    next_number: abc.Callable[[], int]
+
+
+def run(
+    context: Context, upstream: upstream_client.Upstream, work: Work
+) -> Finished:
+    """Send one piece of work and wait for its outcome.
+
+    Args:
+      context: The host.
+      upstream: The owner of the slot.
+      work: The work.
+
+    Returns:
+      How it ended.
+    """
+    request = work.request
+    with tracing.span(
+        'dispatch', request.traceparent, target=upstream.target.target
+    ) as traceparent:
+        work = work._replace(request=request._replace(traceparent=traceparent))
+        if request.repeatable:
+            return _send(context, upstream, work)
+        return _send_once(context, upstream, work)
+
+
+def request_digest(request: model.Request) -> str:
+    """Identify what a request asks for, to match a repetition with it."""
+    digest = hashlib.blake2b(digest_size=16)
+    fields = (request.caller, request.service, request.key, request.method)
+    for field in (*fields, request.query):
+        digest.update(field.encode())
+        digest.update(b'\0')
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def on_intent_frame(
+    context: Context, host: str, frame: frames.Frame
+) -> None:
+    """Note or release an intent for another host.
+
+    Args:
+      context: This host.
+      host: The dispatching host.
+      frame: The frame.
+    """
+    if frame['release']:
+        release = ledger_actor.ReleaseIntent(
+            frame['request_id'], frame['token']
+        )
+        context.ledger_ref.tell(release)
+        return
+    note = ledger_actor.NoteIntent(
+        frame['request_id'],
+        frame['issued_at_ms'],
+        model.SlotId(frame['service'], frame['slot']),
+        frame['token'],
+    )
+    reply = {'type': frames.INTENT_REPLY, 'code': _ask(context, note).number}
+    links_module.reply(context.links, host, frame['id'], reply)
+
+
+def owned_assignment(
+    view: view_module.View, slot: model.SlotId, target: str
+) -> model.Assignment | None:
+    """Return the assignment of a slot that a target holds granted.
+
+    Args:
+      view: The view of the control side.
+      slot: The slot.
+      target: The target that should own it.
+
+    Returns:
+      The assignment, or None where the target may not be sent its work.
+    """
+    granted = view.granted_by_target.get(target)
+    if granted is None or slot not in granted.slots:
+        return None
+    assignment = view.record.assignment_by_slot.get(slot)
+    if assignment is None or assignment.target != target:
+        return None
+    return assignment
+
+
+def _send_once(
+    context: Context, upstream: upstream_client.Upstream, work: Work
+) -> Finished:
+    request = work.request
+    digest = request_digest(request)
+    stored = _ask(context, ledger_actor.FindAnswer(request.request_id, digest))
+    if stored is not None:
+        return Finished(work, stored)
+    token = ledger.make_token(
+        context.host, context.incarnation, context.next_number()
+    )
+    decision, asked = _gather_intents(context, work, token)
+    if decision.action != ledger.SEND:
+        if ledger.must_release(decision, False):
+            _release(context, request.request_id, token, asked)
+        return Finished(work, model.refusal(decision.code))
+    sent = ledger_actor.NoteSent(
+        request.request_id, request.issued_at_ms, token
+    )
+    _ask(context, sent)
+    finished = _send(context, upstream, work)
+    outcome = finished.outcome
+    if outcome.code.outcome == codes.SERVED:
+        context.ledger_ref.tell(
+            ledger_actor.StoreAnswer(request.request_id, digest, outcome)
+        )
+        return finished
+    not_run = outcome.code.outcome == codes.NOT_RUN
+    if ledger.must_release(decision, not_run):
+        _release(context, request.request_id, token, asked)
+    return finished
+
+
+def _gather_intents(
+    context: Context, work: Work, token: str
+) -> tuple[ledger.Decision, tuple[str, ...]]:
+    request = work.request
+    record = context.holder.view.record
+    holders, needed = ledger.intent_holders(record.hosts, work.hash_slot)
+    note = ledger_actor.NoteIntent(
+        request.request_id, request.issued_at_ms, work.hash_slot, token
+    )
+    first = _preferred(context, holders)[:needed]
+    spare = [each for each in holders if each not in first]
+    asked = list(first)
+    replies = _collect(context, note, first)
+    while spare:
+        decision = ledger.decide_intent(replies, needed, len(spare))
+        if decision.action != ledger.WAIT:
+            break
+        host = spare.pop(0)
+        asked.append(host)
+        replies.update(_collect(context, note, (host,)))
+    decision = ledger.decide_intent(replies, needed, 0)
+    return decision, tuple(asked)
+
+
+def _preferred(context: Context, holders: tuple[str, ...]) -> tuple[str, ...]:
+    """Order holders: this host, then hosts that are heard, then others."""
+    live = context.holder.view.live_hosts
+
+    def distance(host: str) -> int:
+        if host == context.host:
+            return 0
+        return 1 if host in live else 2
+
+    return tuple(sorted(holders, key=distance))
+
+
+def _collect(
+    context: Context,
+    note: ledger_actor.NoteIntent,
+    hosts: tuple[str, ...],
+) -> dict[str, codes.Code]:
+    pending = {}
+    for host in hosts:
+        if host == context.host:
+            continue
+        pending[host] = links_module.call(
+            context.links, host, _intent_frame(note, False)
+        )
+    reply_by_host = {}
+    if context.host in hosts:
+        reply_by_host[context.host] = _ask(context, note)
+    end_at = time.monotonic() + INTENT_TIMEOUT_S
+    for host, future in pending.items():
+        try:
+            frame = future.result(max(0.0, end_at - time.monotonic()))
+        except (futures.TimeoutError, links_module.LinkError):
+            continue
+        code = codes.BY_NUMBER.get(frame.get('code'))
+        if code is not None:
+            reply_by_host[host] = code
+    return reply_by_host
+
+
+def _intent_frame(
+    note: ledger_actor.NoteIntent, release: bool
+) -> frames.Frame:
+    return {
+        'type': frames.INTENT,
+        'request_id': note.request_id,
+        'issued_at_ms': note.issued_at_ms,
+        'service': note.slot.service,
+        'slot': note.slot.slot,
+        'token': note.token,
+        'release': release,
+    }
+
+
+def _release(
+    context: Context, request_id: str, token: str, hosts: tuple[str, ...]
+) -> None:
+    release = ledger_actor.ReleaseIntent(request_id, token)
+    # The host's own note of the send goes first, so that a repetition that
+    # arrives after the refusal is not taken for a duplicate here.
+    _ask(context, release)
+    empty = model.SlotId('', 0)
+    note = ledger_actor.NoteIntent(request_id, 0, empty, token)
+    for host in hosts:
+        if host == context.host:
+            continue
+        links_module.send(context.links, host, _intent_frame(note, True))
+
+
+def _send(
+    context: Context, upstream: upstream_client.Upstream, work: Work
+) -> Finished:
+    view = context.holder.view
+    target = upstream.target.target
+    now = time.monotonic()
+    if now >= work.deadline_at:
+        return Finished(work, model.refusal(codes.EXPIRED))
+    if now >= view.standing_until:
+        return Finished(work, model.refusal(codes.NO_STANDING))
+    assignment = owned_assignment(view, work.slot, target)
+    if assignment is None:
+        return Finished(work, model.refusal(codes.NO_OWNER))
+    incarnation = view.granted_by_target[target].incarnation
+    answer = upstream_client.send_work(
+        upstream,
+        work.request,
+        assignment.fence,
+        work.slot.slot,
+        incarnation,
+        work.deadline_at - now,
+        work.request.traceparent,
+    )
+    latency_s = time.monotonic() - now
+    if isinstance(answer, upstream_client.UpstreamAnswer):
+        outcome = model.Outcome(
+            codes.OK, answer.status, answer.headers, answer.body, 0, ''
+        )
+        return Finished(work, outcome, latency_s)
+    outcome = model.refusal(answer.code, answer.detail, answer.retry_after_ms)
+    if not answer.refusal and answer.may_have_run and not answer.broken:
+        upstream_client.post_cancel(upstream, work.request.request_id)
+    shed = answer.refusal == 'shed' or answer.code is codes.OUTCOME_UNKNOWN
+    return Finished(work, outcome, latency_s, shed, answer.broken, incarnation)
+
+
+def _ask(context: Context, message: typing.Any) -> typing.Any:
+    return context.ledger_ref.ask(message, timeout=ACTOR_TIMEOUT_S)
