--- a/amaranthcrank/peers/auth.py
+++ b/amaranthcrank/peers/auth.py
@@ -1,8 +1,12 @@
 """Mutual authentication of two hosts by a shared cluster key."""
 
 from collections import abc
+import hashlib
+import hmac
 
 CHALLENGE_BYTES = 32
+DIALLER = 'dialler'
+LISTENER = 'listener'
 
 
 def proof(
@@ -12,7 +16,7 @@
 
     Args:
       key: The shared cluster key.
-      role: 'dialler' or 'listener'; a proof cannot be reflected.
+      role: DIALLER or LISTENER; a proof cannot be reflected.
       prover: The id of the host that proves itself.
       verifier: The id of the host that checks.
       own: The challenge that the prover issued.
@@ -21,7 +25,20 @@
     Returns:
       The HMAC.
     """
-    raise NotImplementedError
+    mac = hmac.new(key, digestmod=hashlib.sha256)
+    for part in (
+        b'amaranthcrank link 1',
+        role.encode(),
+        prover.encode(),
+        verifier.encode(),
+        own,
+        other,
+    ):
+        # The length prefix keeps two different lists of parts from giving
+        # the same bytes.
+        mac.update(len(part).to_bytes(4, 'big'))
+        mac.update(part)
+    return mac.digest()
 
 
 def accepted_key(
@@ -38,4 +55,9 @@
     Returns:
       The key, or None where the proof holds under none.
     """
-    raise NotImplementedError
+    found = None
+    for key in keys:
+        expected = proof(key, role, prover, verifier, own, other)
+        if hmac.compare_digest(expected, given) and found is None:
+            found = key
+    return found
