Add the HTTP client for upstreams

A failure says whether the work may have run: only a refused or timed-out connect, a full pool or an invalid header count as nothing sent, and X-Not-Run as refused. urllib3 checks a kept connection for a close before it sends, and connections idle for 2 s are replaced, since a close that meets a request half way has to count as possibly run. A 0.3 s connect limit is kept apart from the send and read limit, which urllib3 would otherwise take from the connect time-out for the send.

--- a/amaranthcrank/dispatch/upstream_client.py
+++ b/amaranthcrank/dispatch/upstream_client.py
@@ -2,10 +2,28 @@
 
 from collections import abc
 import contextlib
+import json
+import time
 import typing
+from urllib import parse as urllib_parse
+
+import urllib3
+from urllib3 import connection as urllib3_connection
+from urllib3 import exceptions
 
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
+from amaranthcrank.intake import parse
+
+CONNECT_TIMEOUT_S = 0.3
+CONTROL_TIMEOUT_S = 0.2
+# An upstream may close an idle connection at any time. One that was idle
+# this long is replaced before work is sent on it: work that meets a close
+# half way counts as possibly run, while a new connection costs 1 ms.
+IDLE_LIMIT_S = 2.0
+CONTROL_CONNECTIONS = 2
+MAX_CONTROL_BYTES = 256 * 1024
+READ_BYTES = 64 * 1024
 
 
 class UpstreamAnswer(typing.NamedTuple):
@@ -58,20 +76,80 @@
     value: dict[str, typing.Any]
 
 
-class Upstream:
-    """The connection pools to one target."""
+class Upstream(typing.NamedTuple):
+    """The connection pools to one target.
+
+    Attributes:
+      target: The target.
+      work: As many connections as the target has slots.
+      control: The connections for grants, releases and cancellations, so
+        that these never wait for work.
+    """
+
+    target: model.Target
+    work: urllib3.HTTPConnectionPool
+    control: urllib3.HTTPConnectionPool
+
+
+class _Connection(urllib3_connection.HTTPConnection):
+    """A connection with its own limits on connecting and on idle time."""
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.used_at = 0.0
+        self.open_socket: typing.Any = None
+
+    def connect(self) -> None:
+        whole = self.timeout
+        self.timeout = min(whole, CONNECT_TIMEOUT_S)
+        try:
+            super().connect()
+        finally:
+            self.timeout = whole
+        self.sock.settimeout(whole)
+        # urllib3 forgets the socket of a connection that will close, but
+        # the body still has to be read within the deadline.
+        self.open_socket = self.sock
+
+    @property
+    def is_connected(self) -> bool:
+        idle_s = time.monotonic() - self.used_at
+        return idle_s < IDLE_LIMIT_S and super().is_connected
+
+    def request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        self.used_at = time.monotonic()
+        super().request(*args, **kwargs)
+
+    def getresponse(self) -> urllib3.HTTPResponse:
+        response = super().getresponse()
+        self.used_at = time.monotonic()
+        return response
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
 
 
 def open_upstream(
     stack: contextlib.ExitStack, target: model.Target
 ) -> Upstream:
     """Open the pools to a target; connections are made when needed."""
-    raise NotImplementedError
+    host, _, port = target.address.rpartition(':')
+    control_size = min(CONTROL_CONNECTIONS, max(target.connections - 1, 1))
+    work_size = max(min(target.slots, target.connections - control_size), 1)
+    work, control = (
+        _Pool(host.strip('[]'), int(port), maxsize=size, block=True)
+        for size in (work_size, control_size)
+    )
+    upstream = Upstream(target, work, control)
+    stack.callback(close_upstream, upstream)
+    return upstream
 
 
 def close_upstream(upstream: Upstream) -> None:
     """Close idle connections; busy ones close when their work ends."""
-    raise NotImplementedError
+    upstream.work.close()
+    upstream.control.close()
 
 
 def send_work(
@@ -97,12 +175,37 @@
     Returns:
       The answer, or a failure that says whether it may have run.
     """
-    raise NotImplementedError
+    end = time.monotonic() + deadline_s
+    if deadline_s <= 0:
+        return _failure(codes.EXPIRED, 'no time left')
+    headers = urllib3.HTTPHeaderDict(request.headers)
+    headers.setdefault('User-Agent', urllib3.util.SKIP_HEADER)
+    headers.update(
+        {
+            'X-Fence': str(fence),
+            'X-Slot': str(slot),
+            'X-Grant-Incarnation': incarnation,
+            'X-Deadline-Ms': str(max(int(deadline_s * 1000), 1)),
+            'X-Request-Id': request.request_id,
+            'X-Request-Rank': request.rank,
+        }
+    )
+    if traceparent:
+        headers['traceparent'] = traceparent
+    return _exchange(
+        upstream.work,
+        request.method,
+        _work_path(request),
+        request.body,
+        headers,
+        end,
+        model.MAX_BODY_BYTES,
+    )
 
 
 def get_grant(upstream: Upstream) -> ControlAnswer | UpstreamFailure:
     """Ask for incarnation, challenge, version, draining and in_flight."""
-    raise NotImplementedError
+    return _control(upstream, 'GET', '/grant', None)
 
 
 def post_grant(
@@ -113,18 +216,221 @@
     slots: abc.Sequence[tuple[str, int, int]],
 ) -> ControlAnswer | UpstreamFailure:
     """Grant the (service, slot, fence) list, replacing the one before."""
-    raise NotImplementedError
+    value = {
+        'incarnation': incarnation,
+        'challenge': challenge,
+        'version': version,
+        'slots': [list(each) for each in slots],
+    }
+    return _control(upstream, 'POST', '/grant', value)
 
 
 def post_release(
     upstream: Upstream, version: int, slots: abc.Sequence[tuple[str, int]]
 ) -> ControlAnswer | UpstreamFailure:
     """Ask the upstream to give up (service, slot) at a version."""
-    raise NotImplementedError
+    value = {'version': version, 'slots': [list(each) for each in slots]}
+    return _control(upstream, 'POST', '/release', value)
 
 
 def post_cancel(
     upstream: Upstream, request_id: str
 ) -> ControlAnswer | UpstreamFailure:
     """Ask the upstream to cancel a request."""
-    raise NotImplementedError
+    return _control(upstream, 'POST', '/cancel', {'request_id': request_id})
+
+
+def _work_path(request: model.Request) -> str:
+    key = urllib_parse.quote(request.key, safe='')
+    # A path segment of dots alone would be taken for a parent directory.
+    if key in ('.', '..'):
+        key = key.replace('.', '%2E')
+    path = f'/keys/{urllib_parse.quote(request.service, safe="")}/{key}'
+    return f'{path}?{request.query}' if request.query else path
+
+
+def _control(
+    upstream: Upstream, method: str, path: str, value: typing.Any
+) -> ControlAnswer | UpstreamFailure:
+    headers = urllib3.HTTPHeaderDict({'User-Agent': urllib3.util.SKIP_HEADER})
+    body = b''
+    if value is not None:
+        headers['Content-Type'] = 'application/json'
+        body = json.dumps(value, separators=(',', ':')).encode()
+    end = time.monotonic() + CONTROL_TIMEOUT_S
+    answer = _exchange(
+        upstream.control, method, path, body, headers, end, MAX_CONTROL_BYTES
+    )
+    if isinstance(answer, UpstreamFailure):
+        return answer
+    try:
+        decoded = json.loads(answer.body or b'{}')
+    except (ValueError, RecursionError) as e:
+        return _failure(codes.BAD_CONTROL_ANSWER, str(e), may_have_run=True)
+    if not isinstance(decoded, dict):
+        return _failure(
+            codes.BAD_CONTROL_ANSWER, 'not an object', may_have_run=True
+        )
+    return ControlAnswer(answer.status, decoded)
+
+
+def _exchange(
+    pool: _Pool,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: urllib3.HTTPHeaderDict,
+    end: float,
+    max_bytes: int,
+) -> UpstreamAnswer | UpstreamFailure:
+    left_s = end - time.monotonic()
+    if left_s <= 0:
+        return _failure(codes.EXPIRED, 'no time left')
+    try:
+        response = pool.urlopen(
+            method,
+            path,
+            body=body or None,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(connect=left_s, read=left_s),
+            pool_timeout=left_s,
+            preload_content=False,
+            decode_content=False,
+        )
+    except exceptions.EmptyPoolError:
+        return _failure(codes.EXPIRED, 'no free connection to the upstream')
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+        exceptions.ClosedPoolError,
+        exceptions.LocationValueError,
+    ) as e:
+        return _failure(codes.UPSTREAM_UNREACHABLE, str(e))
+    except ValueError as e:
+        # http.client refuses a bad header or path before it sends anything.
+        return _failure(codes.BAD_HEADER, str(e))
+    except (exceptions.HTTPError, OSError) as e:
+        return _lost(e)
+    try:
+        return _read_answer(response, method, end, max_bytes)
+    except (exceptions.HTTPError, OSError) as e:
+        response.close()
+        return _lost(e)
+    finally:
+        # Only a connection whose answer was read whole goes on being used.
+        if response.length_remaining not in (0, None):
+            response.close()
+        response.release_conn()
+
+
+def _read_answer(
+    response: urllib3.HTTPResponse, method: str, end: float, max_bytes: int
+) -> UpstreamAnswer | UpstreamFailure:
+    refusal = response.headers.get('X-Not-Run', '')
+    if refusal:
+        return _read_refusal(response, refusal)
+    announced = response.length_remaining or 0
+    if method != 'HEAD' and announced > max_bytes:
+        response.close()
+        return _too_large(announced)
+    body = _read_body(response, end, max_bytes)
+    if isinstance(body, UpstreamFailure):
+        response.close()
+        return body
+    return UpstreamAnswer(
+        response.status, _answer_headers(response, method), body
+    )
+
+
+def _read_body(
+    response: urllib3.HTTPResponse, end: float, max_bytes: int
+) -> bytes | UpstreamFailure:
+    chunks = []
+    size = 0
+    sock = response.connection and response.connection.open_socket
+    while True:
+        left_s = end - time.monotonic()
+        if left_s <= 0:
+            return _failure(
+                codes.OUTCOME_UNKNOWN,
+                'the deadline passed while the answer was read',
+                may_have_run=True,
+            )
+        if sock is not None and sock.fileno() >= 0:
+            sock.settimeout(left_s)
+        chunk = response.read1(READ_BYTES)
+        if not chunk:
+            return b''.join(chunks)
+        size += len(chunk)
+        if size > max_bytes:
+            return _too_large(size)
+        chunks.append(chunk)
+
+
+def _read_refusal(
+    response: urllib3.HTTPResponse, refusal: str
+) -> UpstreamFailure:
+    seconds = response.headers.get('Retry-After', '')[:6]
+    is_count = seconds.isascii() and seconds.isdecimal()
+    # The refusal holds whatever becomes of its body, which is read only so
+    # that the connection can be used again.
+    try:
+        end = time.monotonic() + CONTROL_TIMEOUT_S
+        body = _read_body(response, end, READ_BYTES)
+        is_whole = isinstance(body, bytes)
+    except (exceptions.HTTPError, OSError):
+        is_whole = False
+    if not is_whole:
+        response.close()
+    return UpstreamFailure(
+        codes.UPSTREAM_REFUSED,
+        may_have_run=False,
+        refusal=refusal[:64],
+        status=response.status,
+        retry_after_ms=int(seconds) * 1000 if is_count else 0,
+        broken=False,
+        detail=f'{response.status} {refusal[:64]}',
+    )
+
+
+def _answer_headers(
+    response: urllib3.HTTPResponse, method: str
+) -> tuple[tuple[str, str], ...]:
+    listed = response.headers.get('Connection', '').lower().split(',')
+    dropped = parse.HOP_BY_HOP | {each.strip() for each in listed}
+    if method != 'HEAD':
+        dropped |= {'content-length'}
+    return tuple(
+        (name, value)
+        for name, value in response.headers.iteritems()
+        if name.lower() not in dropped
+    )
+
+
+def _lost(error: Exception) -> UpstreamFailure:
+    timed_out = isinstance(error, (exceptions.TimeoutError, TimeoutError))
+    cause = error.args[1] if len(error.args) > 1 else None
+    timed_out = timed_out or isinstance(cause, TimeoutError)
+    return UpstreamFailure(
+        codes.OUTCOME_UNKNOWN,
+        may_have_run=True,
+        refusal='',
+        status=0,
+        retry_after_ms=0,
+        broken=not timed_out,
+        detail=f'{type(error).__name__}: {error}'[:200],
+    )
+
+
+def _failure(
+    code: codes.Code, detail: str, may_have_run: bool = False
+) -> UpstreamFailure:
+    return UpstreamFailure(code, may_have_run, '', 0, 0, False, detail[:200])
+
+
+def _too_large(size: int) -> UpstreamFailure:
+    return _failure(
+        codes.ANSWER_TOO_LARGE, f'{size} bytes or more', may_have_run=True
+    )
