Serve a request end to end as separate processes

Cause: daemons did not find each other before the host list was read, and pinned keys had slot numbers that changed with the other pins, so that one number could mean two keys at two hosts.

Ruled out: numbering pins by their position with the ticket of the record, because a host with a newer ticket would have to keep older ones. The number now holds the hash slot and a hash of the key, and the record alone decides whether a key has a slot of its own.

--- a/amaranthcrank/core/hashing.py
+++ b/amaranthcrank/core/hashing.py
@@ -5,6 +5,9 @@
 
 import xxhash
 
+# Slot numbers of pinned keys hold the hash slot above this many bits.
+PIN_BITS = 32
+
 
 def slot_of(service: str, key: str, slots: int) -> int:
     """Map a key to its slot.
@@ -48,3 +51,32 @@
             reverse=True,
         )
     )
+
+
+def pin_number(service: str, key: str, slots: int) -> int:
+    """Number the slot that a pinned key has to itself.
+
+    The number does not depend on the other pins, so that a change of the
+    pins never gives a slot another key. It is above every hash slot, and
+    base_of_pin finds the hash slot in it.
+
+    Args:
+      service: The name of the service.
+      key: The pinned key.
+      slots: The number of hash slots of the service.
+
+    Returns:
+      The number.
+    """
+    base = slot_of(service, key, slots)
+    return ((base + 1) << PIN_BITS) | xxhash.xxh32_intdigest(key.encode())
+
+
+def is_pin(number: int) -> bool:
+    """Tell whether a slot number is one of a pinned key."""
+    return number >= 1 << PIN_BITS
+
+
+def base_of_pin(number: int) -> int:
+    """Return the hash slot of a pinned key's slot."""
+    return (number >> PIN_BITS) - 1
--- a/amaranthcrank/core/model.py
+++ b/amaranthcrank/core/model.py
@@ -103,7 +103,7 @@
 
     Attributes:
       service: The service.
-      slot: The slot number; a pinned key has number slots + its position.
+      slot: The slot number; for a pinned key hashing.pin_number.
     """
 
     service: str
@@ -177,7 +177,9 @@
     Attributes:
       slot: The slot of its key.
       cell: The home cell of the slot.
+      slots: The number of hash slots of the service.
     """
 
     slot: SlotId
     cell: str
+    slots: int
--- a/amaranthcrank/core/settings_test.py
+++ b/amaranthcrank/core/settings_test.py
@@ -38,6 +38,7 @@
     ('max_connections', '1e3', codes.SETTING_BAD_NUMBER),
     ('drain_s', 'nan', codes.SETTING_BAD_NUMBER),
     ('drain_s', '-1', codes.SETTING_BAD_NUMBER),
+    ('peers', 'ktm-balaju-2=nowhere', codes.SETTING_BAD_ADDRESS),
     ('ready_file', '/nowhere/at/all', codes.SETTING_BAD_PATH),
 )
 
--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -140,9 +140,7 @@
 def live_hosts(state: ControlState, now: float) -> tuple[str, ...]:
     """Return the hosts of the cell that dispatch."""
     heard = standing.heard_within(own_standing(state), now, DISPATCH_SILENCE_S)
-    staying = tuple(
-        each for each in heard if each not in state.leaving_hosts
-    )
+    staying = tuple(each for each in heard if each not in state.leaving_hosts)
     # The last host goes on until its process ends.
     return staying or heard
 
@@ -358,7 +356,7 @@
     kept = []
     gained = []
     for slot in new.assignment_by_slot:
-        if slot.slot >= route.PIN_BASE:
+        if hashing.is_pin(slot.slot):
             continue
         if slot not in old_slots:
             gained.append(slot)
--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -137,11 +137,8 @@
     if due.take or due.missing or due.waiting_for:
         _ask_others(state, due)
     held = frozenset(record.assignment_by_slot)
-    pins = {}
-    for slot, target in settlement.pinned_slots(
-        state.state, state.cell
-    ).items():
-        pins[slot] = target
+    pins = settlement.pinned_slots(state.state, state.cell)
+    remapped = settlement.remapped_slots(record, frozenset(pins))
     wanted = (due.wanted & held) | frozenset(due.take)
     planned, moves = assignment.plan_slots(
         record.assignment_by_slot,
@@ -156,7 +153,8 @@
         planned,
         effective,
         state.ticket.number,
-        settlement.refenced_slots(record, state.state, state.cell),
+        remapped.gains,
+        remapped.loses,
     )
     if following is record:
         return None
--- a/amaranthcrank/daemon/main.py
+++ b/amaranthcrank/daemon/main.py
@@ -1,6 +1,8 @@
 """Start-up and shutdown of the daemon amaranthcrankd."""
 
+from collections import abc
 import contextlib
+import inspect
 import itertools
 import json
 import os
@@ -11,7 +13,6 @@
 import typing
 import uuid
 
-import click
 import pykka
 import typer
 import urllib3
@@ -66,35 +67,45 @@
 
 def run() -> None:
     """Run the command amaranthcrankd."""
+    app = typer.Typer(add_completion=False)
+    app.command()(_with_flags(_main))
     try:
-        code = _command().main(standalone_mode=False)
-    except click.NoSuchOption as error:
-        code = _refuse(codes.SETTING_UNKNOWN_FLAG, error.option_name or '')
-    except click.ClickException as error:
-        code = _refuse(codes.SETTING_NO_VALUE, error.format_message())
+        code = app(prog_name='amaranthcrankd', standalone_mode=False)
+    except typer.TyperException as error:
+        code = _refuse(codes.SETTING_UNKNOWN_FLAG, error.format_message())
     sys.exit(code or 0)
 
 
-def _command() -> click.Command:
-    """Make the command with one option for each setting."""
-    options = []
+def _with_flags(function: abc.Callable[..., int]) -> abc.Callable[..., int]:
+    """Give a function one option for each row of the table of settings."""
+
+    def command(**flags: typing.Any) -> int:
+        return function(**flags)
+
+    parameters = []
     for row in settings_module.SETTINGS:
-        text = f'{row.purpose}: {row.accepted}'
-        options.append(
-            typer.core.TyperOption(
-                param_decls=[row.flag, row.name], help=text, default=None
-            )
-        )
-    options.append(
-        typer.core.TyperOption(
-            param_decls=['--show-settings', 'show'],
-            is_flag=True,
-            default=False,
-            help='Show each setting and where it came from, then exit.',
-        )
+        option = typer.Option(row.flag, help=f'{row.purpose}: {row.accepted}')
+        parameters.append(_parameter(row.name, str | None, option, None))
+    show = typer.Option(
+        '--show-settings', help='Show each setting and its source, then exit.'
     )
-    return typer.core.TyperCommand(
-        'amaranthcrankd', params=options, callback=_main
+    parameters.append(_parameter('show', bool, show, False))
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {
+        each.name: each.annotation for each in parameters
+    }
+    command.__doc__ = 'Route requests to the one upstream that owns a key.'
+    return command
+
+
+def _parameter(
+    name: str, kind: typing.Any, option: typing.Any, default: typing.Any
+) -> inspect.Parameter:
+    return inspect.Parameter(
+        name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=default,
+        annotation=typing.Annotated[kind, option],
     )
 
 
@@ -209,9 +220,7 @@
     )
     tasks_module.start(state.tasks)
     _start_timer(stopping, ref)
-    return Daemon(
-        ref, callers, bound, links, state.dispatcher_by_target
-    )
+    return Daemon(ref, callers, bound, links, state.dispatcher_by_target)
 
 
 def _start_control(
@@ -262,10 +271,8 @@
     handlers[frames.INTENT] = lambda host, frame: work_module.on_intent_frame(
         node.context, host, frame
     )
-    handlers[frames.STATUS] = (
-        lambda host, frame: operators_module.on_status_frame(
-            operators, host, frame
-        )
+    handlers[frames.STATUS] = lambda host, frame: (
+        operators_module.on_status_frame(operators, host, frame)
     )
 
 
--- a/amaranthcrank/daemon/operators.py
+++ b/amaranthcrank/daemon/operators.py
@@ -169,7 +169,7 @@
     if record is None:
         problem = codes.Problem(codes.CELL_UNREACHABLE, 'cell', home.cell)
         return 503, _problems((problem,), view)
-    slot = route.slot_in_record(record, home.slot, key)
+    slot = route.slot_in_record(record, home, key)
     found = record.assignment_by_slot.get(slot, model.Assignment('', 0, ''))
     return 200, status.owner_document(
         service,
--- a/amaranthcrank/daemon/requests.py
+++ b/amaranthcrank/daemon/requests.py
@@ -210,7 +210,7 @@
         if hops:
             return _refused(codes.NO_OWNER, 'the sender has another ticket')
         return _send_to_cell(node, view, request, home, deadline_at)
-    slot = route.slot_in_record(view.record, home.slot, request.key)
+    slot = route.slot_in_record(view.record, home, request.key)
     assignment = view.record.assignment_by_slot.get(slot)
     if assignment is None:
         return _refused(codes.NO_OWNER)
--- a/amaranthcrank/daemon/tasks.py
+++ b/amaranthcrank/daemon/tasks.py
@@ -217,9 +217,7 @@
             revision = -1
             continue
         if revision < 0:
-            result = store_client.list_objects(
-                tasks.client, keeper.TICKETS
-            )
+            result = store_client.list_objects(tasks.client, keeper.TICKETS)
         else:
             result = store_client.watch_kind(
                 tasks.client, keeper.TICKETS, revision, WATCH_WAIT_MS
--- a/amaranthcrank/dispatch/work.py
+++ b/amaranthcrank/dispatch/work.py
@@ -118,9 +118,7 @@
     return digest.hexdigest()
 
 
-def on_intent_frame(
-    context: Context, host: str, frame: frames.Frame
-) -> None:
+def on_intent_frame(context: Context, host: str, frame: frames.Frame) -> None:
     """Note or release an intent for another host.
 
     Args:
--- a/amaranthcrank/peers/frames.py
+++ b/amaranthcrank/peers/frames.py
@@ -22,6 +22,7 @@
 INTENT_REPLY = 'intent_reply'
 STATUS = 'status'
 STATUS_REPLY = 'status_reply'
+CRASHES = 'crashes'
 TYPES = frozenset(
     (
         HEARTBEAT,
@@ -34,6 +35,7 @@
         INTENT_REPLY,
         STATUS,
         STATUS_REPLY,
+        CRASHES,
     )
 )
 
--- a/amaranthcrank/record/cell_record.py
+++ b/amaranthcrank/record/cell_record.py
@@ -198,7 +198,8 @@
     assignment_by_slot: dict[model.SlotId, model.Assignment],
     effective: int,
     planned_ticket: int = 0,
-    refence: frozenset[model.SlotId] = frozenset(),
+    gains: frozenset[model.SlotId] = frozenset(),
+    loses: frozenset[model.SlotId] = frozenset(),
 ) -> model.CellRecord:
     """Make the next version with these owners; slots not named are dropped.
 
@@ -207,8 +208,9 @@
       assignment_by_slot: The planned owners; only the targets count.
       effective: The effective version known to the writer.
       planned_ticket: The ticket that the plan follows.
-      refence: Slots that wait even if their owner stays, because other keys
-        map to them now (settlement.remapped_slots).
+      gains: Slots that wait even if their owner stays, because they get a
+        key from another slot (settlement.remapped_slots).
+      loses: Slots that get a new fence, because a key leaves them.
 
     Returns:
       The next version, or the same record if nothing changes.
@@ -218,12 +220,16 @@
     for slot_id, assignment in assignment_by_slot.items():
         old = record.assignment_by_slot.get(slot_id)
         target = assignment.target
-        if old and old.target == target and slot_id not in refence:
+        stays = old is not None and old.target == target
+        if stays and slot_id not in gains and slot_id not in loses:
             planned[slot_id] = old
             continue
         previous = _previous_target(record, old, effective)
-        if slot_id in refence:
+        if slot_id in gains:
             previous = UNRESOLVED
+        elif stays and previous != UNRESOLVED:
+            # The owner stays and no key is gained, so nobody has to let go.
+            previous = ''
         planned[slot_id] = model.Assignment(target, version, previous)
     ticket = max(planned_ticket, record.planned_ticket)
     if (
--- a/amaranthcrank/record/settlement.py
+++ b/amaranthcrank/record/settlement.py
@@ -1,5 +1,6 @@
 """Which slots a ticket moves between cells, and when they may be taken."""
 
+from collections import abc
 import typing
 
 from amaranthcrank.core import hashing
@@ -26,6 +27,20 @@
     waiting_for: tuple[str, ...]
 
 
+class Remapped(typing.NamedTuple):
+    """Slots whose keys change because pins come or go.
+
+    Attributes:
+      gains: Slots that get a key from another slot. They wait until the
+        other slot's owner has let the key go, even if their owner stays.
+      loses: Slots that lose a key to a pin. They get a new fence at once, so
+        that a delayed request for the key is refused by their owner.
+    """
+
+    gains: frozenset[model.SlotId]
+    loses: frozenset[model.SlotId]
+
+
 def settle(
     cell: str,
     ticket: int,
@@ -110,8 +125,8 @@
             if each['cell'] == cell:
                 numbers.update(range(each['from'], each['to']))
         slots.update(model.SlotId(service, each) for each in numbers)
-        for pinned, base in _pinned(service, section).items():
-            if base.slot in numbers:
+        for pinned in _pinned(service, section):
+            if _base(pinned).slot in numbers:
                 slots.add(pinned)
     return frozenset(slots)
 
@@ -131,53 +146,45 @@
     wanted = home_slots(ticket_state, cell)
     target_by_slot = {}
     for service, section in ticket_state['services'].items():
-        for position, key in enumerate(sorted(section['pins'])):
-            slot_id = model.SlotId(service, section['slots'] + position)
+        for slot_id, target in _pinned(service, section).items():
             if slot_id in wanted:
-                target_by_slot[slot_id] = section['pins'][key]
+                target_by_slot[slot_id] = target
     return target_by_slot
 
 
 def remapped_slots(
-    old_state: dict[str, typing.Any], new_state: dict[str, typing.Any]
-) -> frozenset[model.SlotId]:
-    """Return the slots that other keys map to after a ticket.
-
-    A slot that gets a key from another slot may be granted only when the
-    other slot's owner has let the key go, even if its own owner stays.
+    record: model.CellRecord, pins: abc.Collection[model.SlotId]
+) -> Remapped:
+    """Return the slots that other keys map to with new pins.
 
     Args:
-      old_state: The state of the record's planned ticket.
-      new_state: The newest state.
+      record: The record held.
+      pins: The pinned slots of the newest ticket.
 
     Returns:
-      Pinned slots with another key and slots to which a key comes back from
-      a pin, for cell_record.with_assignments.
+      The slots, for cell_record.with_assignments.
     """
-    slots = set()
-    for service, section in new_state['services'].items():
-        old = old_state['services'].get(service)
-        if old is None:
-            continue
-        old_keys = sorted(old['pins'])
-        new_keys = sorted(section['pins'])
-        for position, key in enumerate(new_keys):
-            if position >= len(old_keys) or old_keys[position] != key:
-                number = section['slots'] + position
-                slots.add(model.SlotId(service, number))
-        for key in set(old_keys) - set(new_keys):
-            number = hashing.slot_of(service, key, section['slots'])
-            slots.add(model.SlotId(service, number))
-    return frozenset(slots)
+    held = set()
+    for slot_id in record.assignment_by_slot:
+        if hashing.is_pin(slot_id.slot):
+            held.add(slot_id)
+    added = set(pins) - held
+    removed = held - set(pins)
+    gains = frozenset(added | {_base(each) for each in removed})
+    loses = frozenset(_base(each) for each in added) - gains
+    return Remapped(gains, loses)
+
+
+def _base(pinned: model.SlotId) -> model.SlotId:
+    return model.SlotId(pinned.service, hashing.base_of_pin(pinned.slot))
 
 
 def _pinned(
     service: str, section: dict[str, typing.Any]
-) -> dict[model.SlotId, model.SlotId]:
-    """Return the slot a pinned key's hash maps to, by its own slot."""
-    base_by_slot = {}
-    for position, key in enumerate(sorted(section['pins'])):
-        pinned = model.SlotId(service, section['slots'] + position)
-        number = hashing.slot_of(service, key, section['slots'])
-        base_by_slot[pinned] = model.SlotId(service, number)
-    return base_by_slot
+) -> dict[model.SlotId, str]:
+    """Return the target of each pinned slot of a service."""
+    target_by_slot = {}
+    for key, target in section['pins'].items():
+        number = hashing.pin_number(service, key, section['slots'])
+        target_by_slot[model.SlotId(service, number)] = target
+    return target_by_slot
--- a/amaranthcrank/routing/route.py
+++ b/amaranthcrank/routing/route.py
@@ -7,14 +7,9 @@
 
 import typing
 
-import xxhash
-
 from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 
-# Numbers above every hash slot, so that a pinned key never shares its slot.
-PIN_BASE = 1 << 32
-
 
 class ServiceTable(typing.NamedTuple):
     """Where the slots of one service have their home.
@@ -72,32 +67,27 @@
     cell = table.cell_by_slot[slot]
     if not cell:
         return None
-    return model.Route(model.SlotId(service, slot), cell)
-
-
-def pin_slot(service: str, key: str) -> model.SlotId:
-    """Name the slot that a pinned key has to itself."""
-    number = PIN_BASE + xxhash.xxh32_intdigest(key)
-    return model.SlotId(service, number)
+    return model.Route(model.SlotId(service, slot), cell, table.slots)
 
 
 def slot_in_record(
-    record: model.CellRecord, hash_slot: model.SlotId, key: str
+    record: model.CellRecord, home: model.Route, key: str
 ) -> model.SlotId:
     """Choose between a key's own slot and its hash slot.
 
     Args:
       record: The cell record in force at this host.
-      hash_slot: The slot by hash.
+      home: The route by hash.
       key: The key.
 
     Returns:
       The slot under which the key is served.
     """
-    pinned = pin_slot(hash_slot.service, key)
+    number = hashing.pin_number(home.slot.service, key, home.slots)
+    pinned = model.SlotId(home.slot.service, number)
     if pinned in record.assignment_by_slot:
         return pinned
-    return hash_slot
+    return home.slot
 
 
 def region_of(state: dict[str, typing.Any], cell: str) -> str:
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,344 @@
+"""A whole set-up as processes on loopback, for the demo and for tests."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import urllib3
+
+from amaranthcrank.record import store_client
+from standins import processes
+
+CLUSTER_KEY = 'cluster-key-of-a-test-0123456789abcdef'
+OPERATOR_KEY = 'operator-key-of-a-test-0123456789abcd'
+START_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+class Domain(typing.NamedTuple):
+    """One failure domain of the set-up.
+
+    Attributes:
+      name: Its name; its cell has the same.
+      region: Its region.
+      hosts: How many entry hosts it has.
+      upstreams: How many upstreams of each service it has.
+    """
+
+    name: str
+    region: str
+    hosts: int
+    upstreams: int
+
+
+class Daemon(typing.NamedTuple):
+    """A running entry host.
+
+    Attributes:
+      host: Its id.
+      domain: Its failure domain.
+      popen: The process.
+      callers: host:port for callers.
+      operators: host:port for operators.
+      peers: host:port for other hosts.
+    """
+
+    host: str
+    domain: str
+    popen: subprocess.Popen
+    callers: str
+    operators: str
+    peers: str
+
+
+class Fleet:
+    """The processes of one set-up.
+
+    Attributes:
+      services: The services.
+      domains: The failure domains.
+      slots: The number of hash slots of each service.
+      daemon_by_host: The entry hosts.
+      upstream_by_target: The upstreams.
+      section_by_target: The entry of each target in a ticket.
+    """
+
+    def __init__(
+        self,
+        stack: contextlib.ExitStack,
+        domains: tuple[Domain, ...],
+        services: tuple[str, ...],
+        slots: int = 64,
+        upstream_options: tuple[str, ...] = (),
+    ) -> None:
+        self.stack = stack
+        self.domains = domains
+        self.services = services
+        self.slots = slots
+        self.upstream_options = upstream_options
+        self.pool = stack.enter_context(urllib3.PoolManager(retries=False))
+        self.folder = stack.enter_context(tempfile.TemporaryDirectory())
+        self.store = stack.enter_context(processes.running('standins.store'))
+        self.recorder = stack.enter_context(
+            processes.running('standins.recorder')
+        )
+        self.client = stack.enter_context(
+            store_client.StoreClient(self.store.address)
+        )
+        self.daemon_by_host: dict[str, Daemon] = {}
+        self.upstream_by_target: dict[str, processes.Process] = {}
+        self.section_by_target: dict[str, dict[str, typing.Any]] = {}
+
+
+@contextlib.contextmanager
+def running(
+    domains: tuple[Domain, ...],
+    services: tuple[str, ...],
+    slots: int = 64,
+    upstream_options: tuple[str, ...] = (),
+) -> typing.Iterator[Fleet]:
+    """Start store, recorder, upstreams and entry hosts; end them after.
+
+    Args:
+      domains: The failure domains.
+      services: The services.
+      slots: Hash slots of each service.
+      upstream_options: Further options of each upstream.
+
+    Yields:
+      The set-up, without a ticket.
+    """
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet(stack, domains, services, slots, upstream_options)
+        starting = []
+        for domain in domains:
+            for service in services:
+                for number in range(domain.upstreams):
+                    target = f'{service}-{domain.name}-{number + 1}'
+                    start_upstream(fleet, target, service, domain.name)
+            for number in range(domain.hosts):
+                host = f'{domain.name}-{number + 1}'
+                starting.append(_spawn_daemon(fleet, host, domain))
+        for host, domain, popen, ready in starting:
+            _await_daemon(fleet, host, domain, popen, ready)
+        yield fleet
+
+
+def start_upstream(
+    fleet: Fleet, target: str, service: str, cell: str, address: str = ''
+) -> None:
+    """Start an upstream, again at its old address after a loss."""
+    options = [
+        '--target',
+        target,
+        '--service',
+        service,
+        '--address',
+        address or '127.0.0.1:0',
+        '--record-url',
+        f'http://{fleet.recorder.address}',
+    ]
+    process = fleet.stack.enter_context(
+        processes.running(
+            'standins.upstream', *options, *fleet.upstream_options
+        )
+    )
+    fleet.upstream_by_target[target] = process
+    fleet.section_by_target[target] = {
+        'service': service,
+        'address': process.address,
+        'cell': cell,
+        'slots': 3,
+        'connections': 110,
+        'fenced': True,
+        'state': 'active',
+    }
+
+
+def start_daemon(fleet: Fleet, host: str, domain: Domain) -> Daemon:
+    """Start one entry host and wait until it listens."""
+    return _await_daemon(fleet, *_spawn_daemon(fleet, host, domain))
+
+
+def _spawn_daemon(
+    fleet: Fleet, host: str, domain: Domain
+) -> tuple[str, Domain, subprocess.Popen, pathlib.Path]:
+    ready = pathlib.Path(fleet.folder) / f'{host}.json'
+    ready.unlink(missing_ok=True)
+    log = fleet.stack.enter_context(
+        open(pathlib.Path(fleet.folder) / f'{host}.log', 'a')
+    )
+    old = fleet.daemon_by_host.get(host)
+    settings = {
+        'host_id': host,
+        'failure_domain': domain.name,
+        'region': domain.region,
+        'caller_address': old.callers if old else '127.0.0.1:0',
+        'peer_address': old.peers if old else '127.0.0.1:0',
+        'operator_address': old.operators if old else '127.0.0.1:0',
+        'store_url': f'http://{fleet.store.address}',
+        'peers': ','.join(
+            f'{each.host}={each.peers}'
+            for each in fleet.daemon_by_host.values()
+            if each.host != host
+        ),
+        'cluster_keys': CLUSTER_KEY,
+        'operator_keys': OPERATOR_KEY,
+        'log_level': 'info',
+        'ready_file': str(ready),
+    }
+    env = dict(os.environ)
+    for name, value in settings.items():
+        env[f'AMARANTHCRANK_{name.upper()}'] = value
+    popen = subprocess.Popen(
+        [sys.executable, '-m', 'amaranthcrank.daemon.main'],
+        cwd=processes.ROOT,
+        env=env,
+        stdout=log,
+        stderr=log,
+    )
+    fleet.stack.callback(_end, popen)
+    return host, domain, popen, ready
+
+
+def _await_daemon(
+    fleet: Fleet,
+    host: str,
+    domain: Domain,
+    popen: subprocess.Popen,
+    ready: pathlib.Path,
+) -> Daemon:
+    wait_until(lambda: ready.exists() or popen.poll() is not None)
+    if not ready.exists():
+        raise RuntimeError(f'{host} ended: {log_of(fleet, host)}')
+    daemon = Daemon(host, domain.name, popen, **json.loads(ready.read_text()))
+    fleet.daemon_by_host[host] = daemon
+    # The platform lists the host; nothing of the system does it itself.
+    store_client.put_host(
+        fleet.client, host, daemon.peers, domain.name, 'live'
+    )
+    return daemon
+
+
+def _end(popen: subprocess.Popen) -> None:
+    if popen.poll() is None:
+        popen.send_signal(signal.SIGCONT)
+        popen.kill()
+    popen.wait()
+
+
+def log_of(fleet: Fleet, host: str) -> str:
+    """Return what a host has logged."""
+    return (pathlib.Path(fleet.folder) / f'{host}.log').read_text()
+
+
+def wait_until(
+    condition: typing.Callable[[], bool], timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Poll a condition; TimeoutError where it does not come true."""
+    end_at = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end_at:
+            raise TimeoutError('the condition did not come true')
+        time.sleep(POLL_S)
+
+
+def first_touches(fleet: Fleet) -> dict[str, typing.Any]:
+    """Return the sections of the ticket that states the whole set-up."""
+    names = [each.name for each in fleet.domains]
+    services = {}
+    for service in fleet.services:
+        services[service] = {
+            'slots': fleet.slots,
+            'ranges': _even_ranges(names, fleet.slots),
+            'targets': _targets_of(fleet, service),
+            'pins': {},
+        }
+    cells = {}
+    for domain in fleet.domains:
+        cells[domain.name] = {
+            'failure_domain': domain.name,
+            'region': domain.region,
+            'attester': _attester(fleet, domain),
+        }
+    return {
+        'services': services,
+        'cells': cells,
+        'ranks': {'normal': {'floor': 0.15}, 'bulk': {'floor': 0.05}},
+    }
+
+
+def _even_ranges(names: list[str], slots: int) -> list[dict[str, typing.Any]]:
+    ranges = []
+    for number, name in enumerate(names):
+        begin = number * slots // len(names)
+        end = (number + 1) * slots // len(names)
+        ranges.append({'cell': name, 'from': begin, 'to': end})
+    return ranges
+
+
+def _targets_of(
+    fleet: Fleet, service: str
+) -> dict[str, dict[str, typing.Any]]:
+    targets = {}
+    for target, section in fleet.section_by_target.items():
+        if section['service'] != service:
+            continue
+        entry = dict(section)
+        del entry['service']
+        targets[target] = entry
+    return targets
+
+
+def _attester(fleet: Fleet, domain: Domain) -> str | None:
+    """Name the first host of another domain, for a cell of two hosts."""
+    if domain.hosts != 2:
+        return None
+    for daemon in fleet.daemon_by_host.values():
+        if daemon.domain != domain.name:
+            return daemon.host
+    return None
+
+
+def file_ticket(
+    fleet: Fleet, touches: dict[str, typing.Any], expected: int, uid: str
+) -> tuple[int, dict[str, typing.Any]]:
+    """File a ticket at the first host; returns status and answer."""
+    daemon = next(iter(fleet.daemon_by_host.values()))
+    document = {
+        'author': 'test',
+        'uid': uid,
+        'expected': expected,
+        'touches': touches,
+    }
+    answer = fleet.pool.request(
+        'POST',
+        f'http://{daemon.operators}/tickets',
+        body=json.dumps(document).encode(),
+        headers={'Authorization': f'Bearer {OPERATOR_KEY}'},
+    )
+    return answer.status, json.loads(answer.data)
+
+
+def status_of(fleet: Fleet, host: str) -> dict[str, typing.Any]:
+    """Return what a host shows operators as its status."""
+    daemon = fleet.daemon_by_host[host]
+    answer = fleet.pool.request(
+        'GET',
+        f'http://{daemon.operators}/status',
+        headers={'Authorization': f'Bearer {OPERATOR_KEY}'},
+    )
+    return json.loads(answer.data)
+
+
+def recorded(fleet: Fleet) -> dict[str, typing.Any]:
+    """Return what upstreams ran and held."""
+    answer = fleet.pool.request('GET', f'http://{fleet.recorder.address}/all')
+    return json.loads(answer.data)
