--- /dev/null
+++ b/amaranthcrank/dispatch/upstream_client_test.py
@@ -0,0 +1,279 @@
+"""Tests of dispatch.upstream_client."""
+
+import contextlib
+import itertools
+import json
+import socket
+import threading
+import time
+import unittest
+
+from amaranthcrank.core import codes
+from amaranthcrank.core import model
+from amaranthcrank.dispatch import upstream_client
+
+BIG = bytes(range(256)) * 4096
+OK = b'HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 2\r\n\r\nhi'
+REQUEST = model.Request(
+    request_id='1-abcdefgh',
+    issued_at_ms=1,
+    service='soaklog',
+    key='a/b',
+    rank=model.URGENT,
+    repeatable=False,
+    deadline_ms=5000,
+    caller='c',
+    method='POST',
+    query='x=%22',
+    headers=(('x-fence', 'forged'), ('x-c', 'd')),
+    body=b'body',
+    traceparent='',
+)
+
+
+class _Script:
+    """A listener that plays scripted answers, one list a connection.
+
+    An answer is bytes to send, or a function called with the socket. The
+    connection is closed after its last answer.
+    """
+
+    def __init__(self, stack, script):
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        stack.callback(self.listener.close)
+        self.requests = []
+        self.closed = [threading.Event() for _ in script]
+        thread = threading.Thread(target=self._play, args=(script,))
+        thread.daemon = True
+        thread.start()
+
+    def _play(self, script):
+        for answers, closed in zip(script, self.closed, strict=True):
+            with contextlib.suppress(OSError):
+                sock = self.listener.accept()[0]
+                with sock, sock.makefile('rb') as reader:
+                    for answer in answers:
+                        self.requests.append(_read_request(reader))
+                        if callable(answer):
+                            answer(sock)
+                        else:
+                            sock.sendall(answer)
+            closed.set()
+
+    def address(self):
+        return '{}:{}'.format(*self.listener.getsockname())
+
+
+def _read_request(reader):
+    line = reader.readline().decode()
+    header_by_name = {}
+    for raw in iter(reader.readline, b'\r\n'):
+        name, _, value = raw.decode().partition(':')
+        header_by_name[name.lower()] = value.strip()
+    body = reader.read(int(header_by_name.get('content-length', 0)))
+    return line.split(' ')[:2], header_by_name, body
+
+
+class UpstreamClientTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+
+    def _open(self, address, slots=3, connections=110):
+        target = model.Target(
+            't', 'soaklog', 'cell', address, slots, connections, True, False
+        )
+        return upstream_client.open_upstream(self.stack, target)
+
+    def _script(self, *script):
+        played = _Script(self.stack, script)
+        return played, self._open(played.address())
+
+    def _send(self, upstream, deadline_s=5.0, **changes):
+        request = REQUEST._replace(**changes)
+        return upstream_client.send_work(
+            upstream, request, 7, 31, 'inc', deadline_s, ''
+        )
+
+    def test_work_carries_its_fence_and_comes_back_whole(self):
+        big = b'HTTP/1.1 207 M\r\nContent-Length: %d\r\n\r\n' % len(BIG) + BIG
+        script, upstream = self._script([OK, big])
+        answer = self._send(upstream)
+        self.assertEqual((200, (('X-A', '1'),), b'hi'), answer)
+        answer = self._send(upstream, body=BIG, key='..')
+        self.assertEqual((207, BIG), (answer.status, answer.body))
+        (line, headers, body), (dots, _, big_body) = script.requests
+        self.assertEqual(['POST', '/keys/soaklog/a%2Fb?x=%22'], line)
+        self.assertEqual('/keys/soaklog/%2E%2E?x=%22', dots[1])
+        self.assertEqual((b'body', BIG), (body, big_body))
+        self.assertEqual(
+            ('7', '31', 'inc', 'd'),
+            tuple(
+                headers[name]
+                for name in ('x-fence', 'x-slot', 'x-grant-incarnation', 'x-c')
+            ),
+        )
+
+    def test_only_work_that_was_not_sent_counts_as_not_run(self):
+        """Guards invariant 4: a refusal that says 'not run' is true."""
+        unused = socket.socket()
+        self.addCleanup(unused.close)
+        unused.bind(('127.0.0.1', 0))
+        refused = self._open('127.0.0.1:{}'.format(unused.getsockname()[1]))
+        for upstream, changes, code in (
+            (refused, {}, codes.UPSTREAM_UNREACHABLE),
+            (refused, {'deadline_s': 0}, codes.EXPIRED),
+            (self._open('no.host.invalid:1'), {}, None),
+            (refused, {'headers': (('x', 'a\r\nb'),)}, None),
+        ):
+            failure = self._send(upstream, **changes)
+            self.assertFalse(failure.may_have_run, failure)
+            self.assertEqual(codes.NOT_RUN, failure.code.outcome)
+            if code is not None:
+                self.assertEqual(code, failure.code)
+
+    def test_a_connect_that_hangs_was_not_sent(self):
+        listener = socket.create_server(('127.0.0.1', 0), backlog=0)
+        self.addCleanup(listener.close)
+        for _ in range(4):
+            filler = socket.socket()
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        upstream = self._open('{}:{}'.format(*listener.getsockname()))
+        failure = self._send(upstream)
+        self.assertEqual(codes.UPSTREAM_UNREACHABLE, failure.code)
+
+    def test_work_whose_answer_is_lost_may_have_run(self):
+        part = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi'
+        chunked = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n'
+        for answer in (b'', b'HTTP/1.1 2', part, chunked, b'garbage\r\n\r\n'):
+            upstream = self._script([answer])[1]
+            failure = self._send(upstream)
+            self.assertEqual(codes.OUTCOME_UNKNOWN, failure.code, answer)
+            self.assertTrue(failure.may_have_run and failure.broken)
+
+    def test_the_deadline_holds_for_silence_and_for_drips(self):
+        def drip(sock):
+            sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n')
+            with contextlib.suppress(OSError):
+                for _ in itertools.repeat(None, 99):
+                    sock.sendall(b'x')
+                    done.wait(0.05)
+
+        done = threading.Event()
+        self.addCleanup(done.set)
+        for answer in (drip, lambda sock: done.wait(5)):
+            upstream = self._script([answer])[1]
+            start = time.monotonic()
+            failure = self._send(upstream, deadline_s=0.3)
+            self.assertLess(time.monotonic() - start, 0.6)
+            self.assertTrue(failure.may_have_run)
+            self.assertFalse(failure.broken)
+
+    def test_refusal_by_the_upstream_keeps_the_connection(self):
+        shed = (
+            b'HTTP/1.1 503 S\r\nX-Not-Run: shed\r\nRetry-After: 2\r\n'
+            b'Content-Length: 4\r\n\r\nbusy'
+        )
+        upstream = self._script([shed, OK])[1]
+        failure = self._send(upstream)
+        self.assertEqual(codes.UPSTREAM_REFUSED, failure.code)
+        self.assertEqual(
+            (False, 'shed', 503, 2000),
+            (
+                failure.may_have_run,
+                failure.refusal,
+                failure.status,
+                failure.retry_after_ms,
+            ),
+        )
+        self.assertEqual(200, self._send(upstream).status)
+
+    def test_answers_over_the_limit_are_numbered(self):
+        announced = b'HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n'
+        chunk = b'80001\r\n' + b'x' * 0x80001 + b'\r\n'
+        chunked = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        for answer in (announced, chunked + chunk * 2 + b'0\r\n\r\n'):
+            upstream = self._script([answer], [OK])[1]
+            failure = self._send(upstream)
+            self.assertEqual(codes.ANSWER_TOO_LARGE, failure.code)
+            self.assertTrue(failure.may_have_run)
+            self.assertEqual(200, self._send(upstream).status)
+
+    def test_a_closed_idle_connection_is_replaced_before_the_send(self):
+        """Guards against 'may have run' for work that was never read."""
+        script, upstream = self._script([OK], [OK])
+        self.assertEqual(200, self._send(upstream).status)
+        script.closed[0].wait(5)
+        self.assertEqual(200, self._send(upstream).status)
+        self.assertEqual(2, len(script.requests))
+
+    def test_work_waits_for_one_of_the_targets_connections(self):
+        go_on, entered = threading.Event(), threading.Event()
+
+        def hold(sock):
+            entered.set()
+            go_on.wait(5)
+            sock.sendall(OK)
+
+        script = _Script(self.stack, [[hold]])
+        upstream = self._open(script.address(), slots=1)
+        answers = []
+        busy = threading.Thread(
+            target=lambda: answers.append(self._send(upstream))
+        )
+        busy.start()
+        entered.wait(5)
+        failure = self._send(upstream, deadline_s=0.05)
+        self.assertEqual(codes.EXPIRED, failure.code)
+        self.assertFalse(failure.may_have_run)
+        go_on.set()
+        busy.join(5)
+        self.assertEqual(200, answers[0].status)
+
+    def test_control_requests(self):
+        def answer(status, value):
+            body = json.dumps(value).encode()
+            head = (
+                f'HTTP/1.1 {status} S\r\nContent-Length: {len(body)}\r\n\r\n'
+            )
+            return head.encode() + body
+
+        script, upstream = self._script(
+            [answer(200, {'challenge': 'x'}), answer(409, {'version': 9})] * 2
+            + [answer(200, [1])]
+        )
+        got = upstream_client.get_grant(upstream)
+        self.assertEqual((200, {'challenge': 'x'}), got)
+        got = upstream_client.post_grant(
+            upstream, 'inc', 'x', 4, [('soaklog', 31, 7)]
+        )
+        self.assertEqual((409, {'version': 9}), got)
+        upstream_client.post_release(upstream, 5, [('soaklog', 31)])
+        upstream_client.post_cancel(upstream, '1-abcdefgh')
+        failure = upstream_client.get_grant(upstream)
+        self.assertEqual(codes.BAD_CONTROL_ANSWER, failure.code)
+        self.assertEqual(
+            [
+                ('/grant', b''),
+                (
+                    '/grant',
+                    b'{"incarnation":"inc","challenge":"x","version":4,'
+                    b'"slots":[["soaklog",31,7]]}',
+                ),
+                ('/release', b'{"version":5,"slots":[["soaklog",31]]}'),
+                ('/cancel', b'{"request_id":"1-abcdefgh"}'),
+                ('/grant', b''),
+            ],
+            [(line[1], body) for line, _, body in script.requests],
+        )
+
+    def test_control_requests_do_not_wait_for_a_frozen_upstream(self):
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        upstream = self._open('{}:{}'.format(*listener.getsockname()))
+        start = time.monotonic()
+        failure = upstream_client.get_grant(upstream)
+        self.assertLess(time.monotonic() - start, 0.4)
+        self.assertEqual(codes.OUTCOME_UNKNOWN, failure.code)
--- a/amaranthcrank/peers/links.py
+++ b/amaranthcrank/peers/links.py
@@ -424,6 +424,8 @@
         max_size=MAX_HANDSHAKE_BYTES,
         logger=_library_log,
         create_connection=_Dialled,
+        # The link closes the connection itself, not through a with block.
+        legacy=True,
     )
     try:
         _prove_as_dialler(links, link.host, connection)
--- /dev/null
+++ b/amaranthcrank/peers/links_test.py
@@ -0,0 +1,289 @@
+"""Tests of peers.links."""
+
+import contextlib
+import queue
+import socket
+import threading
+import time
+import unittest
+
+import logbook
+from websockets.sync import server as ws_server
+
+from amaranthcrank.core import codes
+from amaranthcrank.peers import frames
+from amaranthcrank.peers import links
+
+KEYS = [b'cluster key']
+LIMIT_S = 10
+
+
+def _until(condition):
+    end = time.monotonic() + LIMIT_S
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError('condition not met in time')
+        time.sleep(0.001)
+
+
+class LinksTest(unittest.TestCase):
+    def setUp(self):
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.log = logbook.TestHandler()
+        self.log.push_application()
+        self.addCleanup(self.log.pop_application)
+        self.received = queue.Queue()
+
+    def _open(self, host, keys=KEYS, stack=None, on_frame=None):
+        def put(peer, frame):
+            self.received.put((host, peer, frame))
+
+        return links.open_links(
+            stack or self.stack,
+            host,
+            ('127.0.0.1', 0),
+            keys,
+            on_frame or put,
+            {},
+        )
+
+    def _meet(self, by_host):
+        addresses = {
+            host: links.bound_address(each) for host, each in by_host.items()
+        }
+        for each in by_host.values():
+            links.set_hosts(each, addresses)
+
+    def _pair(self):
+        a, b = self._open('a'), self._open('b')
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+        return a, b
+
+    def _wait_linked(self, a, b):
+        _until(lambda: 'b' in links.connected(a) and 'a' in links.connected(b))
+
+    def _logged(self, code):
+        _until(
+            lambda: any(
+                str(code.number) in record
+                for record in self.log.formatted_records
+            )
+        )
+
+    def _error(self, future):
+        with self.assertRaises(links.LinkError) as caught:
+            future.result(LIMIT_S)
+        return caught.exception.problem.code, caught.exception.sent
+
+    def test_crossed_answers_meet_their_own_calls(self):
+        a, b = self._pair()
+        futures = [
+            links.call(a, 'b', {'type': 'request', 'n': n}) for n in range(50)
+        ]
+        asked = [self.received.get(timeout=LIMIT_S)[2] for _ in futures]
+        for frame in reversed(asked):
+            answer = {'type': 'answer', 'n': frame['n']}
+            self.assertTrue(links.reply(b, 'a', frame['id'], answer))
+        # A second answer to each call and one to a call never made.
+        for frame in (*asked, {'id': 12345}):
+            links.reply(b, 'a', frame['id'], {'type': 'answer', 'n': -1})
+        for n, future in enumerate(futures):
+            self.assertEqual(n, future.result(LIMIT_S)['n'])
+        _until(lambda: not a.link_by_host['b'].call_by_id)
+
+    def test_megabyte_bodies_both_ways_at_once(self):
+        """Guards against two hosts that block in sending to each other."""
+        by_host = {}
+
+        def answer(host):
+            def on_frame(peer, frame):
+                body = {'type': 'answer', 'body': frame['body']}
+                links.reply(by_host[host], peer, frame['id'], body)
+
+            return on_frame
+
+        for host in ('a', 'b'):
+            by_host[host] = self._open(host, on_frame=answer(host))
+        self._meet(by_host)
+        self._wait_linked(by_host['a'], by_host['b'])
+        calls = []
+        for n in range(12):
+            for host, peer in (('a', 'b'), ('b', 'a')):
+                body = bytes([n]) * 2**20
+                frame = {'type': 'request', 'body': body}
+                calls.append((body, links.call(by_host[host], peer, frame)))
+        for body, future in calls:
+            self.assertEqual(body, future.result(LIMIT_S)['body'])
+
+    def test_calls_fail_when_the_link_breaks(self):
+        stack = contextlib.ExitStack()
+        a, b = self._open('a'), self._open('b', stack=stack)
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+        future = links.call(a, 'b', {'type': 'request'})
+        self.received.get(timeout=LIMIT_S)
+        stack.close()
+        self.assertEqual((codes.LINK_BROKEN, True), self._error(future))
+        _until(lambda: not links.connected(a))
+        late = links.call(a, 'b', {'type': 'request'})
+        self.assertEqual((codes.NOT_LINKED, False), self._error(late))
+        self.assertFalse(links.send(a, 'b', {'type': 'heartbeat'}))
+
+    def test_closing_sends_what_is_queued(self):
+        stack = contextlib.ExitStack()
+        a, b = self._open('a', stack=stack), self._open('b')
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+        frame = {'type': 'answer', 'body': b'x' * 2**20}
+        for _ in range(5):
+            self.assertTrue(links.send(a, 'b', frame))
+        stack.close()
+        for _ in range(5):
+            self.received.get(timeout=LIMIT_S)
+
+    def test_a_host_that_restarts_elsewhere_is_linked_again(self):
+        stack = contextlib.ExitStack()
+        a, b = self._open('a'), self._open('b', stack=stack)
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+        stack.close()
+        _until(lambda: not links.connected(a))
+        again = self._open('b')
+        start = time.monotonic()
+        self._meet({'a': a, 'b': again})
+        self._wait_linked(a, again)
+        self.assertLess(time.monotonic() - start, 1.5)
+
+    def test_a_host_that_returns_at_its_address_is_linked_again(self):
+        stack = contextlib.ExitStack()
+        a, b = self._open('a'), self._open('b', stack=stack)
+        address = links.bound_address(b)
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+        stack.close()
+        _until(lambda: not links.connected(a))
+        start = time.monotonic()
+        again = links.open_links(
+            self.stack,
+            'b',
+            address,
+            KEYS,
+            print,
+            {'a': links.bound_address(a)},
+        )
+        self._wait_linked(a, again)
+        self.assertLess(time.monotonic() - start, 1.5)
+
+    def test_a_host_that_is_removed_is_cut_off(self):
+        a, b = self._pair()
+        links.set_hosts(a, {})
+        _until(lambda: not links.connected(b))
+        self.assertEqual(frozenset(), links.connected(a))
+        self._logged(codes.UNKNOWN_HOST)
+
+    def test_a_wrong_key_is_refused(self):
+        a, b = self._open('a'), self._open('b', keys=[b'other key'])
+        self._meet({'a': a, 'b': b})
+        self._logged(codes.AUTH_FAILED)
+        self.assertEqual({}, {**a.accepted_by_host, **b.accepted_by_host})
+        self.assertFalse(links.send(a, 'b', {'type': 'heartbeat'}))
+
+    def test_keys_rotate_without_a_common_first_key(self):
+        a = self._open('a', keys=[b'old', b'new'])
+        b = self._open('b', keys=[b'new'])
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+
+    def test_a_frozen_peer_blocks_no_caller(self):
+        """A peer that stops reading: send and call go on returning."""
+        a, frozen = self._open('a'), threading.Event()
+        self.addCleanup(frozen.set)
+        peer = links.Links('b', tuple(KEYS), print)
+        peer.link_by_host['a'] = None
+
+        def freeze(connection):
+            links._verify_dialler(peer, connection)
+            frozen.wait(LIMIT_S)
+
+        listener = ws_server.serve(freeze, '127.0.0.1', 0, compression=None)
+        threading.Thread(target=listener.serve_forever, daemon=True).start()
+        self.addCleanup(listener.socket.close)
+        links.set_hosts(a, {'b': listener.socket.getsockname()[:2]})
+        _until(lambda: a.link_by_host['b'].up)
+        frame = {'type': 'request', 'body': b'x' * 2**20}
+        slowest, sent = 0.0, 0
+        while True:
+            start = time.monotonic()
+            queued = links.send(a, 'b', frame)
+            slowest = max(slowest, time.monotonic() - start)
+            if not queued:
+                break
+            sent += 1
+        self.assertLess(slowest, 0.2)
+        self.assertLess(sent, 64)
+        # TCP_USER_TIMEOUT ends the connection; the queue is dropped with it.
+        _until(lambda: not a.link_by_host['b'].bulk)
+
+    def test_malformed_frames_from_a_peer_are_outlived(self):
+        a, b = self._pair()
+        with a.link_by_host['b'].changed:
+            connection = a.link_by_host['b'].connection
+        for data in (b'', b'\xff', 'text', b'\x81' * 5000):
+            connection.send(data)
+        self.assertTrue(links.send(a, 'b', {'type': 'heartbeat', 'n': 1}))
+        frame = self.received.get(timeout=LIMIT_S)[2]
+        self.assertEqual(1, frame['n'])
+        self._logged(codes.BAD_FRAME)
+
+    def test_an_oversized_frame_breaks_only_its_connection(self):
+        a, b = self._pair()
+        with a.link_by_host['b'].changed:
+            connection = a.link_by_host['b'].connection
+        with contextlib.suppress(Exception):
+            connection.send(b'x' * (frames.MAX_FRAME_BYTES + 1))
+        _until(lambda: connection.ended.is_set())
+        self._wait_linked(a, b)
+        future = links.call(a, 'b', {'type': 'status', 'x': b'x' * 2**21})
+        self.assertEqual((codes.FRAME_TOO_LARGE, False), self._error(future))
+
+    def test_strangers_on_the_port_are_outlived(self):
+        a, b = self._pair()
+        for data in (b'', b'GET / HTTP/1.1\r\n\r\n', b'\x00' * 100000):
+            with contextlib.suppress(OSError):
+                stranger = socket.create_connection(links.bound_address(a))
+                self.addCleanup(stranger.close)
+                stranger.sendall(data)
+        future = links.call(b, 'a', {'type': 'status'})
+        frame = self.received.get(timeout=LIMIT_S)[2]
+        links.reply(a, 'b', frame['id'], {'type': 'status_reply'})
+        self.assertEqual('status_reply', future.result(LIMIT_S)['type'])
+
+    def test_a_failure_in_on_frame_is_outlived(self):
+        def fail(peer, frame):
+            if frame.get('bad'):
+                raise RuntimeError('bad')
+            self.received.put(frame)
+
+        a, b = self._open('a'), self._open('b', on_frame=fail)
+        self._meet({'a': a, 'b': b})
+        self._wait_linked(a, b)
+        links.send(a, 'b', {'type': 'status', 'bad': True})
+        links.send(a, 'b', {'type': 'status'})
+        self.received.get(timeout=LIMIT_S)
+
+    def test_control_frames_pass_queued_bodies(self):
+        link = links._Link('b', ('127.0.0.1', 1))
+        link.up = True
+        order = (
+            ('request', b'1'),
+            ('cancel', b'2'),
+            ('heartbeat', b'3'),
+            ('record', b'x' * (links.MAX_CONTROL_FRAME_BYTES + 1)),
+            ('intent', b'4'),
+        )
+        for kind, data in order:
+            links._enqueue(link, kind, links._Item(data, 0, None))
+        taken = [links._take(link).data[:1] for _ in order]
+        self.assertEqual([b'3', b'4', b'1', b'2', b'x'], taken)
