--- a/amaranthcrank/publish/status.py
+++ b/amaranthcrank/publish/status.py
@@ -109,7 +109,8 @@
         counting as in force; lost cells and lost hosts do not.
 
     Returns:
-      The document.
+      The document; `lagging` names hosts with an older ticket, `unheard`
+      cells of the state without a known host.
     """
     lost_cells = set(state.get('lost_cells', ()))
     lost_hosts = set(state.get('lost_hosts', ()))
@@ -132,6 +133,7 @@
         'ticket': ticket,
         'in_force': ready and not lagging and not unheard,
         'lagging': sorted(lagging),
+        'unheard': sorted(unheard),
         'store': store._asdict(),
         'cells': {
             name: _cell_document(view)
@@ -182,8 +184,10 @@
     ready = 'ready' if document['ready'] else 'not ready'
     force = 'in force everywhere'
     if not document['in_force']:
-        lagging = ', '.join(document['lagging']) or 'none known'
+        lagging = ', '.join(document['lagging']) or 'no host known'
         force = f'not in force everywhere (lagging: {lagging})'
+        if document['unheard']:
+            force += f' (no host of {", ".join(document["unheard"])} heard)'
     store = 'reachable' if document['store']['reachable'] else 'unreachable'
     hosts = []
     targets = []
--- a/amaranthcrank/publish/status_test.py
+++ b/amaranthcrank/publish/status_test.py
@@ -59,6 +59,7 @@
         self.assertFalse(lagging['in_force'])
         current = {'balaju': make_cell(('b1', 5))}
         self.assertFalse(make_status(current)['in_force'])
+        self.assertEqual(make_status(current)['unheard'], ['patan'])
         self.assertFalse(make_status(current, {}, False)['in_force'])
         lost = {**STATE, 'lost_cells': ['patan'], 'lost_hosts': ['b2']}
         self.assertTrue(make_status({'balaju': balaju}, lost)['in_force'])
