--- a/amaranthcrank/cli/main.py
+++ b/amaranthcrank/cli/main.py
@@ -75,14 +75,14 @@
     output: str
 
 
-def _check_output(value: str) -> str:
-    if value not in OUTPUTS:
+def _check_output(value: str | None) -> str | None:
+    if value is not None and value not in OUTPUTS:
         raise typer.BadParameter(f'{value!r} is not one of text, json')
     return value
 
 
-def _check_urls(values: list[str]) -> list[str]:
-    for each in values:
+def _check_urls(values: list[str] | None) -> list[str] | None:
+    for each in values or ():
         try:
             settings.parse_url(each)
         except ValueError:
@@ -117,6 +117,17 @@
     ),
 ]
 
+# The shared options are accepted before and after the name of the command.
+# These have no variable: it would go before a flag given before the name.
+HostOption = typing.Annotated[
+    list[str] | None,
+    typer.Option(callback=_check_urls, help='As before the command.'),
+]
+OutputOption = typing.Annotated[
+    str | None,
+    typer.Option(callback=_check_output, help='text or json.'),
+]
+
 
 @app.callback()
 def main(
@@ -145,40 +156,59 @@
     ] = '',
 ) -> None:
     """File change tickets and read what the entry hosts report."""
-    urls = tuple(each.rstrip('/') for each in host)
-    context.obj = Options(urls, operator_key, output)
+    context.obj = Options(_without_slash(host), operator_key, output)
 
 
 @app.command('status', epilog=EXITS)
-def show_status(context: typer.Context) -> None:
+def show_status(
+    context: typer.Context,
+    host: HostOption = None,
+    output: OutputOption = None,
+) -> None:
     """Show hosts, cells and targets, and whether the ticket is in force."""
-    body = _get(context.obj, '/status')
-    _print(context.obj, body, status_documents.status_text)
+    options = _options(context, host, output)
+    body = _get(options, '/status')
+    _print(options, body, status_documents.status_text)
 
 
 @app.command(epilog=EXITS)
-def owner(context: typer.Context, service: str, key: str) -> None:
+def owner(
+    context: typer.Context,
+    service: str,
+    key: str,
+    host: HostOption = None,
+    output: OutputOption = None,
+) -> None:
     """Show which target owns a key."""
+    options = _options(context, host, output)
     place = '/'.join(
         urllib.parse.quote(each, safe='') for each in (service, key)
     )
-    body = _get(context.obj, f'/owner/{place}')
-    _print(context.obj, body, status_documents.owner_text)
+    body = _get(options, f'/owner/{place}')
+    _print(options, body, status_documents.owner_text)
 
 
 @app.command(epilog=EXITS)
-def queues(context: typer.Context) -> None:
+def queues(
+    context: typer.Context,
+    host: HostOption = None,
+    output: OutputOption = None,
+) -> None:
     """Show limits and queues of the targets."""
-    body = _get(context.obj, '/queues')
-    _print(context.obj, body, status_documents.queues_text)
+    options = _options(context, host, output)
+    body = _get(options, '/queues')
+    _print(options, body, status_documents.queues_text)
 
 
 @app.command('codes', epilog=EXITS)
 def show_codes(
     context: typer.Context,
     number: typing.Annotated[int | None, typer.Argument()] = None,
+    host: HostOption = None,
+    output: OutputOption = None,
 ) -> None:
     """Explain one result code, or all of them."""
+    options = _options(context, host, output)
     found = codes.CODES
     if number is not None:
         if number not in codes.BY_NUMBER:
@@ -190,7 +220,7 @@
     ]
     header = ('NUMBER', 'NAME', 'HTTP', 'OUTCOME', 'TEXT')
     _print(
-        context.obj,
+        options,
         {'codes': [each._asdict() for each in found]},
         lambda body: status_documents.table(header, rows),
     )
@@ -210,10 +240,13 @@
             'them.',
         ),
     ] = False,
+    host: HostOption = None,
+    output: OutputOption = None,
 ) -> None:
     """File the ticket that gives a target no new work."""
+    options = _options(context, host, output)
     _file_target_state(
-        context.obj, target, tickets.DRAINING, author, wait, drop_pins
+        options, target, tickets.DRAINING, author, wait, drop_pins
     )
 
 
@@ -223,22 +256,29 @@
     target: str,
     author: AuthorOption = '',
     wait: WaitOption = DEFAULT_WAIT_S,
+    host: HostOption = None,
+    output: OutputOption = None,
 ) -> None:
     """File the ticket that gives a target work again."""
-    _file_target_state(
-        context.obj, target, tickets.ACTIVE, author, wait, False
-    )
+    options = _options(context, host, output)
+    _file_target_state(options, target, tickets.ACTIVE, author, wait, False)
 
 
 @ticket_app.command('check', epilog=EXITS)
-def check_ticket(context: typer.Context, file: FileArgument) -> None:
+def check_ticket(
+    context: typer.Context,
+    file: FileArgument,
+    host: HostOption = None,
+    output: OutputOption = None,
+) -> None:
     """Check a document against the current state, without filing it."""
-    document, current = _read_checked(context.obj, file)
+    options = _options(context, host, output)
+    document, current = _read_checked(options, file)
     changes = tickets.diff(
         current.state, tickets.fold(current.state, document.touches)
     )
     _print(
-        context.obj,
+        options,
         {'current': current.number, 'changes': changes},
         lambda body: '\n'.join(
             (f'No problems. Against ticket {current.number}:', *changes)
@@ -252,11 +292,14 @@
     file: FileArgument,
     author: AuthorOption = '',
     wait: WaitOption = DEFAULT_WAIT_S,
+    host: HostOption = None,
+    output: OutputOption = None,
 ) -> None:
     """File a document and wait until it is in force everywhere."""
-    document, current = _read_checked(context.obj, file)
-    document = _complete(context.obj, document, author)
-    _file(context.obj, document, current, wait)
+    options = _options(context, host, output)
+    document, current = _read_checked(options, file)
+    document = _complete(options, document, author)
+    _file(options, document, current, wait)
 
 
 @ticket_app.command('show', epilog=EXITS)
@@ -265,19 +308,27 @@
     number: typing.Annotated[
         str, typer.Argument(help='A ticket number, or current.')
     ] = CURRENT,
+    host: HostOption = None,
+    output: OutputOption = None,
 ) -> None:
     """Show a ticket with the complete state after it."""
-    ticket = _get_ticket(context.obj, number)
+    options = _options(context, host, output)
+    ticket = _get_ticket(options, number)
     _print(
-        context.obj,
+        options,
         ticket._asdict(),
         lambda body: json.dumps(body, indent=2, sort_keys=True),
     )
 
 
 @ticket_app.command('list', epilog=EXITS)
-def list_tickets(context: typer.Context) -> None:
+def list_tickets(
+    context: typer.Context,
+    host: HostOption = None,
+    output: OutputOption = None,
+) -> None:
     """List the tickets, the newest last."""
+    options = _options(context, host, output)
 
     def to_text(body: dict[str, typing.Any]) -> str:
         rows = [
@@ -293,7 +344,7 @@
             ('NUMBER', 'AUTHOR', 'FILED_AT_MS', 'TOUCHES'), rows
         )
 
-    _print(context.obj, _get(context.obj, '/tickets'), to_text)
+    _print(options, _get(options, '/tickets'), to_text)
 
 
 @ticket_app.command('diff', epilog=EXITS)
@@ -305,17 +356,20 @@
     new: typing.Annotated[
         str, typer.Argument(help='The same, or a document as JSON.')
     ],
+    host: HostOption = None,
+    output: OutputOption = None,
 ) -> None:
     """Show what changes from one ticket to another, or by a document."""
-    old_state = _get_ticket(context.obj, old).state
+    options = _options(context, host, output)
+    old_state = _get_ticket(options, old).state
     if new == CURRENT or new.isdecimal():
-        new_state = _get_ticket(context.obj, new).state
+        new_state = _get_ticket(options, new).state
     else:
-        document, current = _read_checked(context.obj, new)
+        document, current = _read_checked(options, new)
         new_state = tickets.fold(current.state, document.touches)
     changes = tickets.diff(old_state, new_state)
     _print(
-        context.obj,
+        options,
         {'changes': changes},
         lambda body: '\n'.join(changes or ('No changes.',)),
     )
@@ -326,6 +380,22 @@
     app()
 
 
+def _options(
+    context: typer.Context, host: list[str] | None, output: str | None
+) -> Options:
+    """Merge options given after the command into those before it."""
+    options: Options = context.obj
+    if host:
+        options = options._replace(urls=_without_slash(host))
+    if output is not None:
+        options = options._replace(output=output)
+    return options
+
+
+def _without_slash(urls: abc.Iterable[str]) -> tuple[str, ...]:
+    return tuple(each.rstrip('/') for each in urls)
+
+
 def _file_target_state(
     options: Options,
     target: str,
--- a/amaranthcrank/cli/main_test.py
+++ b/amaranthcrank/cli/main_test.py
@@ -228,6 +228,15 @@
         result = self.run_command('queues', hosts=hosts)
         self.assertEqual(result.exit_code, 0)
         self.assertIn('s1      3      1', result.output)
+        result = self.run_command(
+            'queues',
+            '--host',
+            self.fake.url,
+            '--output',
+            'json',
+            hosts='http://127.0.0.1:9',
+        )
+        self.assertEqual(json.loads(result.output)['s1']['limit'], 3)
         result = self.run_command('queues', hosts='http://127.0.0.1:9')
         self.assertEqual(result.exit_code, main.EXIT_UNREACHABLE)
         self.assertIn('No host answers.', result.stderr)
