--- a/amaranthcrank/core/tracing.py
+++ b/amaranthcrank/core/tracing.py
@@ -18,9 +18,12 @@
 
 from amaranthcrank.core import settings
 
-# The exporter retries within this time, so that a collector that does not
-# answer holds up a shutdown by no more than it.
+# The exporter retries within this time. One batch takes the whole queue, so
+# that a collector that does not answer holds up a shutdown by at most two
+# time-outs: the batch on its way and the last one. With the default batches
+# of a quarter of the queue it took 10 s.
 EXPORT_TIMEOUT_S = 2.0
+QUEUE_SPANS = 2048
 
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 
@@ -72,7 +75,13 @@
         endpoint=values.otlp_endpoint + '/v1/traces',
         timeout=EXPORT_TIMEOUT_S,
     )
-    provider.add_span_processor(export.BatchSpanProcessor(exporter))
+    provider.add_span_processor(
+        export.BatchSpanProcessor(
+            exporter,
+            max_queue_size=QUEUE_SPANS,
+            max_export_batch_size=QUEUE_SPANS,
+        )
+    )
     previous = _State.tracer
     _State.tracer = provider.get_tracer('amaranthcrank')
     stack.callback(provider.shutdown)
--- a/amaranthcrank/record/tickets_test.py
+++ b/amaranthcrank/record/tickets_test.py
@@ -1,5 +1,6 @@
 import copy
 import json
+import os
 import unittest
 
 import hypothesis
@@ -160,6 +161,20 @@
         )
         self.assertEqual(FIRST.state['lost_hosts'], [])
 
+    def test_example_of_the_operating_page(self):
+        page = os.path.join(
+            os.path.dirname(__file__), '..', '..', 'docs', 'operating.md'
+        )
+        with open(page, encoding='utf-8') as source:
+            example = source.read().split('```json\n')[1].split('```')[0]
+        document, problems = tickets.parse_document(
+            example.encode(), ('touches',)
+        )
+        self.assertEqual(problems, ())
+        self.assertEqual(
+            tickets.check_document(document, model.EMPTY_STATE, 0), ()
+        )
+
     def test_each_bad_value_has_its_number_and_place(self):
         for path, value, expected in BAD:
             with self.subTest(path=path, value=value):
