Merge codes by number and let the daemon's flags be parsed by typer

Ruled out: keeping 609 for a flag without value; the message of typer names the flag in both cases, so 608 covers them.

--- a/amaranthcrank/cli/main.py
+++ b/amaranthcrank/cli/main.py
@@ -637,3 +637,7 @@
     for line in failures:
         typer.echo(line, err=True)
     raise typer.Exit(status)
+
+
+if __name__ == '__main__':
+    run()
--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -45,11 +45,13 @@
     detail: str
 
 
+# Served.
 OK = Code(100, 'OK', 200, SERVED, 'The request ran.')
 OK_STORED = Code(
     101, 'OK_STORED', 200, SERVED, 'The stored answer of an earlier run.'
 )
 
+# Bad input of a caller.
 BAD_PATH = Code(200, 'BAD_PATH', 404, NOT_RUN, 'The path is not known.')
 UNKNOWN_SERVICE = Code(
     201, 'UNKNOWN_SERVICE', 404, NOT_RUN, 'No ticket names this service.'
@@ -97,7 +99,26 @@
 ID_AHEAD = Code(
     214, 'ID_AHEAD', 400, NOT_RUN, 'The request id is stamped in the future.'
 )
+HEADERS_TOO_LARGE = Code(
+    216, 'HEADERS_TOO_LARGE', 431, NOT_RUN, 'The headers are too large.'
+)
+BAD_QUERY = Code(
+    217, 'BAD_QUERY', 400, NOT_RUN, 'The query is not percent-encoded.'
+)
+BAD_HEADER = Code(
+    218, 'BAD_HEADER', 400, NOT_RUN, 'A header holds control characters.'
+)
+LENGTH_REQUIRED = Code(
+    219, 'LENGTH_REQUIRED', 411, NOT_RUN, 'A body needs a Content-Length.'
+)
+REQUEST_TIMEOUT = Code(
+    220, 'REQUEST_TIMEOUT', 408, NOT_RUN, 'The request came in too slowly.'
+)
+BAD_OPERATOR_KEY = Code(
+    221, 'BAD_OPERATOR_KEY', 401, NOT_RUN, 'The operator key is not accepted.'
+)
 
+# Refused, not run.
 OVERLOADED = Code(
     300, 'OVERLOADED', 503, NOT_RUN, 'The queue cannot meet the deadline.'
 )
@@ -148,7 +169,18 @@
 RETRIES_SPENT = Code(
     313, 'RETRIES_SPENT', 503, NOT_RUN, 'No attempt ran the request.'
 )
+UPSTREAM_UNREACHABLE = Code(
+    314,
+    'UPSTREAM_UNREACHABLE',
+    503,
+    NOT_RUN,
+    'No connection to the upstream; nothing was sent.',
+)
+TOO_MANY_CONNECTIONS = Code(
+    315, 'TOO_MANY_CONNECTIONS', 503, NOT_RUN, 'The host has no room for it.'
+)
 
+# Outcome unknown.
 OUTCOME_UNKNOWN = Code(
     400, 'OUTCOME_UNKNOWN', 502, UNKNOWN, 'It was sent; no answer came back.'
 )
@@ -180,34 +212,6 @@
     UNKNOWN,
     'The dispatching host did not answer in time.',
 )
-HEADERS_TOO_LARGE = Code(
-    216, 'HEADERS_TOO_LARGE', 431, NOT_RUN, 'The headers are too large.'
-)
-BAD_QUERY = Code(
-    217, 'BAD_QUERY', 400, NOT_RUN, 'The query is not percent-encoded.'
-)
-BAD_HEADER = Code(
-    218, 'BAD_HEADER', 400, NOT_RUN, 'A header holds control characters.'
-)
-LENGTH_REQUIRED = Code(
-    219, 'LENGTH_REQUIRED', 411, NOT_RUN, 'A body needs a Content-Length.'
-)
-REQUEST_TIMEOUT = Code(
-    220, 'REQUEST_TIMEOUT', 408, NOT_RUN, 'The request came in too slowly.'
-)
-BAD_OPERATOR_KEY = Code(
-    221, 'BAD_OPERATOR_KEY', 401, NOT_RUN, 'The operator key is not accepted.'
-)
-UPSTREAM_UNREACHABLE = Code(
-    314,
-    'UPSTREAM_UNREACHABLE',
-    503,
-    NOT_RUN,
-    'No connection to the upstream; nothing was sent.',
-)
-TOO_MANY_CONNECTIONS = Code(
-    315, 'TOO_MANY_CONNECTIONS', 503, NOT_RUN, 'The host has no room for it.'
-)
 INTERNAL = Code(
     405, 'INTERNAL', 500, UNKNOWN, 'The host failed while answering.'
 )
@@ -471,11 +475,12 @@
     NOT_APPLICABLE,
     'A setting is not a path in an existing directory.',
 )
-SETTING_UNKNOWN_FLAG = Code(
-    608, 'SETTING_UNKNOWN_FLAG', 0, NOT_APPLICABLE, 'A flag is not known.'
-)
-SETTING_NO_VALUE = Code(
-    609, 'SETTING_NO_VALUE', 0, NOT_APPLICABLE, 'A flag has no value.'
+SETTING_BAD_FLAG = Code(
+    608,
+    'SETTING_BAD_FLAG',
+    0,
+    NOT_APPLICABLE,
+    'A flag is not known or lacks its value.',
 )
 SETTING_SAME_ADDRESS = Code(
     610,
--- a/amaranthcrank/core/settings.py
+++ b/amaranthcrank/core/settings.py
@@ -364,47 +364,6 @@
 BY_FLAG = {row.flag: row for row in SETTINGS}
 
 
-def split_flags(
-    arguments: abc.Sequence[str],
-) -> tuple[dict[str, str], tuple[codes.Problem, ...]]:
-    """Split command-line arguments into flags.
-
-    Args:
-      arguments: The arguments after the program name, in the forms
-        `--host-id=x` and `--host-id x`.
-
-    Returns:
-      The value by setting name (`host_id`), and the problems found.
-    """
-    values: dict[str, str] = {}
-    problems: list[codes.Problem] = []
-    rest = list(arguments)
-    while rest:
-        flag, equals, value = rest.pop(0).partition('=')
-        row = BY_FLAG.get(flag)
-        if row is None:
-            # The value of a mistyped flag may be a secret.
-            problems.append(
-                codes.Problem(
-                    codes.SETTING_UNKNOWN_FLAG,
-                    flag,
-                    'see --help for the flags that are accepted',
-                )
-            )
-            if not equals and rest and not rest[0].startswith('--'):
-                rest.pop(0)
-            continue
-        if not equals and (not rest or rest[0].startswith('--')):
-            problems.append(
-                codes.Problem(
-                    codes.SETTING_NO_VALUE, flag, f'accepted: {row.accepted}'
-                )
-            )
-            continue
-        values[row.name] = value if equals else rest.pop(0)
-    return values, tuple(problems)
-
-
 def read_settings(
     flags: abc.Mapping[str, str | None], environ: abc.Mapping[str, str]
 ) -> tuple[Settings | None, tuple[codes.Problem, ...]]:
@@ -467,24 +426,6 @@
     return tuple(lines)
 
 
-def usage() -> str:
-    """Describe every flag, for --help."""
-    lines = [
-        'Usage: amaranthcrankd [--FLAG VALUE]...',
-        '',
-        'Each flag goes before its environment variable.',
-        '',
-    ]
-    for row in SETTINGS:
-        lines.append(f'  {row.flag} ({row.variable})')
-        lines.append(f'      {row.purpose}: {row.accepted}.')
-        if row.default is None:
-            lines.append('      Required.')
-        elif row.default:
-            lines.append(f'      Default: {row.default}.')
-    return '\n'.join(lines) + '\n'
-
-
 def _find(
     row: Setting,
     flags: abc.Mapping[str, str | None],
--- a/amaranthcrank/core/settings_test.py
+++ b/amaranthcrank/core/settings_test.py
@@ -53,10 +53,7 @@
         self.assertEqual(len(values.operator_keys), 2)
 
     def test_flags_go_before_the_environment(self):
-        flags, problems = settings.split_flags(
-            ['--host-id=patan-2', '--caller-address', '[::1]:0']
-        )
-        self.assertEqual(problems, ())
+        flags = {'host_id': 'patan-2', 'caller_address': '[::1]:0'}
         values, problems = settings.read_settings(flags, GOOD)
         self.assertEqual(values.host_id, 'patan-2')
         self.assertEqual(values.caller_address, ('::1', 0))
@@ -104,8 +101,6 @@
         text = repr(problems) + repr(settings.show_settings(flags, GOOD))
         self.assertNotIn('hunter2', text)
         self.assertNotIn('swordfish', text)
-        _, problems = settings.split_flags(['--cluster-kyes', 'hunter2'])
-        self.assertNotIn('hunter2', repr(problems))
 
     def test_settings_that_exclude_each_other(self):
         flags = {
@@ -118,17 +113,6 @@
             [codes.SETTING_SAME_ADDRESS, codes.SETTING_SHARED_KEY],
         )
 
-    def test_bad_flags(self):
-        values, problems = settings.split_flags(
-            ['--bogus', 'x', 'stray', '--host-id', '--region=r', '--cell']
-        )
-        self.assertEqual(values, {'region': 'r'})
-        self.assertEqual(
-            [(each.code.number, each.place) for each in problems],
-            [(608, '--bogus'), (608, 'stray'), (609, '--host-id')]
-            + [(609, '--cell')],
-        )
-
     def test_show_settings_names_sources(self):
         lines = settings.show_settings({'region': 'r'}, GOOD)
         self.assertIn('region=r (--region)', lines)
--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -124,6 +124,7 @@
         messages.Leave: _leave,
         messages.AskStatus: _ask_status,
         messages.AskStore: _ask_store,
+        messages.AskTicket: _ask_ticket,
         renewals.StepDone: _step_done,
         renewals.ReleaseDone: _release_done,
         dispatcher.CrashSuspect: _crash_suspect,
@@ -721,3 +722,9 @@
     state: ControlState, message: messages.AskStore
 ) -> status.StoreView:
     return status.StoreView(state.store_reachable, state.store_changed_at_ms)
+
+
+def _ask_ticket(
+    state: ControlState, message: messages.AskTicket
+) -> tickets.Ticket | None:
+    return state.ticket
--- a/amaranthcrank/daemon/main.py
+++ b/amaranthcrank/daemon/main.py
@@ -72,7 +72,7 @@
     try:
         code = app(prog_name='amaranthcrankd', standalone_mode=False)
     except typer.TyperException as error:
-        code = _refuse(codes.SETTING_UNKNOWN_FLAG, error.format_message())
+        code = _refuse(codes.SETTING_BAD_FLAG, error.format_message())
     sys.exit(code or 0)
 
 
--- a/amaranthcrank/daemon/messages.py
+++ b/amaranthcrank/daemon/messages.py
@@ -72,3 +72,7 @@
 
 class AskStore(typing.NamedTuple):
     """Ask whether the store answers."""
+
+
+class AskTicket(typing.NamedTuple):
+    """Ask for the newest ticket that this host knows, None without."""
--- a/amaranthcrank/daemon/operators.py
+++ b/amaranthcrank/daemon/operators.py
@@ -240,12 +240,18 @@
 def _show_current(operators: Operators) -> Answer:
     """Show the newest ticket; during a store outage the one in force."""
     result = keeper.read_newest_ticket(operators.client)
-    if result.is_ok() and result.ok is not None:
-        return 200, _shown(result.ok, True)
-    view = operators.node.holder.view
-    if result.is_error() and view.ticket == 0:
-        return _store_error(result.error, operators)
-    return 200, _current(view)
+    if result.is_ok():
+        found = result.ok
+    else:
+        found = operators.control_ref.ask(
+            messages.AskTicket(), timeout=ACTOR_TIMEOUT_S
+        )
+        if found is None:
+            return _store_error(result.error, operators)
+    if found is None:
+        problem = codes.Problem(codes.TICKET_NOT_FOUND, 'number', 'current')
+        return 404, _problems((problem,), operators.node.holder.view)
+    return 200, _shown(found, True)
 
 
 def _shown(ticket: tickets.Ticket, whole: bool) -> dict[str, typing.Any]:
