Send bodies by rank and split the link module

An urgent request waited behind every bulk body that was queued, up to 16 MiB or 4.5 s at 30 Mbit/s. Bodies now leave by rank; a cancellation without a rank goes last, so that it cannot overtake its request. Weights between ranks were ruled out here: the byte budget decides what is queued at all.

--- a/amaranthcrank/peers/links.py
+++ b/amaranthcrank/peers/links.py
@@ -6,13 +6,12 @@
 each other large bodies at once would block: the library reads and writes
 under one lock, so neither would read until its own write had ended.
 
-Heartbeats need no connection of their own: small frames leave from a queue
-that goes first, and TCP_NOTSENT_LOWAT keeps the kernel from taking more than
-a little ahead of them. Library pings are off because heartbeats are sent
-every 100 ms and TCP_USER_TIMEOUT ends a connection that does not take them.
+Heartbeats need no connection of their own: small frames go before bodies,
+and TCP_NOTSENT_LOWAT keeps the kernel from taking more than a little ahead of
+them. Library pings are off because heartbeats are sent every 100 ms and
+TCP_USER_TIMEOUT ends a connection that does not take them.
 """
 
-import collections
 from collections import abc
 from concurrent import futures
 import contextlib
@@ -25,7 +24,6 @@
 import time
 import typing
 
-import cbor2
 import logbook
 from websockets import exceptions
 from websockets.sync import client
@@ -33,8 +31,9 @@
 from websockets.sync import server as ws_server
 
 from amaranthcrank.core import codes
-from amaranthcrank.peers import auth
 from amaranthcrank.peers import frames
+from amaranthcrank.peers import handshake
+from amaranthcrank.peers import send_queue
 
 OnFrame = abc.Callable[[str, frames.Frame], None]
 
@@ -56,14 +55,6 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_COUNT = 3
 
-MAX_CONTROL_FRAMES = 512
-MAX_BULK_FRAMES = 2048
-MAX_QUEUED_BYTES = 16 * 1024 * 1024
-# Larger frames of any type queue behind the other large ones.
-MAX_CONTROL_FRAME_BYTES = 64 * 1024
-# A cancellation keeps its place behind the request that it cancels.
-BULK_TYPES = frozenset((frames.REQUEST, frames.ANSWER, frames.CANCEL))
-MAX_HANDSHAKE_BYTES = 4096
 MAX_HANDSHAKES = 64
 LOG_INTERVAL_S = 10.0
 
@@ -107,19 +98,6 @@
         self.server: ws_server.Server
 
 
-class _Item:
-    """A frame that waits to be sent."""
-
-    __slots__ = ('data', 'frame_id', 'future')
-
-    def __init__(
-        self, data: bytes, frame_id: int, future: futures.Future | None
-    ) -> None:
-        self.data = data
-        self.frame_id = frame_id
-        self.future = future
-
-
 class _Call:
     """A call that waits for its answer."""
 
@@ -137,9 +115,7 @@
         self.host = host
         self.address = address
         self.changed = threading.Condition()
-        self.control: collections.deque[_Item] = collections.deque()
-        self.bulk: collections.deque[_Item] = collections.deque()
-        self.bulk_bytes = 0
+        self.waiting = send_queue.SendQueue()
         self.call_by_id: dict[int, _Call] = {}
         self.connection: ws_connection.Connection | None = None
         self.up = False
@@ -180,7 +156,7 @@
         open_timeout=LISTEN_TIMEOUT_S,
         ping_interval=None,
         close_timeout=CLOSE_TIMEOUT_S,
-        max_size=MAX_HANDSHAKE_BYTES,
+        max_size=handshake.MAX_HANDSHAKE_BYTES,
         server_header=None,
         logger=_library_log,
         backlog=128,
@@ -237,6 +213,10 @@
 def send(links: Links, host: str, frame: frames.Frame) -> bool:
     """Queue a one-way frame; never blocks.
 
+    Frames of type request, answer and cancel are sent by rank, which is that
+    of the request or the field 'rank'; all others go first. A cancellation
+    keeps its place behind its request where it names the same rank.
+
     Returns:
       Whether it was queued: False where the host is not linked, its queue
       is full or the frame cannot be encoded.
@@ -248,7 +228,7 @@
         return False
     if link is None:
         return False
-    return _enqueue(link, frame['type'], _Item(data, 0, None)) is None
+    return _enqueue(link, frame, send_queue.Item(data, 0, None)) is None
 
 
 def call(links: Links, host: str, frame: frames.Frame) -> futures.Future:
@@ -273,8 +253,8 @@
     if link is None or accepted is None:
         problem = _problem(codes.NOT_LINKED, host)
     else:
-        item = _Item(data, frame_id, future)
-        problem = _enqueue(link, frame['type'], item)
+        item = send_queue.Item(data, frame_id, future)
+        problem = _enqueue(link, frame, item)
     if problem is not None:
         future.set_exception(LinkError(problem, sent=False))
         return future
@@ -300,7 +280,7 @@
         return False
     if link is None:
         return False
-    return _enqueue(link, frame['type'], _Item(data, 0, None)) is None
+    return _enqueue(link, frame, send_queue.Item(data, 0, None)) is None
 
 
 def connected(links: Links) -> frozenset[str]:
@@ -332,26 +312,16 @@
     _abort(link.connection)
 
 
-def _enqueue(link: _Link, kind: str, item: _Item) -> codes.Problem | None:
-    size = len(item.data)
-    is_bulk = kind in BULK_TYPES or size > MAX_CONTROL_FRAME_BYTES
+def _enqueue(
+    link: _Link, frame: frames.Frame, item: send_queue.Item
+) -> codes.Problem | None:
     with link.changed:
         if not link.up or link.closing:
             return _problem(codes.NOT_LINKED, link.host)
-        if is_bulk:
-            full = len(link.bulk) >= MAX_BULK_FRAMES
-            full = full or link.bulk_bytes + size > MAX_QUEUED_BYTES
-        else:
-            full = len(link.control) >= MAX_CONTROL_FRAMES
-        if full:
+        if not send_queue.put(link.waiting, frame, item):
             return _problem(codes.QUEUE_FULL, link.host)
         if item.future is not None:
             link.call_by_id[item.frame_id] = _Call(item.future)
-        if is_bulk:
-            link.bulk.append(item)
-            link.bulk_bytes += size
-        else:
-            link.control.append(item)
         link.changed.notify()
     return None
 
@@ -366,7 +336,9 @@
             connection = _dial(links, link, address)
         except Exception as e:
             failures += 1
-            _log_seldom(links, link.host, codes.NOT_LINKED, str(e) or repr(e))
+            problem = getattr(e, 'problem', None)
+            code = problem.code if problem else codes.NOT_LINKED
+            _log_seldom(links, link.host, code, str(e) or repr(e))
             _wait_to_dial(link, failures)
             continue
         failures = 0
@@ -421,14 +393,16 @@
         open_timeout=DIAL_TIMEOUT_S,
         ping_interval=None,
         close_timeout=CLOSE_TIMEOUT_S,
-        max_size=MAX_HANDSHAKE_BYTES,
+        max_size=handshake.MAX_HANDSHAKE_BYTES,
         logger=_library_log,
         create_connection=_Dialled,
         # The link closes the connection itself, not through a with block.
         legacy=True,
     )
     try:
-        _prove_as_dialler(links, link.host, connection)
+        handshake.prove_as_dialler(
+            connection, links.host_id, link.host, links.keys, DIAL_TIMEOUT_S
+        )
     except BaseException:
         _abort(connection)
         raise
@@ -448,8 +422,7 @@
         with link.changed:
             link.changed.wait_for(
                 lambda: (
-                    link.control
-                    or link.bulk
+                    not send_queue.is_empty(link.waiting)
                     or link.closing
                     or link.hurry
                     or connection.ended.is_set()
@@ -461,41 +434,33 @@
                 flush_until = time.monotonic() + FLUSH_LIMIT_S
             if flush_until and time.monotonic() > flush_until:
                 return
-            item = _take(link)
-        if item is None:
-            if link.closing:
+            item = send_queue.take(link.waiting)
+            if item is None:
                 return
-            continue
+            if not _start_call(link, item):
+                continue
         try:
             connection.send(item.data)
         except (exceptions.WebSocketException, OSError):
             return
 
 
-def _take(link: _Link) -> _Item | None:
-    if link.control:
-        item = link.control.popleft()
-    elif link.bulk:
-        item = link.bulk.popleft()
-        link.bulk_bytes -= len(item.data)
-    else:
-        return None
+def _start_call(link: _Link, item: send_queue.Item) -> bool:
+    """Note that an item is about to be sent; False where nobody waits."""
     if item.future is None:
-        return item
+        return True
     open_call = link.call_by_id.get(item.frame_id)
     if item.future.done() or open_call is None:
-        return None
+        return False
     open_call.started = True
-    return item
+    return True
 
 
 def _end_connection(link: _Link, connection: _Dialled) -> None:
     with link.changed:
         link.up = False
         link.connection = None
-        link.control.clear()
-        link.bulk.clear()
-        link.bulk_bytes = 0
+        link.waiting = send_queue.SendQueue()
     _fail_calls(link)
     if link.closing and not connection.ended.is_set():
         with contextlib.suppress(Exception):
@@ -520,13 +485,22 @@
     if not links.handshakes.acquire(blocking=False):
         return
     try:
-        host = _verify_dialler(links, connection)
+        host = handshake.verify_dialler(
+            connection,
+            links.host_id,
+            links.link_by_host,
+            links.keys,
+            LISTEN_TIMEOUT_S,
+        )
+    except handshake.HandshakeError as e:
+        _log_seldom(links, e.problem.place, e.problem.code, e.problem.detail)
+        return
     except Exception as e:
         _log_seldom(links, '', codes.AUTH_FAILED, repr(e))
         return
     finally:
         links.handshakes.release()
-    if host is None or not _register(links, host, connection):
+    if not _register(links, host, connection):
         return
     connection.protocol.max_message_size = frames.MAX_FRAME_BYTES
     try:
@@ -591,90 +565,6 @@
         open_call.future.set_result(frame)
 
 
-def _prove_as_dialler(links: Links, peer: str, connection: _Dialled) -> None:
-    own = secrets.token_bytes(auth.CHALLENGE_BYTES)
-    hello = {'host': links.host_id, 'to': peer, 'challenge': own}
-    connection.send(cbor2.dumps(hello))
-    other = _receive_bytes(connection, DIAL_TIMEOUT_S, 'challenge')
-    proofs = [
-        auth.proof(key, auth.DIALLER, links.host_id, peer, own, other)
-        for key in links.keys
-    ]
-    connection.send(cbor2.dumps({'proofs': proofs}))
-    given = _receive_bytes(connection, DIAL_TIMEOUT_S, 'proof')
-    found = auth.accepted_key(
-        links.keys, given, auth.LISTENER, peer, links.host_id, other, own
-    )
-    if found is None:
-        raise ConnectionError(f'{codes.AUTH_FAILED.number} wrong proof')
-
-
-def _verify_dialler(
-    links: Links, connection: ws_server.ServerConnection
-) -> str | None:
-    hello = _receive_map(connection, LISTEN_TIMEOUT_S)
-    host, other = hello.get('host'), hello.get('challenge')
-    if not isinstance(host, str) or host not in links.link_by_host:
-        return _refuse(links, connection, str(host), codes.UNKNOWN_HOST)
-    is_meant = hello.get('to') == links.host_id
-    if not is_meant or not _is_challenge(other):
-        return _refuse(links, connection, host, codes.AUTH_FAILED)
-    own = secrets.token_bytes(auth.CHALLENGE_BYTES)
-    connection.send(cbor2.dumps({'challenge': own}))
-    proofs = _receive_map(connection, LISTEN_TIMEOUT_S).get('proofs')
-    key = None
-    for given in proofs[:4] if isinstance(proofs, list) else ():
-        if isinstance(given, bytes) and key is None:
-            key = auth.accepted_key(
-                links.keys,
-                given,
-                auth.DIALLER,
-                host,
-                links.host_id,
-                other,
-                own,
-            )
-    if key is None:
-        return _refuse(links, connection, host, codes.AUTH_FAILED)
-    own_proof = auth.proof(key, auth.LISTENER, links.host_id, host, own, other)
-    connection.send(cbor2.dumps({'proof': own_proof}))
-    return host
-
-
-def _is_challenge(value: typing.Any) -> bool:
-    return isinstance(value, bytes) and len(value) == auth.CHALLENGE_BYTES
-
-
-def _refuse(
-    links: Links,
-    connection: ws_server.ServerConnection,
-    host: str,
-    code: codes.Code,
-) -> None:
-    _log_seldom(links, host[:64], code, code.text)
-    connection.send(cbor2.dumps({'refused': code.number}))
-
-
-def _receive_map(
-    connection: ws_connection.Connection, timeout_s: float
-) -> dict[str, typing.Any]:
-    value = frames.load(connection.recv(timeout_s, decode=False))
-    if not isinstance(value, dict):
-        raise ConnectionError(f'{codes.BAD_FRAME.number} not a map')
-    return value
-
-
-def _receive_bytes(
-    connection: ws_connection.Connection, timeout_s: float, name: str
-) -> bytes:
-    value = _receive_map(connection, timeout_s)
-    if 'refused' in value:
-        raise ConnectionError(f'refused with {value["refused"]}')
-    if not isinstance(value.get(name), bytes):
-        raise ConnectionError(f'{codes.BAD_FRAME.number} no {name}')
-    return value[name]
-
-
 def _set_keepalive(sock: socket.socket) -> None:
     # Nothing is sent on an accepted connection, so only keep-alive probes
     # can find that a peer has gone for good.
