--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -99,6 +99,7 @@
 ID_AHEAD = Code(
     214, 'ID_AHEAD', 400, NOT_RUN, 'The request id is stamped in the future.'
 )
+BAD_HTTP = Code(215, 'BAD_HTTP', 400, NOT_RUN, 'The HTTP is malformed.')
 HEADERS_TOO_LARGE = Code(
     216, 'HEADERS_TOO_LARGE', 431, NOT_RUN, 'The headers are too large.'
 )
