Keep removed services and targets apart from later ones

Cause: a cell may go from the ticket before a removal straight to one after it. A service that came back with other slots, or a target id with another address, then got keys without the wait for the former owner. A pin to another cell gave a key two cells that do not agree with each other, and a removed cell was not asked whether it still held slots.

Ruled out: planning every ticket in turn, because a host routes by the newest one only; forgetting removed ids after some tickets, because a cell can be cut off for any time.

Conclusion: services stay in the state, removed target ids keep their address, pins stay in the home cell, and settlement reads every cell record of the store.

--- a/amaranthcrank/core/codes.py
+++ b/amaranthcrank/core/codes.py
@@ -408,6 +408,20 @@
     NOT_APPLICABLE,
     'No service of the current ticket has this target.',
 )
+TICKET_SERVICE_REMOVED = Code(
+    529,
+    'TICKET_SERVICE_REMOVED',
+    400,
+    NOT_APPLICABLE,
+    'A service stays in the state, so that its number of slots is kept.',
+)
+TICKET_PIN_CELL = Code(
+    530,
+    'TICKET_PIN_CELL',
+    400,
+    NOT_APPLICABLE,
+    "A key is pinned to a target outside its slot's cell.",
+)
 OPERATOR_UNAUTHORIZED = Code(
     540,
     'OPERATOR_UNAUTHORIZED',
--- a/amaranthcrank/core/model.py
+++ b/amaranthcrank/core/model.py
@@ -168,6 +168,7 @@
     'link': {},
     'lost_cells': [],
     'lost_hosts': [],
+    'retired': {},
 }
 
 
--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -187,9 +187,8 @@
 ) -> None:
     if not due.missing and not due.waiting_for:
         return
-    cells = tuple(each for each in state.state['cells'] if each != state.cell)
     tasks_module.read_others(
-        state.tasks, cells, due.missing, state.ticket.number
+        state.tasks, state.cell, due.missing, state.ticket.number
     )
 
 
--- a/amaranthcrank/daemon/tasks.py
+++ b/amaranthcrank/daemon/tasks.py
@@ -100,27 +100,33 @@
 
 
 def read_others(
-    tasks: Tasks, cells: tuple[str, ...], create: tuple[str, ...], ticket: int
+    tasks: Tasks, cell: str, create: tuple[str, ...], ticket: int
 ) -> None:
-    """Read the records of other cells, and create the empty ones.
+    """Read the records of the other cells, and create the empty ones.
+
+    All records of the store count, also of a cell that the ticket removes:
+    it may still hold slots that the ticket gives away.
 
     Args:
       tasks: The threads.
-      cells: The cells to read.
-      create: Those to create where they do not exist.
+      cell: The own cell, which is left out.
+      create: Cells whose record is created if it does not exist.
       ticket: The settled ticket of a record that is created.
     """
 
     def read() -> None:
+        listing = store_client.list_objects(tasks.client, keeper.CELLS)
+        if not _note(tasks, listing):
+            return
         record_by_cell = {}
-        for cell in cells:
-            result = keeper.read_record(tasks.client, cell)
-            if _note(tasks, result) and result.ok is None and cell in create:
-                empty = cell_record.empty_record(cell, ticket)
+        for name in sorted({*listing.ok.version_by_name, *create} - {cell}):
+            result = keeper.read_record(tasks.client, name)
+            if _note(tasks, result) and result.ok is None:
+                empty = cell_record.empty_record(name, ticket)
                 result = keeper.write_record(tasks.client, empty)
             if not _note(tasks, result):
                 return
-            record_by_cell[cell] = result.ok
+            record_by_cell[name] = result.ok
         tasks.tell(messages.OtherRecordsIn(ticket, record_by_cell))
 
     _submit(tasks, ('others',), read)
--- a/amaranthcrank/record/ticket_checks.py
+++ b/amaranthcrank/record/ticket_checks.py
@@ -12,6 +12,7 @@
 import typing
 
 from amaranthcrank.core import codes
+from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 from amaranthcrank.core import names
 
@@ -154,10 +155,12 @@
     for name, service in service_by_name.items():
         place = f'services/{name}'
         yield from _check_cells_known(place, service, cells)
-        yield from _check_pin_targets(place, service)
+        yield from _check_pin_targets(place, service, cells)
         yield from _check_active_targets(place, service, cells)
     yield from _check_targets_apart(service_by_name)
-    yield from _check_kept(old_state, service_by_name)
+    yield from _check_kept(
+        old_state, service_by_name, frozenset(shape.broken_services)
+    )
     if 'lost_cells' in shape.sound_touches:
         known = cells | set(old_state.get('cells', {}))
         yield from _check_lost_cells(new_state['lost_cells'], known)
@@ -188,6 +191,9 @@
         return
     if any(_list_check(_check_range)('', ranges)):
         return
+    if not ranges and value.get('targets') == {}:
+        # A service that ended stays in the state without ranges and targets.
+        return
     yield from _check_cover(f'{place}/ranges', slots, ranges)
 
 
@@ -341,7 +347,9 @@
             )
 
 
-def _check_pin_targets(place: str, service: Fields) -> Problems:
+def _check_pin_targets(
+    place: str, service: Fields, cells: set[str]
+) -> Problems:
     for key, target in service['pins'].items():
         here = f'{place}/pins/{shown(key)}'
         entry = service['targets'].get(target)
@@ -352,6 +360,20 @@
         if entry['state'] == DRAINING:
             detail = f'{target}; accepted: an active target of the service'
             yield codes.Problem(codes.TICKET_DRAINING_PIN_TARGET, here, detail)
+        home = _home_cell(service, place, key)
+        if home in cells and entry['cell'] != home:
+            detail = f'{target} is in {entry["cell"]}; accepted: in {home}'
+            yield codes.Problem(codes.TICKET_PIN_CELL, here, detail)
+
+
+def _home_cell(service: Fields, place: str, key: str) -> str:
+    """Return the cell of a key's hash slot, empty where none has it."""
+    name = place.partition('/')[2]
+    slot = hashing.slot_of(name, key, service['slots'])
+    for entry in service['ranges']:
+        if entry['from'] <= slot < entry['to']:
+            return entry['cell']
+    return ''
 
 
 def _check_active_targets(
@@ -396,12 +418,15 @@
                 )
 
 
-def _check_kept(old_state: Fields, service_by_name: Fields) -> Problems:
+def _check_kept(
+    old_state: Fields, service_by_name: Fields, broken: frozenset[str]
+) -> Problems:
     """Check what has to stay as it is while a service or target exists.
 
     The wait before a slot gets a new owner is for the upstream that the
     record names. A change of the number of slots, or of the address behind
-    a target, would give keys a new owner without that wait.
+    a target, would give keys a new owner without that wait. A cell may go
+    straight to a later ticket, so this also holds across a removal.
     """
     old_services = old_state.get('services', {})
     old_by_target = {
@@ -409,6 +434,12 @@
         for name, service in old_services.items()
         for target, entry in service['targets'].items()
     }
+    retired = old_state.get('retired', {})
+    for name in sorted(set(old_services) - set(service_by_name) - broken):
+        detail = 'null; accepted: the service without ranges and targets'
+        yield codes.Problem(
+            codes.TICKET_SERVICE_REMOVED, f'services/{name}', detail
+        )
     for name, service in service_by_name.items():
         old_slots = old_services.get(name, service)['slots']
         if service['slots'] != old_slots:
@@ -420,6 +451,11 @@
         for target, entry in service['targets'].items():
             old_name, old = old_by_target.get(target, (name, entry))
             place = f'services/{name}/targets/{target}'
+            address = retired.get(target, entry['address'])
+            if target not in old_by_target and address != entry['address']:
+                yield _target_changed(
+                    f'{place}/address', entry['address'], address
+                )
             if old_name != name:
                 yield _target_changed(place, name, old_name)
             for field in ('cell', 'address'):
--- a/amaranthcrank/record/tickets.py
+++ b/amaranthcrank/record/tickets.py
@@ -155,9 +155,27 @@
                 continue
             entries[name] = entry
         new_state[section] = entries
+    new_state['retired'] = _retired(state, new_state)
     return new_state
 
 
+def _retired(old_state: State, new_state: State) -> dict[str, str]:
+    """Return the address of each target that was removed at some time.
+
+    A target id that came back with another address would take over the
+    slots of the old upstream without a wait.
+    """
+    kept = set(targets_of(new_state))
+    address_by_target = dict(old_state.get('retired', {}))
+    for target, entry in targets_of(old_state).items():
+        address_by_target[target] = entry.address
+    return {
+        target: address
+        for target, address in address_by_target.items()
+        if target not in kept
+    }
+
+
 def sections_of(touches: Touches) -> tuple[str, ...]:
     """Return the names of the sections that a document touches, sorted."""
     sections = []
@@ -196,9 +214,15 @@
 def diff(old: State, new: State) -> tuple[str, ...]:
     """Describe what changes from one state to another, one line each.
 
-    Lines start with `+` (added), `-` (removed) or `~` (changed).
+    Lines start with `+` (added), `-` (removed) or `~` (changed). The list of
+    retired targets is left out: no operator states it.
     """
-    return tuple(_diff_values('', old, new))
+    shown = []
+    for state in (old, new):
+        shown.append(
+            {name: each for name, each in state.items() if name != 'retired'}
+        )
+    return tuple(_diff_values('', *shown))
 
 
 def targets_of(state: State) -> dict[str, model.Target]:
@@ -251,32 +275,6 @@
     return None
 
 
-def cell_of_slot(service: dict[str, typing.Any], slot: int) -> str:
-    """Return the home cell of a slot, empty where no range has it.
-
-    A range holds the slots from `from` up to, but without, `to`. The slot
-    of a pinned key is in the cell of its target.
-    """
-    position = slot - service['slots']
-    if position >= 0:
-        pinned = sorted(service['pins'].items())
-        if position >= len(pinned):
-            return ''
-        return service['targets'][pinned[position][1]]['cell']
-    for entry in service['ranges']:
-        if entry['from'] <= slot < entry['to']:
-            return entry['cell']
-    return ''
-
-
-def pin_slots(service: dict[str, typing.Any]) -> dict[str, int]:
-    """Return the slot of each pinned key: slots + its sorted position."""
-    return {
-        key: service['slots'] + position
-        for position, key in enumerate(sorted(service['pins']))
-    }
-
-
 def encode(ticket: Ticket) -> bytes:
     """Encode a ticket as the store keeps it; the same bytes each time."""
     return json.dumps(
