--- a/amaranthcrank/dispatch/ledger.py
+++ b/amaranthcrank/dispatch/ledger.py
@@ -191,11 +191,9 @@
     if self_host not in new_holders:
         return
     old_holders, old_needed = intent_holders(old_hosts, slot)
-    overlap = max(
-        ledger.overlap_by_slot.get(slot, 0),
-        len(old_holders) - old_needed + 1,
-    )
-    if self_host in old_holders and needed >= overlap:
+    overlap = _overlap(ledger, slot, len(old_holders), old_needed)
+    is_pending = slot in ledger.unadopted_slots
+    if self_host in old_holders and needed >= overlap and not is_pending:
         ledger.overlap_by_slot[slot] = max(
             overlap, len(new_holders) - needed + 1
         )
@@ -435,6 +433,15 @@
     return min(holders, QUORUM)
 
 
+def _overlap(
+    ledger: Ledger, slot: model.SlotId, old_holders: int, old_needed: int
+) -> int:
+    """Return how many must accept to meet each pair since the start."""
+    return max(
+        ledger.overlap_by_slot.get(slot, 0), old_holders - old_needed + 1
+    )
+
+
 def _start_ms(ledger: Ledger, slot: model.SlotId) -> int:
     return ledger.start_ms_by_slot.get(slot, ledger.start_ms)
 
