--- a/amaranthcrank/admission/rank_queue.py
+++ b/amaranthcrank/admission/rank_queue.py
@@ -188,7 +188,7 @@
     dropped: list[Dropped] = []
     while queue.rank_by_id:
         rank = _next_rank(queue)
-        entry = _take_next(queue, rank)
+        entry = _take(queue, _first(rank))
         if entry.deadline_at <= now:
             dropped.append(Dropped(entry, codes.EXPIRED))
             continue
@@ -196,6 +196,7 @@
             dropped.append(Dropped(entry, codes.EXPIRED))
             continue
         _settle_credit(queue, rank)
+        _end_turn(rank, entry.caller)
         return entry, tuple(dropped)
     return None, tuple(dropped)
 
@@ -363,11 +364,16 @@
     return entry
 
 
-def _take_next(queue: RankQueue, rank: _RankEntries) -> Entry:
-    """Take the oldest entry of the caller in turn; its turn comes last."""
-    caller, own = next(iter(rank.entries_by_caller.items()))
-    rank.entries_by_caller.move_to_end(caller)
-    return _take(queue, next(iter(own.values())))
+def _first(rank: _RankEntries) -> Entry:
+    """Return the oldest entry of the caller in turn."""
+    own = next(iter(rank.entries_by_caller.values()))
+    return next(iter(own.values()))
+
+
+def _end_turn(rank: _RankEntries, caller: str) -> None:
+    """Put a served caller last. A dropped entry does not cost the turn."""
+    if caller in rank.entries_by_caller:
+        rank.entries_by_caller.move_to_end(caller)
 
 
 def _take_newest(queue: RankQueue) -> Entry:
