Give answers room of their own in the send queue

Answers now have 16 MiB of their own, and an answer without room is replaced by a short frame that fails the call with QUEUE_FULL.

--- a/amaranthcrank/peers/frames.py
+++ b/amaranthcrank/peers/frames.py
@@ -39,6 +39,8 @@
 
 # Set on a frame that answers the frame of the same id.
 REPLY_FIELD = 're'
+# Set on a reply that stands for an answer for which there was no room.
+LOST_FIELD = 'lost'
 MAX_ID = 2**63 - 1
 MAX_DEPTH = 16
 
--- a/amaranthcrank/peers/links.py
+++ b/amaranthcrank/peers/links.py
@@ -268,19 +268,36 @@
 def reply(links: Links, host: str, frame_id: int, frame: frames.Frame) -> bool:
     """Queue the answer to a received frame; never blocks.
 
+    Where the queue has no room, the call fails at the other host with
+    QUEUE_FULL instead of waiting for an answer that does not come.
+
     Returns:
       Whether it was queued: False where the host is not linked or its queue
       is full.
     """
     link = links.link_by_host.get(host)
-    answer = {**frame, 'id': frame_id, frames.REPLY_FIELD: True}
-    data, problems = frames.encode_frame(answer)
-    if data is None:
-        _log.error('answer to {} refused: {}', host, problems)
-        return False
+    envelope = {'id': frame_id, frames.REPLY_FIELD: True}
+    data, problems = frames.encode_frame({**frame, **envelope})
     if link is None:
         return False
-    return _enqueue(link, frame, send_queue.Item(data, 0, None)) is None
+    problem = None
+    if data is None:
+        _log.error('answer to {} refused: {}', host, problems)
+    else:
+        item = send_queue.Item(data, 0, None, is_reply=True)
+        problem = _enqueue(link, frame, item)
+        if problem is None:
+            return True
+    if data is None or problem.code == codes.QUEUE_FULL:
+        _send_lost(link, envelope)
+    return False
+
+
+def _send_lost(link: _Link, envelope: frames.Frame) -> None:
+    lost = {'type': frames.STATUS_REPLY, frames.LOST_FIELD: True, **envelope}
+    data, _ = frames.encode_frame(lost)
+    if data is not None:
+        _enqueue(link, lost, send_queue.Item(data, 0, None, is_reply=True))
 
 
 def connected(links: Links) -> frozenset[str]:
@@ -562,7 +579,13 @@
         _log.debug('late {} from {} dropped', frame['type'], host)
         return
     with contextlib.suppress(futures.InvalidStateError):
-        open_call.future.set_result(frame)
+        if frame.get(frames.LOST_FIELD):
+            problem = codes.Problem(
+                codes.QUEUE_FULL, host, 'no room for the answer'
+            )
+            open_call.future.set_exception(LinkError(problem, sent=True))
+        else:
+            open_call.future.set_result(frame)
 
 
 def _set_keepalive(sock: socket.socket) -> None:
--- a/amaranthcrank/peers/send_queue.py
+++ b/amaranthcrank/peers/send_queue.py
@@ -15,6 +15,9 @@
 MAX_CONTROL_FRAMES = 512
 MAX_BODY_FRAMES = 2048
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Answers have room of their own: requests that this host sends must not
+# displace the answers that it owes.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Larger frames of any type wait among the bodies.
 MAX_CONTROL_FRAME_BYTES = 64 * 1024
 BODY_TYPES = frozenset((frames.REQUEST, frames.ANSWER, frames.CANCEL))
@@ -27,11 +30,13 @@
       data: The bytes to send.
       frame_id: The id of the call, 0 where there is none.
       future: The future of the call, None where there is none.
+      is_reply: Whether the frame answers one.
     """
 
     data: bytes
     frame_id: int
     future: futures.Future | None
+    is_reply: bool = False
 
 
 class SendQueue:
@@ -44,6 +49,7 @@
         }
         self.body_frames = 0
         self.body_bytes = 0
+        self.answer_bytes = 0
 
 
 def put(waiting: SendQueue, frame: frames.Frame, item: Item) -> bool:
@@ -60,11 +66,16 @@
         return True
     if waiting.body_frames >= MAX_BODY_FRAMES:
         return False
-    if waiting.body_bytes + size > MAX_BODY_BYTES:
-        return False
+    if item.is_reply:
+        if waiting.answer_bytes + size > MAX_ANSWER_BYTES:
+            return False
+        waiting.answer_bytes += size
+    else:
+        if waiting.body_bytes + size > MAX_BODY_BYTES:
+            return False
+        waiting.body_bytes += size
     waiting.body_by_rank[_rank_of(frame)].append(item)
     waiting.body_frames += 1
-    waiting.body_bytes += size
     return True
 
 
@@ -77,7 +88,10 @@
             continue
         item = waiting.body_by_rank[rank].popleft()
         waiting.body_frames -= 1
-        waiting.body_bytes -= len(item.data)
+        if item.is_reply:
+            waiting.answer_bytes -= len(item.data)
+        else:
+            waiting.body_bytes -= len(item.data)
         return item
     return None
 
--- a/amaranthcrank/peers/send_queue_test.py
+++ b/amaranthcrank/peers/send_queue_test.py
@@ -51,6 +51,10 @@
         for _ in range(16):
             self.assertTrue(_put(waiting, {'type': 'request'}, body))
         self.assertFalse(_put(waiting, {'type': 'request'}, b'x'))
+        owed = send_queue.Item(body, 0, None, is_reply=True)
+        for _ in range(16):
+            self.assertTrue(send_queue.put(waiting, {'type': 'answer'}, owed))
+        self.assertFalse(send_queue.put(waiting, {'type': 'answer'}, owed))
         for _ in range(send_queue.MAX_CONTROL_FRAMES):
             self.assertTrue(_put(waiting, {'type': 'heartbeat'}, b'x'))
         self.assertFalse(_put(waiting, {'type': 'heartbeat'}, b'x'))
