--- a/amaranthcrank/core/hashing.py
+++ b/amaranthcrank/core/hashing.py
@@ -17,7 +17,7 @@
     Returns:
       A slot number from 0 to slots - 1.
     """
-    return xxhash.xxh64_intdigest(f'{service}/{key}') % slots
+    return xxhash.xxh64_intdigest(f'{service}/{key}'.encode()) % slots
 
 
 def rendezvous(
@@ -41,7 +41,10 @@
     return tuple(
         sorted(
             candidates,
-            key=lambda each: (xxhash.xxh64_intdigest(f'{name}|{each}'), each),
+            key=lambda each: (
+                xxhash.xxh64_intdigest(f'{name}|{each}'.encode()),
+                each,
+            ),
             reverse=True,
         )
     )
--- a/amaranthcrank/grant/standing.py
+++ b/amaranthcrank/grant/standing.py
@@ -220,7 +220,7 @@
       True if this host knows every adopted version and the peer's record is
       no older than the promise.
     """
-    return state.recovered and view.record_version >= state.promised
+    return state.recovered and _keeps_promise(state, view.record_version)
 
 
 def receive(
@@ -347,7 +347,7 @@
         return NEVER
     # A host that knows its record to be old could act on a slot that has
     # moved, so it stops at once, also where others still attest it.
-    if not state.recovered or record.version < state.promised:
+    if not state.recovered or not _keeps_promise(state, record.version):
         return NEVER
     times = []
     for attester in record.attesters:
@@ -467,6 +467,13 @@
     return tuple(heard)
 
 
+def heard_at(state: StandingState, host: str, now: float) -> float:
+    """Return when a host was last heard, now for this host itself."""
+    if host == state.host:
+        return now
+    return state.peer_by_host.get(host, NO_PEER).heard_at
+
+
 def acting_controller(state: StandingState, now: float) -> str:
     """Return the first host of the record that is heard from.
 
@@ -509,6 +516,11 @@
     return since is not None
 
 
+def _keeps_promise(state: StandingState, version: int) -> bool:
+    """Tell whether a standing at this version is still allowed."""
+    return version >= state.promised
+
+
 def _sent_at(view: PeerView, sequence: int) -> float:
     for each, sent_at in reversed(view.sent):
         if each == sequence:
--- a/amaranthcrank/observe/failure_detector.py
+++ b/amaranthcrank/observe/failure_detector.py
@@ -6,6 +6,8 @@
 # A host that restarts is back within this time, and removing it would cost
 # two versions and a new ledger start.
 REMOVE_AFTER_S = 5.0
+# Twice the standing lease, so that one late heartbeat removes nobody.
+SILENT_WITHOUT_STANDING_S = 2 * model.STANDING_LEASE_S
 
 
 def dispatch_hosts(
@@ -16,7 +18,7 @@
 
 
 def hosts_to_remove(
-    state: standing.StandingState, started_at: float, now: float
+    state: standing.StandingState, listening_since: float, now: float
 ) -> tuple[str, ...]:
     """Return the hosts that the acting controller should remove.
 
@@ -25,21 +27,33 @@
 
     Args:
       state: The state.
-      started_at: When this host started to listen.
+      listening_since: When this process started, or when its last pause
+        ended: after a pause every host seems silent.
       now: The monotonic time.
 
     Returns:
-      Silent hosts of the record, empty while a list change is pending.
+      Silent hosts of the record. Empty while a list change is pending, and
+      where too few attesters are heard to bring the change into force: a
+      host that is cut off would else remove the healthy rest.
     """
     record = state.record
     if record is None or record.previous_attesters:
         return ()
-    # A record just installed may name hosts that had no time to be heard.
-    listening_since = max(started_at, state.installed_at)
     limit = REMOVE_AFTER_S
     if standing.standing_until(state, now) < now:
-        limit = 2 * model.STANDING_LEASE_S
-    if now - listening_since < limit:
-        return ()
-    heard = standing.heard_within(state, now, limit)
-    return tuple(each for each in record.hosts if each not in heard)
+        limit = SILENT_WITHOUT_STANDING_S
+    silent = []
+    for host in record.hosts:
+        heard_at = max(standing.heard_at(state, host, now), listening_since)
+        # A host that the record has just gained had no time to be heard.
+        if host not in state.previous_hosts:
+            heard_at = max(heard_at, state.installed_at)
+        if now - heard_at >= limit:
+            silent.append(host)
+    left = 0
+    for attester in record.attesters:
+        heard_at = standing.heard_at(state, attester, now)
+        recent = now - heard_at < model.STANDING_LEASE_S
+        left += recent or attester in state.lost
+    needed = standing.blocking_count(len(record.attesters))
+    return tuple(silent) if left >= needed else ()
