--- a/proofs/driver.py
+++ b/proofs/driver.py
@@ -303,6 +303,8 @@
         effective = standing.effective_version(state, now)
         until = standing.standing_until(state, now)
         view = self.view_by_target[target]
+        if self.world.eager and not view.waiting:
+            view = view._replace(retry=True)
         step = grants.next_control_step(
             view, state.record, until, effective, self.released, now
         )
@@ -395,6 +397,7 @@
         self.targets = ('t0', 't1', 't2')
         self.fenced: frozenset[str] = frozenset()
         self.without_records: frozenset[str] = frozenset()
+        self.eager = False
         self.clock_by_name = {}
         for name in (*self.hosts, *self.spare, 'third', *self.targets):
             rate = self.random.uniform(0.995, 1.005)
