Let a host outside its cell's record read the store again

Cause: three hosts that start together can leave one that read the record while a change of the hosts was pending. It may not join then, it is not in the record, so no host sends it heartbeats, and nothing made it read the store a second time. Ruled out: a lost write (its log shows none under way) and missing links (all were up).

A host without standing now reads its record every 0.3 s; this also serves one that was removed while paused.

--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -108,6 +108,7 @@
         self.next_heartbeat_at = now
         self.next_export_at = now
         self.next_fetch_at = now
+        self.next_read_at = now
 
 
 def start(state: ControlState) -> pykka.ActorRef:
--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -17,6 +17,9 @@
 
 log = logs.logger('control')
 
+# A host that needs the store's record reads it this often.
+READ_INTERVAL_S = 0.3
+
 
 def perform(
     state: 'control.ControlState', live: tuple[str, ...], now: float
@@ -32,9 +35,9 @@
     controlling = standing.acting_controller(agreement, now) == state.host
     state.tasks.controlling = controlling
     state.tasks.settled = agreement.recovered and state.ticket is not None
-    for cell, each in state.standing_by_cell.items():
-        if not each.recovered:
-            tasks_module.read_record(state.tasks, cell)
+    if now >= state.next_read_at:
+        state.next_read_at = now + READ_INTERVAL_S
+        _read_records(state, now)
     if state.writing or agreement.record is None or not agreement.recovered:
         return
     following = _joined(state, agreement)
@@ -44,6 +47,22 @@
         _write(state, following)
 
 
+def _read_records(state: 'control.ControlState', now: float) -> None:
+    """Read the records that no peer can be relied on to tell of.
+
+    The hosts of a record send heartbeats only to one another. A host that is
+    not in it, or was removed from it while it was paused, hears of no newer
+    version; it notices by its lack of standing.
+    """
+    for cell, agreement in state.standing_by_cell.items():
+        informed = (
+            cell != state.cell
+            or standing.standing_until(agreement, now) > now
+        )
+        if not agreement.recovered or not informed:
+            tasks_module.read_record(state.tasks, cell)
+
+
 def create_record(state: 'control.ControlState') -> None:
     """Write version 1 of the cell's record with this host in it."""
     if state.writing:
