Give back work that waits for a lost upstream

Cause: sends to a frozen upstream end only at their deadlines and fill the slots of its dispatcher, so that everything queued behind them also waited for the deadline, although the slots had moved long before. Ruled out: a late move (the next owner held the slots 1.3 s after the stop).

On a loss, waiting work goes back to the entry hosts, lookups in flight are answered early and tried again, and nothing more is sent under the old grant. Work whose slot has moved is refused at each pump for the same reason.

--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -576,6 +576,8 @@
     if down and name not in state.down:
         log.warning('Upstream {} does not answer.', name)
         state.down.add(name)
+        state.granted_by_target.pop(name, None)
+        state.dispatcher_by_target[name].tell(dispatcher.Lost())
         _send_heartbeats(state, time.monotonic())
         return
     if not down and name in state.down:
--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -56,8 +56,7 @@
     """
     for cell, agreement in state.standing_by_cell.items():
         informed = (
-            cell != state.cell
-            or standing.standing_until(agreement, now) > now
+            cell != state.cell or standing.standing_until(agreement, now) > now
         )
         if not agreement.recovered or not informed:
             tasks_module.read_record(state.tasks, cell)
--- a/amaranthcrank/dispatch/dispatcher.py
+++ b/amaranthcrank/dispatch/dispatcher.py
@@ -42,6 +42,10 @@
     """The upstream runs under a new incarnation."""
 
 
+class Lost(typing.NamedTuple):
+    """The upstream does not answer any more."""
+
+
 class Load(typing.NamedTuple):
     """Ask what waits and what is in flight."""
 
@@ -124,6 +128,7 @@
         Pump: _pump_message,
         SetTarget: _set_target,
         Restarted: _restarted,
+        Lost: _lost,
         Load: _load,
         Stop: _stop,
         work_module.Finished: _finished,
@@ -165,19 +170,51 @@
 
 
 def _pump_message(state: State, message: Pump) -> None:
-    _drop_expired(state)
+    _drop_overtaken(state)
     _pump(state)
 
 
-def _drop_expired(state: State) -> None:
-    """Refuse waiting work whose deadline passed while no slot was free."""
+def _drop_overtaken(state: State) -> None:
+    """Refuse work that became pointless while no slot was free."""
     now = time.monotonic()
     for work in list(state.waiting_by_number.values()):
-        if work.deadline_at > now:
-            continue
-        rank_queue.remove(state.queue, work.number)
-        del state.waiting_by_number[work.number]
-        work.reply.set_result(model.refusal(codes.EXPIRED))
+        if work.deadline_at <= now:
+            _refuse_waiting(state, work, codes.EXPIRED)
+        elif _has_moved(state, work):
+            _refuse_waiting(state, work, codes.NO_OWNER)
+
+
+def _has_moved(state: State, work: work_module.Work) -> bool:
+    """Tell whether the slot of waiting work belongs to another target."""
+    record = state.context.holder.view.record
+    if record is None:
+        return False
+    assignment = record.assignment_by_slot.get(work.slot)
+    return assignment is None or assignment.target != state.target.target
+
+
+def _refuse_waiting(
+    state: State, work: work_module.Work, code: codes.Code
+) -> None:
+    rank_queue.remove(state.queue, work.number)
+    del state.waiting_by_number[work.number]
+    work.reply.set_result(model.refusal(code))
+
+
+def _lost(state: State, message: Lost) -> None:
+    """Give work back that would wait for a lost upstream.
+
+    Sends to a frozen upstream end only at their deadlines. Repeatable work
+    is answered before that, so that the entry host sends it to the next
+    owner; other work waits, because its answer may still come.
+    """
+    for work in list(state.waiting_by_number.values()):
+        _refuse_waiting(state, work, codes.NO_OWNER)
+    for work in state.in_flight_by_number.values():
+        if work.request.repeatable and not work.reply.done():
+            work.reply.set_result(
+                model.refusal(codes.OUTCOME_UNKNOWN, 'the upstream is down')
+            )
 
 
 def _pump(state: State) -> None:
@@ -218,7 +255,8 @@
     elif message.outcome.code.outcome == codes.SERVED:
         if message.latency_s:
             limits.note_done(state.limit, message.latency_s, now)
-    work.reply.set_result(message.outcome)
+    if not work.reply.done():
+        work.reply.set_result(message.outcome)
     _set_pace(state)
     _pump(state)
 
