Test the loss of upstreams with real processes

The stand-ins listen below the ephemeral port range: a dialled connection took the port of a killed upstream, which then could not be started again.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,10 +1,12 @@
 """A whole set-up as processes on loopback, for the demo and for tests."""
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +22,10 @@
 OPERATOR_KEY = 'operator-key-of-a-test-0123456789abcd'
 START_TIMEOUT_S = 30.0
 POLL_S = 0.02
+# Below the ephemeral range, which begins at 32768 on Linux.
+FIRST_PORT = 12_000
+MAX_PORTS = 20_000
+_PORTS = itertools.count()
 
 
 class Domain(typing.NamedTuple):
@@ -68,6 +74,8 @@
       daemon_by_host: The entry hosts.
       upstream_by_target: The upstreams.
       section_by_target: The entry of each target in a ticket.
+      front: Returns the peer address that the platform lists for an entry
+        host; None for the one that it listens on.
     """
 
     def __init__(
@@ -77,12 +85,14 @@
         services: tuple[str, ...],
         slots: int = 64,
         upstream_options: tuple[str, ...] = (),
+        front: typing.Callable[[Daemon], str] | None = None,
     ) -> None:
         self.stack = stack
         self.domains = domains
         self.services = services
         self.slots = slots
         self.upstream_options = upstream_options
+        self.front = front
         self.pool = stack.enter_context(urllib3.PoolManager(retries=False))
         self.folder = stack.enter_context(tempfile.TemporaryDirectory())
         self.store = stack.enter_context(processes.running('standins.store'))
@@ -103,6 +113,7 @@
     services: tuple[str, ...],
     slots: int = 64,
     upstream_options: tuple[str, ...] = (),
+    front: typing.Callable[[Daemon], str] | None = None,
 ) -> typing.Iterator[Fleet]:
     """Start store, recorder, upstreams and entry hosts; end them after.
 
@@ -111,12 +122,14 @@
       services: The services.
       slots: Hash slots of each service.
       upstream_options: Further options of each upstream.
+      front: Returns the peer address that the platform lists for an entry
+        host; None for the one that it listens on.
 
     Yields:
       The set-up, without a ticket.
     """
     with contextlib.ExitStack() as stack:
-        fleet = Fleet(stack, domains, services, slots, upstream_options)
+        fleet = Fleet(stack, domains, services, slots, upstream_options, front)
         starting = []
         for domain in domains:
             for service in services:
@@ -135,20 +148,9 @@
     fleet: Fleet, target: str, service: str, cell: str, address: str = ''
 ) -> None:
     """Start an upstream, again at its old address after a loss."""
-    options = [
-        '--target',
-        target,
-        '--service',
-        service,
-        '--address',
-        address or '127.0.0.1:0',
-        '--record-url',
-        f'http://{fleet.recorder.address}',
-    ]
+    options = _upstream_options(fleet, target, service, address)
     process = fleet.stack.enter_context(
-        processes.running(
-            'standins.upstream', *options, *fleet.upstream_options
-        )
+        processes.running('standins.upstream', *options)
     )
     fleet.upstream_by_target[target] = process
     fleet.section_by_target[target] = {
@@ -162,9 +164,75 @@
     }
 
 
-def start_daemon(fleet: Fleet, host: str, domain: Domain) -> Daemon:
-    """Start one entry host and wait until it listens."""
-    return _await_daemon(fleet, *_spawn_daemon(fleet, host, domain))
+def free_address() -> str:
+    """Choose a free address that no outgoing connection takes.
+
+    A process that is started again needs its old port. Connections that are
+    dialled meanwhile may be given any port of the ephemeral range.
+    """
+    for _ in range(MAX_PORTS):
+        port = FIRST_PORT + (os.getpid() * 64 + next(_PORTS)) % MAX_PORTS
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return f'127.0.0.1:{port}'
+    raise RuntimeError('no port is free')
+
+
+def _upstream_options(
+    fleet: Fleet, target: str, service: str, address: str
+) -> tuple[str, ...]:
+    return (
+        '--target',
+        target,
+        '--service',
+        service,
+        '--address',
+        address or free_address(),
+        '--record-url',
+        f'http://{fleet.recorder.address}',
+        *fleet.upstream_options,
+    )
+
+
+def replace_upstream(fleet: Fleet, target: str) -> float:
+    """Kill an upstream; a prepared process takes its address at once.
+
+    A process needs half a second to load its modules, by which time the old
+    one counts as lost. The new one has loaded them before the old one ends.
+
+    Returns:
+      The time of the kill, monotonic seconds.
+    """
+    old = fleet.upstream_by_target[target]
+    service = fleet.section_by_target[target]['service']
+    options = _upstream_options(fleet, target, service, old.address)
+    standby = fleet.stack.enter_context(
+        processes.standing_by('standins.upstream', *options, '--standby')
+    )
+    # Its modules are loaded once it prints this line.
+    standby.stdout.readline()
+    killed_at = time.monotonic()
+    old.popen.kill()
+    old.popen.wait()
+    fleet.upstream_by_target[target] = processes.activate(standby)
+    return killed_at
+
+
+def start_daemon(
+    fleet: Fleet, host: str, domain: Domain, listed: bool = True
+) -> Daemon:
+    """Start one entry host and wait until it listens.
+
+    Args:
+      fleet: The set-up.
+      host: Its id.
+      domain: Its failure domain.
+      listed: Whether the platform registers it, which needs the store.
+
+    Returns:
+      The entry host.
+    """
+    return _await_daemon(fleet, *_spawn_daemon(fleet, host, domain), listed)
 
 
 def _spawn_daemon(
@@ -180,9 +248,9 @@
         'host_id': host,
         'failure_domain': domain.name,
         'region': domain.region,
-        'caller_address': old.callers if old else '127.0.0.1:0',
-        'peer_address': old.peers if old else '127.0.0.1:0',
-        'operator_address': old.operators if old else '127.0.0.1:0',
+        'caller_address': old.callers if old else free_address(),
+        'peer_address': old.peers if old else free_address(),
+        'operator_address': old.operators if old else free_address(),
         'store_url': f'http://{fleet.store.address}',
         'peers': ','.join(
             f'{each.host}={each.peers}'
@@ -214,16 +282,18 @@
     domain: Domain,
     popen: subprocess.Popen,
     ready: pathlib.Path,
+    listed: bool = True,
 ) -> Daemon:
     wait_until(lambda: ready.exists() or popen.poll() is not None)
     if not ready.exists():
         raise RuntimeError(f'{host} ended: {log_of(fleet, host)}')
     daemon = Daemon(host, domain.name, popen, **json.loads(ready.read_text()))
     fleet.daemon_by_host[host] = daemon
+    if not listed:
+        return daemon
     # The platform lists the host; nothing of the system does it itself.
-    store_client.put_host(
-        fleet.client, host, daemon.peers, domain.name, 'live'
-    )
+    address = fleet.front(daemon) if fleet.front else daemon.peers
+    store_client.put_host(fleet.client, host, address, domain.name, 'live')
     return daemon
 
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -9,6 +9,7 @@
 import math
 import os
 import random
+import sys
 import threading
 import time
 import typing
@@ -784,8 +785,14 @@
     record_url: str = typer.Option(
         '', help='Recorder, as in http://127.0.0.1:8000'
     ),
+    standby: bool = typer.Option(
+        False, help='Listen only once a line arrives on standard input.'
+    ),
 ) -> None:
     """Run one upstream until SIGTERM."""
+    if standby:
+        print('standing by', flush=True)
+        sys.stdin.readline()
     if cold_mode not in (SLOW, REFUSE):
         raise typer.BadParameter('cold-mode: accepted are slow and refuse')
     state = UpstreamState(
