Give up on hosts that keep requests waiting without running

Cause: a frozen entry host keeps its connections, so requests that were forwarded to it waited for their deadlines, and hosts of other cells, which exchange no heartbeats with it, went on choosing it. Ruled out: the choice of the dispatching host in its own cell, which left it out after 0.3 s.

Hosts that keep a request waiting for 0.3 s are asked for an answer; without one within 0.3 s they are left out and lookups that wait for them are tried elsewhere. Work that may not repeat goes on waiting.

--- a/amaranthcrank/daemon/main.py
+++ b/amaranthcrank/daemon/main.py
@@ -24,6 +24,7 @@
 from amaranthcrank.core import settings as settings_module
 from amaranthcrank.core import tracing
 from amaranthcrank.daemon import control
+from amaranthcrank.daemon import forwards as forwards_module
 from amaranthcrank.daemon import messages
 from amaranthcrank.daemon import operators as operators_module
 from amaranthcrank.daemon import requests
@@ -199,6 +200,7 @@
         state.dispatcher_by_target,
         retries.open_budget(),
         itertools.count(1),
+        forwards_module.open_forwards(stack, links),
     )
     operators = operators_module.Operators(node, ref, state.tasks.client)
     _add_handlers(handlers, node, operators, ref)
--- a/amaranthcrank/daemon/requests.py
+++ b/amaranthcrank/daemon/requests.py
@@ -18,6 +18,7 @@
 from amaranthcrank.core import metrics
 from amaranthcrank.core import model
 from amaranthcrank.core import tracing
+from amaranthcrank.daemon import forwards as forwards_module
 from amaranthcrank.dispatch import dispatcher
 from amaranthcrank.dispatch import ledger_actor
 from amaranthcrank.dispatch import retries
@@ -61,6 +62,7 @@
         changes it, readers look up one name at a time.
       budget: The retry budget of the entry host.
       counter: Numbers work.
+      forwards: The requests that wait for other hosts.
     """
 
     cell: str
@@ -70,6 +72,7 @@
     ref_by_target: dict[str, pykka.ActorRef]
     budget: retries.RetryBudget
     counter: 'itertools.count[int]'
+    forwards: forwards_module.Forwards
 
 
 def handle(node: Node, request: model.Request) -> model.Outcome:
@@ -231,7 +234,7 @@
     linked = links_module.connected(node.context.links)
     candidates = []
     for host in view.hosts_by_cell.get(home.cell, ()):
-        if host in linked:
+        if host in linked and host not in node.forwards.silent:
             candidates.append(host)
     name = f'{home.slot.service}/{home.slot.slot}'
     chosen = hashing.rendezvous(name, candidates, 1)
@@ -285,8 +288,14 @@
         )
         call = links_module.call(node.context.links, host, frame)
     pending: futures.Future[model.Outcome] = futures.Future()
+    forwards_module.add(
+        node.forwards,
+        forwards_module.Forward(
+            host, request.repeatable, time.monotonic(), pending
+        ),
+    )
     call.add_done_callback(
-        lambda done: pending.set_result(_outcome_of_call(done))
+        lambda done: forwards_module.settle(pending, _outcome_of_call(done))
     )
     return pending
 
