--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -109,6 +109,7 @@
         self.next_heartbeat_at = now
         self.next_export_at = now
         self.next_fetch_at = now
+        self.next_read_at = now
 
 
 def start(state: ControlState) -> pykka.ActorRef:
@@ -595,6 +596,8 @@
     if down and name not in state.down:
         log.warning('Upstream {} does not answer.', name)
         state.down.add(name)
+        state.granted_by_target.pop(name, None)
+        state.dispatcher_by_target[name].tell(dispatcher.Lost())
         _send_heartbeats(state, time.monotonic())
         return
     if not down and name in state.down:
