--- a/amaranthcrank/grant/grants.py
+++ b/amaranthcrank/grant/grants.py
@@ -27,7 +27,7 @@
       misses: Time-outs since its last answer.
       asked_at: When the last probe or grant was sent.
       waiting: Whether its answer is still due.
-      offered: The slots of the last grant that was not refused.
+      offered: The slots of the last grant, None after a refusal or a miss.
       retry: Whether the next step is due at once.
       refused: Whether the last answer refused a grant.
     """
@@ -267,7 +267,9 @@
     if not may_grant:
         return Step(PROBE) if due else Step(NOTHING)
     slots = grantable_slots(record, view.target, effective, released_by_target)
-    if not due and slots == view.offered:
+    # After a refusal or a miss the next grant waits until it is due, or a
+    # target that refuses at once would be asked without a pause.
+    if not due and (view.offered is None or slots == view.offered):
         return Step(NOTHING)
     return Step(GRANT, view.incarnation, view.challenge, record.version, slots)
 
@@ -305,6 +307,7 @@
     """
     restarted = view.incarnation not in ('', answer.incarnation)
     again = not answer.accepted or view.incarnation != answer.incarnation
+    again = again or view.misses > 0
     # A refusal right after another one waits for the next interval, so that
     # two hosts that both grant do not answer each other without a pause.
     again = again and (not view.refused or restarted)
--- /dev/null
+++ b/amaranthcrank/grant/grants_test.py
@@ -0,0 +1,128 @@
+"""Tests of grants, probes and releases."""
+
+import unittest
+
+from amaranthcrank.core import model
+from amaranthcrank.grant import grants
+
+A, B, C = (model.SlotId('s', each) for each in range(3))
+
+
+def record_with(
+    **assignments: model.Assignment,
+) -> model.CellRecord:
+    by_slot = {
+        {'a': A, 'b': B, 'c': C}[name]: each
+        for name, each in assignments.items()
+    }
+    return model.CellRecord('c', 5, ('h',), ('h',), (), 1, by_slot)
+
+
+RECORD = record_with(
+    a=model.Assignment('new', 3, 'old'),
+    b=model.Assignment('new', 5, 'old'),
+    c=model.Assignment('new', 5, '*'),
+)
+
+
+class GrantableTest(unittest.TestCase):
+    def test_waits_for_effect_or_release(self) -> None:
+        """Guards against a grant while the previous owner may hold it."""
+        none: dict[str, grants.Release] = {}
+        early = {'old': grants.Release(4, frozenset({B}))}
+        released = grants.with_release(none, 'old', 5, (B, C))
+        for effective, releases, slots in (
+            (2, none, []),
+            (3, none, [0]),
+            (3, early, [0]),
+            (3, released, [0, 1]),
+            (5, none, [0, 1, 2]),
+        ):
+            granted = grants.grantable_slots(
+                RECORD, 'new', effective, releases
+            )
+            self.assertEqual(slots, [each[1] for each in granted])
+
+    def test_releases_are_due_only_when_exclusive(self) -> None:
+        """Guards against a release that a restarted owner forgets."""
+        self.assertEqual((), grants.due_releases(RECORD, 'new', 3, {}, 4))
+        due = grants.due_releases(RECORD, 'new', 3, {}, 5)
+        self.assertEqual((grants.DueRelease('old', 5, (B,)),), due)
+        released = grants.with_release({}, 'old', 5, (B,))
+        due = grants.due_releases(RECORD, 'new', 3, released, 5)
+        self.assertEqual((), due)
+
+    def test_newer_release_replaces_the_older(self) -> None:
+        """Guards against a release that a later grant has undone."""
+        released = grants.with_release({}, 'old', 4, (A,))
+        released = grants.with_release(released, 'old', 5, (B,))
+        self.assertEqual(grants.Release(5, frozenset({B})), released['old'])
+        same = grants.with_release(released, 'old', 4, (C,))
+        self.assertIs(released, same)
+
+
+class ControlStepTest(unittest.TestCase):
+    def step(
+        self, view: grants.TargetView, until: float, now: float
+    ) -> grants.Step:
+        return grants.next_control_step(view, RECORD, until, 5, {}, now)
+
+    def answered(self, version: int = 0) -> grants.TargetView:
+        view = grants.new_view('new')
+        step = self.step(view, 9.0, 1.0)
+        self.assertEqual(grants.PROBE, step.kind)
+        view = grants.record_sent(view, step, 1.0)
+        answer = grants.Answer('i1', 'x1', version, False, 0)
+        return grants.record_answer(view, answer, 1.0).view
+
+    def test_probe_then_grant_then_renewal(self) -> None:
+        """Guards against renewals that come too late or without need."""
+        view = self.answered()
+        step = self.step(view, 9.0, 1.0)
+        self.assertEqual(
+            (grants.GRANT, 'i1', 'x1', 5),
+            (step.kind, step.incarnation, step.challenge, step.version),
+        )
+        view = grants.record_sent(view, step, 1.0)
+        self.assertEqual(grants.NOTHING, self.step(view, 9.0, 3.0).kind)
+        answer = grants.Answer('i1', 'x2', 5, False, 0)
+        view = grants.record_answer(view, answer, 1.0).view
+        self.assertEqual(grants.NOTHING, self.step(view, 9.0, 1.1).kind)
+        self.assertEqual('x2', self.step(view, 9.0, 1.25).challenge)
+        # A challenge older than the lease would be refused.
+        self.assertEqual(grants.PROBE, self.step(view, 9.0, 1.7).kind)
+
+    def test_no_grant_without_standing_or_below_the_version_seen(self) -> None:
+        """Guards against grants of a host that has fallen behind."""
+        self.assertEqual(
+            grants.PROBE, self.step(self.answered(), 0.5, 1.0).kind
+        )
+        self.assertEqual(
+            grants.PROBE, self.step(self.answered(6), 9.0, 1.2).kind
+        )
+
+    def test_two_misses_mark_a_target_down(self) -> None:
+        """Guards against a move for one lost answer, or none at all."""
+        noted = grants.record_miss(self.answered(), 1.2)
+        self.assertFalse(noted.down)
+        self.assertEqual(grants.GRANT, self.step(noted.view, 9.0, 1.2).kind)
+        noted = grants.record_miss(noted.view, 1.4)
+        self.assertTrue(noted.down)
+        answer = grants.Answer('i2', 'y1', 0, False, 0)
+        noted = grants.record_answer(noted.view, answer, 1.5)
+        self.assertEqual((False, True), (noted.down, noted.restarted))
+        self.assertEqual('i2', self.step(noted.view, 9.0, 1.5).incarnation)
+
+    def test_repeated_refusals_wait_for_the_interval(self) -> None:
+        """Guards against a loop of grants and refusals without a pause."""
+        view = self.answered()
+        sent = 0
+        for number in range(10):
+            step = self.step(view, 9.0, 1.0)
+            if step.kind == grants.NOTHING:
+                break
+            sent += 1
+            view = grants.record_sent(view, step, 1.0)
+            answer = grants.Answer('i1', f'x{number}', 0, False, 0, False)
+            view = grants.record_answer(view, answer, 1.0).view
+        self.assertLess(sent, 4)
