Test pins by their own slot numbers

Ruled out: keeping both numberings.

Conclusion: the tests ask the same of the new numbers: a key never changes its slot without the wait.

--- a/amaranthcrank/record/settlement_test.py
+++ b/amaranthcrank/record/settlement_test.py
@@ -78,27 +78,83 @@
         self.assertEqual(((), ('old',)), (due.take, due.waiting_for))
 
 
+def pin_of(key: str) -> model.SlotId:
+    return model.SlotId('s', hashing.pin_number('s', key, 8))
+
+
+def base_of(key: str) -> model.SlotId:
+    return model.SlotId('s', hashing.slot_of('s', key, 8))
+
+
 class PinsTest(unittest.TestCase):
     def test_pin_stays_in_the_cell_of_its_slot(self) -> None:
         """Guards against a pin that moves a key between cells."""
-        state = state_of(4, {'k1': 't1', 'k2': 't2'})
+        pins = {'k1': 't1', 'k2': 't2'}
+        state = state_of(4, pins)
         for cell, numbers in (('a', range(4)), ('c', range(4, 8))):
             expected = {
-                model.SlotId('s', 8 + position): target
-                for position, (key, target) in enumerate(
-                    (('k1', 't1'), ('k2', 't2'))
-                )
-                if hashing.slot_of('s', key, 8) in numbers
+                pin_of(key): target
+                for key, target in pins.items()
+                if base_of(key).slot in numbers
             }
             self.assertEqual(expected, settlement.pinned_slots(state, cell))
 
+    def test_pin_number_is_apart_from_other_pins(self) -> None:
+        """Guards against a slot that gets another key with another pin."""
+        for key in ('k1', 'k2', 'k0'):
+            self.assertTrue(hashing.is_pin(pin_of(key).slot))
+            self.assertFalse(hashing.is_pin(base_of(key).slot))
+            base = hashing.base_of_pin(pin_of(key).slot)
+            self.assertEqual(base_of(key).slot, base)
+
     def test_changed_pins_remap_slots(self) -> None:
         """Guards against a key that changes its slot without a wait."""
-        old = state_of(4, {'k1': 't1', 'k2': 't2'})
-        base = model.SlotId('s', hashing.slot_of('s', 'k1', 8))
-        changed = settlement.remapped_slots(old, state_of(4, {'k2': 't2'}))
-        self.assertEqual({base, model.SlotId('s', 8)}, changed)
-        added = state_of(4, {'k0': 't1', 'k1': 't1', 'k2': 't2'})
-        numbers = {each.slot for each in settlement.remapped_slots(old, added)}
-        self.assertEqual({8, 9, 10}, numbers)
-        self.assertEqual(frozenset(), settlement.remapped_slots(old, old))
+        record = record_of('a', range(8), 1, 1)
+        pinned = {pin_of('k1'), pin_of('k2')}
+        added = settlement.remapped_slots(record, pinned)
+        self.assertEqual(pinned, added.gains)
+        self.assertEqual({base_of('k1'), base_of('k2')}, added.loses)
+        slots = {
+            slot_id: model.Assignment('t', 0, '')
+            for slot_id in (*record.assignment_by_slot, *pinned)
+        }
+        record = cell_record.with_assignments(
+            record, slots, 2, 2, added.gains, added.loses
+        )
+        self.assertEqual(
+            cell_record.UNRESOLVED,
+            record.assignment_by_slot[pin_of('k1')].previous_target,
+        )
+        self.assertEqual(
+            model.Assignment('t', 3, ''),
+            record.assignment_by_slot[base_of('k1')],
+        )
+        same = settlement.remapped_slots(record, pinned)
+        self.assertEqual(settlement.Remapped(frozenset(), frozenset()), same)
+        gone = settlement.remapped_slots(record, {pin_of('k2')})
+        self.assertEqual(({base_of('k1')}, set()), tuple(map(set, gone)))
+        del slots[pin_of('k1')]
+        record = cell_record.with_assignments(
+            record, slots, 3, 3, gone.gains, gone.loses
+        )
+        self.assertEqual(
+            model.Assignment('t', 4, cell_record.UNRESOLVED),
+            record.assignment_by_slot[base_of('k1')],
+        )
+
+    def test_pin_during_a_move_keeps_the_wait(self) -> None:
+        """Guards against a new fence that forgets an earlier owner."""
+        record = record_of('a', range(8), 1, 1)
+        base = base_of('k1')
+        moved = {**record.assignment_by_slot}
+        moved[base] = model.Assignment('t9', 0, '')
+        record = cell_record.with_assignments(record, moved, 2, 1)
+        changed = settlement.remapped_slots(record, {pin_of('k1')})
+        moved[pin_of('k1')] = model.Assignment('t', 0, '')
+        record = cell_record.with_assignments(
+            record, moved, 2, 2, changed.gains, changed.loses
+        )
+        self.assertEqual(
+            cell_record.UNRESOLVED,
+            record.assignment_by_slot[base].previous_target,
+        )
