Plan only when something that a plan looks at has changed

Cause: the acting controller planned every slot on every tick and took 3.2% of a core while idle, 1.6% of it for planning (profile of the control actor, 256 slots, 3 targets, 2 hosts a cell); the limit is 2.3% for all control.

Ruled out: a longer tick, because it would add to the time without an owner.

Conclusion: a plan is made again when record, effective version, ticket, unusable targets or the other cells' records change.

--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -105,6 +105,9 @@
         self.store_reachable = False
         self.store_changed_at_ms = ledger_actor.wall_ms()
         self.other_record_by_cell: dict[str, model.CellRecord | None] = {}
+        self.other_records_number = 0
+        self.planned_for: tuple[typing.Any, ...] = ()
+        self.hosts_by_cell: dict[str, tuple[str, ...]] = {}
         self.writing = False
         self.next_heartbeat_at = now
         self.next_export_at = now
@@ -437,6 +440,7 @@
                 _join_as_attester(state, cell)
     _follow_targets(state)
     _set_link_rate(state)
+    state.hosts_by_cell = _hosts_by_cell(state)
     _publish(state, live_hosts(state, now), now)
 
 
@@ -488,6 +492,7 @@
     for host in (*message.hosts.live, *message.hosts.leaving):
         state.address_by_host[host.host] = _split_address(host.address)
     _set_link_rate(state)
+    state.hosts_by_cell = _hosts_by_cell(state)
     known = dict(state.address_by_host)
     known.pop(state.host, None)
     links_module.set_hosts(state.links, known)
@@ -516,6 +521,7 @@
     # about it.
     if state.ticket is not None and message.ticket == state.ticket.number:
         state.other_record_by_cell = message.record_by_cell
+        state.other_records_number += 1
 
 
 def _write_done(state: ControlState, message: messages.WriteDone) -> None:
@@ -719,7 +725,7 @@
         until,
         granted,
         live,
-        _hosts_by_cell(state),
+        state.hosts_by_cell,
         state.quarantined,
     )
 
--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -115,10 +115,42 @@
         if standing.list_change_in_force(agreement):
             return cell_record.with_change_finished(record)
     following = _without_silent(state, agreement, now)
-    if following is None:
-        following = _planned(state, agreement, live, now)
-    if following is None:
-        following = _settled(state, agreement, now)
+    if following is not None or state.ticket is None:
+        return following
+    return _followed_ticket(state, agreement, live, now)
+
+
+def _followed_ticket(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    live: tuple[str, ...],
+    now: float,
+) -> model.CellRecord | None:
+    """Return the next version that the ticket asks for, None if none.
+
+    Planning looks at every slot. It is left out while nothing that it looks
+    at has changed, because on every tick it took 1.6% of a core.
+    """
+    effective = standing.effective_version(agreement, now)
+    seen = (
+        agreement.record.version,
+        effective,
+        state.ticket.number,
+        _unusable(state, live),
+        state.other_records_number,
+    )
+    if seen == state.planned_for:
+        return None
+    due = _settlement(state, agreement, effective)
+    if due.missing or due.waiting_for:
+        _ask_others(state, due)
+    following = _planned(state, agreement, live, effective, due)
+    if following is None and due.raise_settled:
+        following = cell_record.with_settled_ticket(
+            agreement.record, state.ticket.number
+        )
+    if following is None and not due.waiting_for:
+        state.planned_for = seen
     return following
 
 
@@ -144,16 +176,11 @@
     state: 'control.ControlState',
     agreement: standing.StandingState,
     live: tuple[str, ...],
-    now: float,
+    effective: int,
+    due: settlement.Settlement,
 ) -> model.CellRecord | None:
     """Return the record with every slot on a usable target."""
-    if state.ticket is None:
-        return None
     record = agreement.record
-    effective = standing.effective_version(agreement, now)
-    due = _settlement(state, agreement, effective)
-    if due.take or due.missing or due.waiting_for:
-        _ask_others(state, due)
     held = frozenset(record.assignment_by_slot)
     pins = settlement.pinned_slots(state.state, state.cell)
     remapped = settlement.remapped_slots(record, frozenset(pins))
@@ -203,29 +230,11 @@
 def _ask_others(
     state: 'control.ControlState', due: settlement.Settlement
 ) -> None:
-    if not due.missing and not due.waiting_for:
-        return
     tasks_module.read_others(
         state.tasks, state.cell, due.missing, state.ticket.number
     )
 
 
-def _settled(
-    state: 'control.ControlState',
-    agreement: standing.StandingState,
-    now: float,
-) -> model.CellRecord | None:
-    if state.ticket is None:
-        return None
-    effective = standing.effective_version(agreement, now)
-    due = _settlement(state, agreement, effective)
-    if not due.raise_settled:
-        return None
-    return cell_record.with_settled_ticket(
-        agreement.record, state.ticket.number
-    )
-
-
 def _targets(state: 'control.ControlState') -> tuple[model.Target, ...]:
     found = []
     for target in state.target_by_id.values():
