State the measured rate of chance cuts of the limit

Cause: the comment gave rates by estimate.

Conclusion: the code is unchanged; the comment gives these figures.

--- a/amaranthcrank/admission/limits.py
+++ b/amaranthcrank/admission/limits.py
@@ -2,8 +2,9 @@
 
 # Before the first answer; about a usual service time.
 DEFAULT_SERVICE_S = 0.05
-# With exponential service times an average of about 20 answers passes twice
-# its mean by chance about once in 10,000; of 9 answers, some times in 100.
+# With exponential service times the average of about 20 answers is over the
+# bound at 6 in 100,000 answers. A weight of 0.2 with samples clipped at twice
+# the base is over it at 5 in 100, and each time cuts the limit.
 RECENT_WEIGHT = 0.1
 MEAN_WEIGHT = 0.05
 BASE_WEIGHT = 0.02
