--- a/tools/measuring.py
+++ b/tools/measuring.py
@@ -3,6 +3,7 @@
 from collections import abc
 from concurrent import futures
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -24,6 +25,8 @@
 FIRST_PORT = 20_000
 PORTS = 10_000
 PORTS_APART = 131
+# Several set-ups of one process take different ports.
+_ports = itertools.count()
 
 
 class Spread(typing.NamedTuple):
@@ -151,8 +154,9 @@
     A port of that range can be taken by a client while its server is down;
     a client that dials it can even connect to itself.
     """
-    for number in range(PORTS):
-        port = FIRST_PORT + (os.getpid() * PORTS_APART + number) % PORTS
+    first = os.getpid() * PORTS_APART
+    while True:
+        port = FIRST_PORT + (first + next(_ports)) % PORTS
         with socket.socket() as sock:
             try:
                 sock.bind(('127.0.0.1', port))
