Do not refuse as not run after an attempt that may have run

Cause: the entry host answered with its last attempt alone. A lookup that was sent to an upstream before its loss, tried again and then refused, for example for its deadline, was answered as not run. Found by reading the path that the loss of an upstream takes; no run has shown it.

The answer is now the last unknown outcome where there is one.

--- a/amaranthcrank/daemon/requests.py
+++ b/amaranthcrank/daemon/requests.py
@@ -135,17 +135,21 @@
     node: Node, request: model.Request, deadline_at: float
 ) -> model.Outcome:
     attempt = 0
+    unknown = None
     while True:
         attempt += 1
         outcome = _try_once(node, request, deadline_at)
         if outcome.code.outcome == codes.SERVED:
             return outcome
+        if outcome.code.outcome == codes.UNKNOWN:
+            unknown = outcome
         now = time.monotonic()
         at = _next_attempt_at(
             node, request, outcome, attempt, deadline_at, now
         )
         if at is None:
-            return outcome
+            # A refusal says nothing about the attempts before it.
+            return unknown or outcome
         time.sleep(max(0.0, at - now))
 
 
