--- a/proofs/process_failures_test.py
+++ b/proofs/process_failures_test.py
@@ -497,18 +497,53 @@
     def others(self, host: str) -> list[str]:
         return [each for each in self.hosts() if each != host]
 
+    def send_changes(
+        self, host: str, deadline_ms: int, executor: futures.Executor
+    ) -> futures.Future:
+        """Send work through a host, with the same id through another later.
+
+        Returns:
+          The results to come; upstreams have begun with the work.
+        """
+        self.set_upstreams(service_ms=500)
+        before = {each['request_id'] for each in self.runs()}
+        calls = [
+            self.one_call(each, 'POST', deadline_ms)._replace(entry=0)
+            for each in range(0, SLOTS, 2)
+        ]
+        sending = executor.submit(
+            caller.send_calls,
+            self.callers([host, *self.others(host)]),
+            calls,
+            threads=len(calls),
+            attempts=2,
+        )
+
+        def begun() -> bool:
+            ids = {each['request_id'] for each in self.runs()} - before
+            count = 0
+            for call in calls:
+                count += any(each.endswith(call.id_suffix) for each in ids)
+            return count >= len(self.fleet.upstream_by_target)
+
+        self.await_condition(begun)
+        self.set_upstreams(service_ms=5)
+        return sending
+
     def test_entry_host_killed(self) -> None:
         """Guards against slots that move because their host was lost."""
         before = self.record(BALAJU.name)
         # The acting controller; in its cell another host has to take over.
         host = before.hosts[0]
         slots = sorted(each.slot for each in before.assignment_by_slot)
-        with self.load(21):
+        with self.load(21), futures.ThreadPoolExecutor(1) as executor:
+            sending = self.send_changes(host, 3000, executor)
             lost_at = time.monotonic()
             self.fleet.daemon_by_host[host].popen.kill()
             self.await_served_again(
                 'entry host killed', slots, self.others(host), lost_at
             )
+            self.results += sending.result()
         fleet_module.start_daemon(self.fleet, host, self.domain_of(host))
         self.await_whole()
         after = self.record(BALAJU.name)
@@ -521,7 +556,12 @@
         host = before.hosts[0]
         popen = self.fleet.daemon_by_host[host].popen
         slots = sorted(each.slot for each in before.assignment_by_slot)
-        with self.load(22, seconds=6.0):
+        with (
+            self.load(22, seconds=6.0),
+            futures.ThreadPoolExecutor(1) as executor,
+        ):
+            # A caller gives up, and repeats the id, before the host returns.
+            sending = self.send_changes(host, 700, executor)
             lost_at = time.monotonic()
             popen.send_signal(signal.SIGSTOP)
             try:
@@ -533,6 +573,8 @@
                     self.results += self.send_each(slots, others, 'POST')
             finally:
                 popen.send_signal(signal.SIGCONT)
+            self.results += sending.result()
+            self.assertIn(2, [each.attempts for each in self.results])
             self.await_whole()
         after = self.record(BALAJU.name)
         # It must not take the others for lost, whom it did not hear.
