Reserve the addresses of a set-up among set-ups that run at once

Two runs of the process tests side by side chose the same port once in four runs, because the search began at numbers made from neighbouring process ids.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,7 +1,6 @@
 """A whole set-up as processes on loopback, for the demo and for tests."""
 
 import contextlib
-import itertools
 import json
 import os
 import pathlib
@@ -25,7 +24,6 @@
 # Below the ephemeral range, which begins at 32768 on Linux.
 FIRST_PORT = 12_000
 MAX_PORTS = 20_000
-_PORTS = itertools.count()
 
 
 class Domain(typing.NamedTuple):
@@ -164,16 +162,24 @@
     }
 
 
-def free_address() -> str:
+def free_address(fleet: Fleet) -> str:
     """Choose a free address that no outgoing connection takes.
 
     A process that is started again needs its old port. Connections that are
-    dialled meanwhile may be given any port of the ephemeral range.
+    dialled meanwhile may be given any port of the ephemeral range. A bound
+    UDP port of the same number reserves the address among set-ups that run
+    at once, until the end of this one.
     """
-    for _ in range(MAX_PORTS):
-        port = FIRST_PORT + (os.getpid() * 64 + next(_PORTS)) % MAX_PORTS
-        with socket.socket() as probe, contextlib.suppress(OSError):
+    for port in range(FIRST_PORT, FIRST_PORT + MAX_PORTS):
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            reserved = stack.enter_context(
+                socket.socket(type=socket.SOCK_DGRAM)
+            )
+            reserved.bind(('127.0.0.1', port))
+            probe = stack.enter_context(socket.socket())
             probe.bind(('127.0.0.1', port))
+            probe.close()
+            fleet.stack.enter_context(stack.pop_all())
             return f'127.0.0.1:{port}'
     raise RuntimeError('no port is free')
 
@@ -187,7 +193,7 @@
         '--service',
         service,
         '--address',
-        address or free_address(),
+        address or free_address(fleet),
         '--record-url',
         f'http://{fleet.recorder.address}',
         *fleet.upstream_options,
@@ -248,9 +254,9 @@
         'host_id': host,
         'failure_domain': domain.name,
         'region': domain.region,
-        'caller_address': old.callers if old else free_address(),
-        'peer_address': old.peers if old else free_address(),
-        'operator_address': old.operators if old else free_address(),
+        'caller_address': old.callers if old else free_address(fleet),
+        'peer_address': old.peers if old else free_address(fleet),
+        'operator_address': old.operators if old else free_address(fleet),
         'store_url': f'http://{fleet.store.address}',
         'peers': ','.join(
             f'{each.host}={each.peers}'
