--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -39,9 +39,6 @@
 log = logs.logger('control')
 
 TICK_S = 0.05
-# A tick that is this late shows that the process was paused. What it heard
-# before says nothing about the other hosts now.
-PAUSE_S = 0.3
 # Dispatch moves to another host after this silence. Two peers that disagree
 # on who dispatches cost a refused attempt, never a second owner.
 DISPATCH_SILENCE_S = 0.3
@@ -50,6 +47,8 @@
 # A broken connection counts as a crash only if the upstream proves to be
 # down or restarted within this time.
 SUSPICION_S = 5.0
+# A process that did not run for this long has lost its standing.
+PAUSE_S = model.STANDING_LEASE_S
 
 
 class ControlState:
@@ -80,7 +79,6 @@
         self.renewer = renewer
         self.gate_ref = gate_ref
         self.ref: pykka.ActorRef | None = None
-        self.started_at = now
         self.ticked_at = now
         self.listening_since = now
         self.standing_by_cell = {
@@ -202,6 +200,7 @@
 def _note_listening(state: ControlState, now: float) -> None:
     """Keep since when the silence of another host says something."""
     if now - state.ticked_at > PAUSE_S:
+        log.warning('The host was paused for {:.1f} s.', now - state.ticked_at)
         state.listening_since = now
     state.ticked_at = now
     state.listening_since = failure_detector.listening_since(
--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -282,7 +282,7 @@
         if host == state.host:
             continue
         peer = agreement.peer_by_host.get(host, standing.NO_PEER)
-        silent_s = min(now - peer.heard_at, now - state.started_at)
+        silent_s = min(now - peer.heard_at, now - state.listening_since)
         serving = peer.ticket > 0 and host not in state.leaving_hosts
         view_by_host[host] = status.HostView(
             peer.ticket, serving, int(silent_s * 1000)
