--- a/tools/measure_throughput.py
+++ b/tools/measure_throughput.py
@@ -16,6 +16,7 @@
 
 from amaranthcrank.core import hashing
 from standins import fleet as fleet_module
+from tools import measure_control
 from tools import measuring
 
 SERVICE = 'soaklog'
@@ -68,6 +69,7 @@
     spread: measuring.Spread
     refused: int
     processor_by_host: dict[str, float]
+    link_bytes_by_host: dict[str, float]
 
 
 def main() -> None:
@@ -274,6 +276,7 @@
     address = fleet.daemon_by_host[path.entry].callers
     loaders = min(LOADERS, connections)
     before = _processor(fleet)
+    sent_before = measure_control.sent_by_kind(fleet)
     begun = time.monotonic()
     pending = [
         executor.submit(
@@ -284,12 +287,18 @@
     found = [each.result() for each in pending]
     seconds = time.monotonic() - begun
     after = _processor(fleet)
+    sent_after = measure_control.sent_by_kind(fleet)
     times = [taken for each in found for taken in each.served_s]
     refused = sum(each.refused for each in found)
     count = len(times) + refused
     used = {}
+    link_bytes = {}
     for host in (path.entry, path.dispatching):
         used[host] = (after[host] - before[host]) / count
+        name = (fleet.daemon_by_host[host].popen.pid, 'link')
+        wire = measure_control.wire_bytes(sent_after[name])
+        wire -= measure_control.wire_bytes(sent_before[name])
+        link_bytes[host] = wire / count
     rate = len(times) / max(seconds, STEP_S)
     return Step(connections, rate, measuring.spread_of(times), refused, used)
 
@@ -318,6 +327,13 @@
             'ms',
             setup,
         )
+    if path.entry == path.dispatching:
+        return
+    for host, size in step.link_bytes_by_host.items():
+        what = 'request' if host == path.entry else 'answer'
+        measuring.emit(
+            f'{name}: bytes on the link per {what}', size, 'B', setup
+        )
 
 
 if __name__ == '__main__':
