Limit the threads that each rank may hold at the entry host

Cause: a request holds a thread of the caller server until its answer. In a flood of bulk work all threads waited for queues that put urgent work first, while urgent work waited unread.

Ruled out: more threads, which only moves the point; a separate server for each rank, because callers use one address.

Conclusion: each rank keeps a share of the threads; packages re-export their modules.

--- a/amaranthcrank/daemon/main.py
+++ b/amaranthcrank/daemon/main.py
@@ -18,6 +18,7 @@
 import urllib3
 
 from amaranthcrank.admission import gate
+from amaranthcrank.admission import intake_limit
 from amaranthcrank.core import codes
 from amaranthcrank.core import logs
 from amaranthcrank.core import metrics
@@ -201,6 +202,7 @@
         retries.open_budget(),
         itertools.count(1),
         forwards_module.open_forwards(stack, links),
+        intake_limit.open_limit(settings.caller_threads),
     )
     operators = operators_module.Operators(node, ref, state.tasks.client)
     _add_handlers(handlers, node, operators, ref)
--- a/amaranthcrank/daemon/requests.py
+++ b/amaranthcrank/daemon/requests.py
@@ -13,6 +13,7 @@
 import pykka
 
 from amaranthcrank.admission import gate
+from amaranthcrank.admission import intake_limit
 from amaranthcrank.core import codes
 from amaranthcrank.core import hashing
 from amaranthcrank.core import metrics
@@ -48,6 +49,8 @@
 # host with standing may, and two that disagree must not pass it to and fro.
 MAX_HOPS = 2
 ACTOR_TIMEOUT_S = 1.0
+# About as long as a few requests take at an upstream.
+INTAKE_RETRY_AFTER_MS = 200
 
 
 class Node(typing.NamedTuple):
@@ -63,6 +66,7 @@
       budget: The retry budget of the entry host.
       counter: Numbers work.
       forwards: The requests that wait for other hosts.
+      intake: The threads that each rank may hold.
     """
 
     cell: str
@@ -73,6 +77,7 @@
     budget: retries.RetryBudget
     counter: 'itertools.count[int]'
     forwards: forwards_module.Forwards
+    intake: intake_limit.IntakeLimit
 
 
 def handle(node: Node, request: model.Request) -> model.Outcome:
@@ -92,7 +97,7 @@
         'intake', request.traceparent, service=request.service
     ) as traceparent:
         request = request._replace(traceparent=traceparent)
-        outcome = _try_until(node, request, deadline_at)
+        outcome = _admit(node, request, deadline_at)
     if not request.repeatable and outcome.code.outcome == codes.NOT_RUN:
         outcome = _confirm_refusal(node, request, outcome)
     seconds = time.monotonic() - started
@@ -131,6 +136,18 @@
     links_module.reply(node.context.links, host, frame_id, answer)
 
 
+def _admit(
+    node: Node, request: model.Request, deadline_at: float
+) -> model.Outcome:
+    """Try the request while its rank may hold another thread."""
+    if not intake_limit.enter(node.intake, request.rank):
+        return model.refusal(codes.OVERLOADED, 'intake', INTAKE_RETRY_AFTER_MS)
+    try:
+        return _try_until(node, request, deadline_at)
+    finally:
+        intake_limit.leave(node.intake, request.rank)
+
+
 def _try_until(
     node: Node, request: model.Request, deadline_at: float
 ) -> model.Outcome:
--- a/amaranthcrank/plan/__init__.py
+++ b/amaranthcrank/plan/__init__.py
@@ -1,1 +1,5 @@
 """Second control stage: which target owns which slot."""
+
+from amaranthcrank.plan import assignment
+
+__all__ = ('assignment',)
--- a/amaranthcrank/record/__init__.py
+++ b/amaranthcrank/record/__init__.py
@@ -1,1 +1,15 @@
 """Third control stage: what the store holds."""
+
+from amaranthcrank.record import cell_record
+from amaranthcrank.record import keeper
+from amaranthcrank.record import settlement
+from amaranthcrank.record import store_client
+from amaranthcrank.record import tickets
+
+__all__ = (
+    'cell_record',
+    'keeper',
+    'settlement',
+    'store_client',
+    'tickets',
+)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -56,8 +56,8 @@
       The exit status.
     """
     with fleet_module.running(DOMAINS, (SERVICE,)) as fleet:
-        _file_first_ticket(fleet)
-        _await_owners(fleet)
+        file_first_ticket(fleet)
+        await_owners(fleet)
         time.sleep(LEDGER_START_S)
         calls = caller.plan_calls(SEED, CALLS, (SERVICE,))
         victim = f'{SERVICE}-{DOMAINS[0].name}-1'
@@ -79,7 +79,7 @@
     process.popen.send_signal(signal.SIGKILL)
 
 
-def _file_first_ticket(fleet: fleet_module.Fleet) -> None:
+def file_first_ticket(fleet: fleet_module.Fleet) -> None:
     """File the ticket with the command-line tool, as an operator does."""
     operators = [each.operators for each in fleet.daemon_by_host.values()]
     env = {
@@ -117,7 +117,7 @@
         raise RuntimeError(f'the ticket was refused: {done.returncode}')
 
 
-def _await_owners(fleet: fleet_module.Fleet) -> None:
+def await_owners(fleet: fleet_module.Fleet) -> None:
     """Wait until every slot has an owner that may be granted."""
     first = next(iter(fleet.daemon_by_host))
 
--- /dev/null
+++ b/tools/measure_flood.py
@@ -0,0 +1,189 @@
+"""Measures floods of one rank through real processes.
+
+One failure domain with two entry hosts and three upstreams of 3 slots. Calm
+load of all ranks runs all the time; the flood adds callers that send the
+next request as soon as the last is answered, which offers several times the
+capacity.
+"""
+
+import collections
+from collections import abc
+import contextlib
+import random
+import threading
+import time
+
+from hdrh import histogram
+import urllib3
+
+from amaranthcrank.core import codes
+from amaranthcrank.core import model
+from standins import fleet as fleet_module
+from tools import demo
+from tools import measuring
+
+SEED = 5
+SERVICE_MS = 20.0
+SERVICE = 'soaklog'
+DOMAIN = fleet_module.Domain('ktm-balaju', 'kathmandu', 2, 3)
+SLOTS = 3 * 3
+CAPACITY_PER_S = SLOTS * 1000 / SERVICE_MS
+CALM_SHARE_BY_RANK = {model.URGENT: 0.1, model.NORMAL: 0.2, model.BULK: 0.1}
+CALM_THREADS = 8
+FLOOD_THREADS = 400
+PHASE_S = 8.0
+DEADLINE_MS = 2_000
+KEYS = 200
+MAX_LATENCY_US = 60_000_000
+SETUP = (
+    f'2 hosts, 3 upstreams of 3 slots, {SERVICE_MS:.0f} ms service, '
+    f'{FLOOD_THREADS} flooding callers, {DEADLINE_MS} ms deadlines'
+)
+
+
+class Tally:
+    """What callers of one phase saw, by rank."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.latency_by_rank = {
+            rank: histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+            for rank in model.RANKS
+        }
+        self.count_by_rank_and_outcome: collections.Counter[
+            tuple[str, str]
+        ] = collections.Counter()
+
+
+def main() -> None:
+    """Print one JSON line for each figure."""
+    with contextlib.ExitStack() as stack:
+        fleet = stack.enter_context(
+            fleet_module.running(
+                (DOMAIN,),
+                (SERVICE,),
+                upstream_options=('--service-ms', str(SERVICE_MS)),
+            )
+        )
+        demo.file_first_ticket(fleet)
+        demo.await_owners(fleet)
+        hosts = [each.callers for each in fleet.daemon_by_host.values()]
+        _run_phase(hosts, None, 1.0)
+        for flood in (None, model.BULK, model.URGENT):
+            tally = _run_phase(hosts, flood, PHASE_S)
+            _report(flood or 'none', tally)
+        _report('none, after the floods', _run_phase(hosts, None, PHASE_S / 2))
+
+
+def _run_phase(
+    hosts: abc.Sequence[str], flood: str | None, seconds: float
+) -> Tally:
+    tally = Tally()
+    end_at = time.monotonic() + seconds
+    threads = []
+    for number in range(CALM_THREADS):
+        threads.append(
+            threading.Thread(
+                target=_calm_caller, args=(hosts, number, end_at, tally)
+            )
+        )
+    for number in range(FLOOD_THREADS if flood else 0):
+        threads.append(
+            threading.Thread(
+                target=_flooding_caller,
+                args=(hosts, flood, number, end_at, tally),
+            )
+        )
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return tally
+
+
+def _calm_caller(
+    hosts: abc.Sequence[str], number: int, end_at: float, tally: Tally
+) -> None:
+    """Send a fixed rate of mixed ranks, whatever the answers take."""
+    rng = random.Random(SEED * 1000 + number)
+    ranks = tuple(CALM_SHARE_BY_RANK)
+    weights = tuple(CALM_SHARE_BY_RANK.values())
+    rate_per_s = sum(weights) * CAPACITY_PER_S / CALM_THREADS
+    pool = urllib3.PoolManager(retries=False, timeout=10)
+    next_at = time.monotonic()
+    while next_at < end_at:
+        time.sleep(max(0.0, next_at - time.monotonic()))
+        next_at += rng.expovariate(rate_per_s)
+        rank = rng.choices(ranks, weights)[0]
+        _send(pool, rng, hosts, rank, f'calm-{number}', tally)
+
+
+def _flooding_caller(
+    hosts: abc.Sequence[str],
+    rank: str,
+    number: int,
+    end_at: float,
+    tally: Tally,
+) -> None:
+    rng = random.Random(SEED * 2000 + number)
+    pool = urllib3.PoolManager(retries=False, timeout=10)
+    while time.monotonic() < end_at:
+        outcome = _send(pool, rng, hosts, rank, f'flood-{number}', None)
+        if outcome != codes.SERVED:
+            # A caller that is refused asks again at once in the worst case;
+            # the pause only keeps the callers' own processor time down.
+            time.sleep(0.02)
+            continue
+
+
+def _send(
+    pool: urllib3.PoolManager,
+    rng: random.Random,
+    hosts: abc.Sequence[str],
+    rank: str,
+    caller: str,
+    tally: Tally | None,
+) -> str:
+    headers = {
+        'X-Request-Rank': rank,
+        'X-Request-Deadline-Ms': str(DEADLINE_MS),
+        'X-Caller-Id': caller,
+    }
+    url = f'http://{rng.choice(hosts)}/v1/{SERVICE}/{rng.randrange(KEYS)}'
+    started = time.monotonic()
+    try:
+        response = pool.request('GET', url, headers=headers)
+        outcome = response.headers.get('X-Outcome', '')
+    except urllib3.exceptions.HTTPError:
+        outcome = 'no answer'
+    if tally is None:
+        return outcome
+    micros = int((time.monotonic() - started) * 1e6)
+    with tally.lock:
+        tally.count_by_rank_and_outcome[rank, outcome] += 1
+        if outcome == codes.SERVED:
+            tally.latency_by_rank[rank].record_value(max(1, micros))
+    return outcome
+
+
+def _report(flood: str, tally: Tally) -> None:
+    for rank in model.RANKS:
+        counts: dict[str, int] = {}
+        for (each, outcome), count in tally.count_by_rank_and_outcome.items():
+            if each == rank:
+                counts[outcome] = count
+        total = sum(counts.values())
+        served = counts.get(codes.SERVED, 0)
+        _print(f'flood {flood}: {rank} kept', served / max(1, total), 'share')
+        latency = tally.latency_by_rank[rank]
+        for quantile in (50, 99):
+            value_ms = latency.get_value_at_percentile(quantile) / 1000
+            _print(f'flood {flood}: {rank} p{quantile}', value_ms, 'ms')
+
+
+def _print(figure: str, value: float, unit: str) -> None:
+    measuring.emit(figure, value, unit, SETUP, SEED)
+
+
+if __name__ == '__main__':
+    main()
