Show the current ticket whole in refusals

Cause: refusals of the operator interface carried only number and state of the current ticket, and errors that have nothing to do with tickets carried it too, so that the tool printed 'by None'.

Ruled out: leaving the author out in the tool.

Conclusion: only refusals of tickets carry the current one, with its author and what it touched.

--- a/amaranthcrank/daemon/operators.py
+++ b/amaranthcrank/daemon/operators.py
@@ -26,6 +26,9 @@
 
 STATUS_TIMEOUT_S = 0.5
 ACTOR_TIMEOUT_S = 2.0
+# Enough to see who changed what today; each one is a read of the store.
+LISTED_TICKETS = 20
+NO_TICKET = tickets.Ticket(0, '', '', 0, (), model.EMPTY_STATE)
 
 Answer = tuple[int, typing.Any]
 Parts = dict[str, str]
@@ -158,17 +161,17 @@
     key = parts['key']
     if service not in view.table_by_service:
         problem = codes.Problem(codes.UNKNOWN_SERVICE, 'service', service)
-        return 404, _problems((problem,), view)
+        return 404, status.problems_document((problem,))
     home = route.home_of(view.table_by_service, service, key)
     if home is None:
         problem = codes.Problem(codes.NO_OWNER, 'key', key)
-        return 404, _problems((problem,), view)
+        return 404, status.problems_document((problem,))
     record = view.record
     if home.cell != node.cell:
         record = _record_of(operators, home.cell)
     if record is None:
         problem = codes.Problem(codes.CELL_UNREACHABLE, 'cell', home.cell)
-        return 503, _problems((problem,), view)
+        return 503, status.problems_document((problem,))
     slot = route.slot_in_record(record, home, key)
     found = record.assignment_by_slot.get(slot, model.Assignment('', 0, ''))
     return 200, status.owner_document(
@@ -202,7 +205,7 @@
 def _list_tickets(operators: Operators, parts: Parts, body: bytes) -> Answer:
     listing = store_client.list_objects(operators.client, keeper.TICKETS)
     if listing.is_error():
-        return _store_error(listing.error, operators)
+        return _store_error(listing.error)
     numbers = []
     for name in listing.ok.version_by_name:
         if name.isdigit():
@@ -211,29 +214,25 @@
     for number in sorted(numbers)[-LISTED_TICKETS:]:
         result = keeper.read_ticket(operators.client, number)
         if result.is_error():
-            return _store_error(result.error, operators)
+            return _store_error(result.error)
         if result.ok is not None:
             found.append(_shown(result.ok, False))
     return 200, {'tickets': found}
 
 
-# Enough to see who changed what today; each one is a read of the store.
-LISTED_TICKETS = 20
-
-
 def _show_ticket(operators: Operators, parts: Parts, body: bytes) -> Answer:
     number = parts['number']
     if number == 'current':
         return _show_current(operators)
     if not number.isdigit():
         problem = codes.Problem(codes.TICKET_NOT_FOUND, 'number', number)
-        return 404, _problems((problem,), operators.node.holder.view)
+        return 404, status.problems_document((problem,))
     result = keeper.read_ticket(operators.client, int(number))
     if result.is_error():
-        return _store_error(result.error, operators)
+        return _store_error(result.error)
     if result.ok is None:
         problem = codes.Problem(codes.TICKET_NOT_FOUND, 'number', number)
-        return 404, _problems((problem,), operators.node.holder.view)
+        return 404, status.problems_document((problem,))
     return 200, _shown(result.ok, True)
 
 
@@ -247,10 +246,10 @@
             messages.AskTicket(), timeout=ACTOR_TIMEOUT_S
         )
         if found is None:
-            return _store_error(result.error, operators)
+            return _store_error(result.error)
     if found is None:
         problem = codes.Problem(codes.TICKET_NOT_FOUND, 'number', 'current')
-        return 404, _problems((problem,), operators.node.holder.view)
+        return 404, status.problems_document((problem,))
     return 200, _shown(found, True)
 
 
@@ -263,75 +262,62 @@
 
 
 def _file_ticket(operators: Operators, parts: Parts, body: bytes) -> Answer:
-    view = operators.node.holder.view
     document, problems = tickets.parse_document(body)
     if document is None:
-        return 400, _problems(problems, view)
+        return 400, status.problems_document(problems)
     newest = keeper.read_newest_ticket(operators.client)
     if newest.is_error():
-        return _store_error(newest.error, operators)
-    current = newest.ok
-    state = current.state if current else model.EMPTY_STATE
-    number = current.number if current else 0
-    if current is not None and current.uid == document.uid:
-        # The answer to this very document was lost before.
-        return 201, {'number': number}
-    problems = tickets.check_document(document, state, number)
+        return _store_error(newest.error)
+    current = newest.ok or NO_TICKET
+    earlier = _filed_before(operators, document, current)
+    if earlier is not None:
+        return 201, {'number': earlier.number}
+    problems = tickets.check_document(document, current.state, current.number)
     if problems:
-        return _refusal(problems, number, state)
+        return _refusal(problems, current)
     ticket = tickets.make_ticket(
-        document, state, number, time.time_ns() // 1_000_000
+        document, current.state, current.number, time.time_ns() // 1_000_000
     )
     filed = keeper.file_ticket(operators.client, ticket)
     if filed.is_error():
-        return _store_error(filed.error, operators)
+        return _store_error(filed.error)
     if filed.ok is None or filed.ok.uid != ticket.uid:
         detail = f'ticket {ticket.number} is taken'
         problem = codes.Problem(codes.TICKET_CONFLICT, 'expected', detail)
-        winner = filed.ok or ticket
-        return _refusal((problem,), winner.number, winner.state)
+        return _refusal((problem,), filed.ok or current)
     operators.control_ref.tell(messages.TicketIn(ticket, True))
     return 201, {'number': ticket.number}
 
 
+def _filed_before(
+    operators: Operators,
+    document: tickets.Document,
+    current: tickets.Ticket,
+) -> tickets.Ticket | None:
+    """Return the ticket of the same document, filed when its answer was lost.
+
+    It has the number after the one that the document expects, which need not
+    be the newest any more.
+    """
+    if document.expected is None or document.expected >= current.number:
+        return None
+    found = keeper.read_ticket(operators.client, document.expected + 1)
+    if found.is_error() or found.ok is None:
+        return None
+    return found.ok if found.ok.uid == document.uid else None
+
+
 def _refusal(
-    problems: tuple[codes.Problem, ...],
-    number: int,
-    state: dict[str, typing.Any],
+    problems: tuple[codes.Problem, ...], current: tickets.Ticket
 ) -> Answer:
     http_status = max(each.code.http_status for each in problems)
-    return http_status, {
-        'problems': [_problem(each) for each in problems],
-        'current': {'number': number, 'state': state},
-    }
+    shown = _shown(current, True) if current.number else None
+    return http_status, status.problems_document(problems, shown)
 
 
-def _store_error(error: codes.Problem, operators: Operators) -> Answer:
+def _store_error(error: codes.Problem) -> Answer:
     code = codes.TICKET_STORE_DOWN
     if error.code in (codes.STORE_ANSWER_LOST, codes.STORE_OVERTAKEN):
         code = codes.TICKET_OUTCOME_UNKNOWN
     problem = codes.Problem(code, 'store', error.detail)
-    view = operators.node.holder.view
-    return code.http_status, _problems((problem,), view)
-
-
-def _problems(
-    problems: abc.Iterable[codes.Problem], view: typing.Any
-) -> dict[str, typing.Any]:
-    return {
-        'problems': [_problem(each) for each in problems],
-        'current': _current(view),
-    }
-
-
-def _current(view: typing.Any) -> dict[str, typing.Any]:
-    return {'number': view.ticket, 'state': view.state}
-
-
-def _problem(problem: codes.Problem) -> dict[str, typing.Any]:
-    return {
-        'number': problem.code.number,
-        'name': problem.code.name,
-        'place': problem.place,
-        'detail': problem.detail,
-    }
+    return code.http_status, status.problems_document((problem,))
