--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -440,7 +440,7 @@
     ticket = message.ticket
     if ticket is None:
         return
-    if state.ticket is not None and ticket.number <= state.ticket.number:
+    if not tickets.is_newer(state.ticket, ticket):
         return
     state.ticket = ticket
     state.state = ticket.state
--- a/amaranthcrank/daemon/operators.py
+++ b/amaranthcrank/daemon/operators.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+import expression
 import pykka
 
 from amaranthcrank.core import codes
@@ -273,11 +274,16 @@
     current = newest.ok
     state = current.state if current else model.EMPTY_STATE
     number = current.number if current else 0
-    if current is not None and current.uid == document.uid:
+    if tickets.is_filing_of(current, document):
         # The answer to this very document was lost before.
         return 201, {'number': number}
     problems = tickets.check_document(document, state, number)
     if problems:
+        earlier = _read_earlier(operators, document, number)
+        if earlier.is_error():
+            return _store_error(earlier.error, operators)
+        if tickets.is_filing_of(earlier.ok, document):
+            return 201, {'number': earlier.ok.number}
         return _refusal(problems, number, state)
     ticket = tickets.make_ticket(
         document, state, number, time.time_ns() // 1_000_000
@@ -294,6 +300,19 @@
     return 201, {'number': ticket.number}
 
 
+def _read_earlier(
+    operators: Operators, document: tickets.Document, number: int
+) -> keeper.TicketResult:
+    """Read the ticket that followed the one that a document expects.
+
+    It may be this very document, filed when an answer was lost, with another
+    ticket filed after it. A refusal would make its author file it again.
+    """
+    if document.expected is None or document.expected >= number:
+        return expression.Ok(None)
+    return keeper.read_ticket(operators.client, document.expected + 1)
+
+
 def _refusal(
     problems: tuple[codes.Problem, ...],
     number: int,
--- a/amaranthcrank/record/tickets.py
+++ b/amaranthcrank/record/tickets.py
@@ -211,6 +211,35 @@
     )
 
 
+def is_newer(current: Ticket | None, candidate: Ticket) -> bool:
+    """Tell whether a host takes up a ticket that it hears of.
+
+    Peers and the store answer late and in any order, so a host only moves
+    forward: an older ticket, or the same one again, changes nothing.
+
+    Args:
+      current: The ticket in force at the host, None where there is none.
+      candidate: The ticket heard of.
+
+    Returns:
+      True when the candidate replaces the current one.
+    """
+    return current is None or candidate.number > current.number
+
+
+def is_filing_of(ticket: Ticket | None, document: Document) -> bool:
+    """Tell whether a filed ticket came from this very document.
+
+    Args:
+      ticket: The ticket, None where there is none.
+      document: The document; its uid tells it from any other.
+
+    Returns:
+      True when a repetition of the document must not be filed again.
+    """
+    return ticket is not None and ticket.uid == document.uid
+
+
 def diff(old: State, new: State) -> tuple[str, ...]:
     """Describe what changes from one state to another, one line each.
 
