--- a/amaranthcrank/daemon/operators.py
+++ b/amaranthcrank/daemon/operators.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+import expression
 import pykka
 
 from amaranthcrank.core import codes
@@ -269,11 +270,16 @@
     if newest.is_error():
         return _store_error(newest.error)
     current = newest.ok or NO_TICKET
-    earlier = _filed_before(operators, document, current)
-    if earlier is not None:
-        return 201, {'number': earlier.number}
+    if tickets.is_filing_of(current, document):
+        # The answer to this very document was lost before.
+        return 201, {'number': current.number}
     problems = tickets.check_document(document, current.state, current.number)
     if problems:
+        earlier = _read_earlier(operators, document, current.number)
+        if earlier.is_error():
+            return _store_error(earlier.error)
+        if tickets.is_filing_of(earlier.ok, document):
+            return 201, {'number': earlier.ok.number}
         return _refusal(problems, current)
     ticket = tickets.make_ticket(
         document, current.state, current.number, time.time_ns() // 1_000_000
@@ -289,22 +295,17 @@
     return 201, {'number': ticket.number}
 
 
-def _filed_before(
-    operators: Operators,
-    document: tickets.Document,
-    current: tickets.Ticket,
-) -> tickets.Ticket | None:
-    """Return the ticket of the same document, filed when its answer was lost.
+def _read_earlier(
+    operators: Operators, document: tickets.Document, number: int
+) -> keeper.TicketResult:
+    """Read the ticket that followed the one that a document expects.
 
-    It has the number after the one that the document expects, which need not
-    be the newest any more.
+    It may be this very document, filed when an answer was lost, with another
+    ticket filed after it. A refusal would make its author file it again.
     """
-    if document.expected is None or document.expected >= current.number:
-        return None
-    found = keeper.read_ticket(operators.client, document.expected + 1)
-    if found.is_error() or found.ok is None:
-        return None
-    return found.ok if found.ok.uid == document.uid else None
+    if document.expected is None or document.expected >= number:
+        return expression.Ok(None)
+    return keeper.read_ticket(operators.client, document.expected + 1)
 
 
 def _refusal(
