--- a/amaranthcrank/cli/filing.py
+++ b/amaranthcrank/cli/filing.py
@@ -108,7 +108,10 @@
         answer = operator_client.call(client, 'GET', '/status')
         force = Force(False, (), 'No host answers.')
         if answer.status == 200:
-            force = force_of(answer.body, number)
+            try:
+                force = force_of(answer.body, number)
+            except (AttributeError, KeyError, TypeError):
+                force = Force(False, (), 'The status has a bad form.')
         elif answer.status:
             force = Force(False, (), f'Status {answer.status}.')
         left = deadline - clock()
--- a/amaranthcrank/cli/main.py
+++ b/amaranthcrank/cli/main.py
@@ -38,6 +38,8 @@
 CURRENT = 'current'
 NO_TICKET = tickets.Ticket(0, '', '', 0, (), model.EMPTY_STATE)
 
+BAD_FORM = 'The answer of the host has an unexpected form.'
+
 EXITS = (
     'Exit status: 0 done, 1 refused by the system, 2 usage or bad input, '
     '3 no host reachable or outcome unknown, 4 filed but not in force '
@@ -335,13 +337,13 @@
             (
                 each['number'],
                 each['author'],
-                each['filed_at_ms'],
+                status_documents.time_text(each['filed_at_ms']),
                 ' '.join(each['touches']),
             )
             for each in body['tickets']
         ]
         return status_documents.table(
-            ('NUMBER', 'AUTHOR', 'FILED_AT_MS', 'TOUCHES'), rows
+            ('NUMBER', 'AUTHOR', 'FILED_AT', 'TOUCHES'), rows
         )
 
     _print(options, _get(options, '/tickets'), to_text)
@@ -561,23 +563,17 @@
     if options.output == JSON:
         typer.echo(json.dumps(body, sort_keys=True))
         return
-    typer.echo(to_text(body))
+    try:
+        text = to_text(body)
+    except (AttributeError, KeyError, OverflowError, TypeError):
+        _fail_with(options, EXIT_REFUSED, BAD_FORM, {}, ())
+    typer.echo(text)
 
 
 def _fail(
     options: Options, status: int, problems: abc.Iterable[codes.Problem]
 ) -> typing.NoReturn:
-    body = {
-        'problems': [
-            {
-                'number': each.code.number,
-                'name': each.code.name,
-                'place': each.place,
-                'detail': each.detail,
-            }
-            for each in problems
-        ]
-    }
+    body = status_documents.problems_document(problems)
     _fail_with(options, status, '', body, ())
 
 
--- a/amaranthcrank/cli/main_test.py
+++ b/amaranthcrank/cli/main_test.py
@@ -81,10 +81,8 @@
             document, state, len(self.tickets)
         )
         if found:
-            return 409, {
-                **problems(*(each.code for each in found)),
-                'current': self.tickets[-1]._asdict(),
-            }
+            current = self.tickets[-1]._asdict()
+            return 409, status.problems_document(found, current)
         self.tickets.append(
             tickets.make_ticket(document, state, len(self.tickets), 1)
         )
@@ -104,18 +102,8 @@
         )
 
 
-def problems(*found):
-    return {
-        'problems': [
-            {
-                'number': each.number,
-                'name': each.name,
-                'place': 'x',
-                'detail': 'y',
-            }
-            for each in found
-        ]
-    }
+def problems(code):
+    return status.problems_document([codes.Problem(code, 'x', 'y')])
 
 
 class MainTest(unittest.TestCase):
@@ -145,7 +133,9 @@
         self.assertIn('It is in force everywhere.', result.output)
         self.assertEqual(self.fake.tickets[0].author, 'asha')
         listed = self.run_command('ticket', 'list').output
-        self.assertIn('1       asha    1            cells/balaju', listed)
+        self.assertIn(
+            '1       asha    1970-01-01T00:00:00Z  cells/balaju', listed
+        )
         shown = self.run_command('ticket', 'show').output
         self.assertEqual(
             json.loads(shown)['state'], self.fake.tickets[0].state
@@ -268,6 +258,22 @@
         self.assertIn('target: s1', result.output)
         self.assertIn(('GET', '/owner/soaklog/a%2Fb'), self.fake.paths)
 
+    def test_answers_of_an_unexpected_form(self):
+        # A host of another version must not end in a traceback.
+        with mock.patch.object(
+            self.fake, 'answer', autospec=True, return_value=(200, {'a': 1})
+        ):
+            for command in (
+                ('status',),
+                ('queues',),
+                ('ticket', 'list'),
+                ('ticket', 'show'),
+                ('drain', 's1'),
+            ):
+                result = self.run_command(*command)
+                self.assertEqual(result.exit_code, main.EXIT_REFUSED)
+                self.assertIsInstance(result.exception, SystemExit)
+
     def test_usage_and_codes(self):
         for arguments in (
             ('bogus',),
--- a/amaranthcrank/core/names.py
+++ b/amaranthcrank/core/names.py
@@ -1,13 +1,14 @@
 """Names and addresses, as settings and tickets accept them."""
 
 import re
-import urllib.parse
 
 NAME_TEXT = '1 to 64 of A-Z a-z 0-9 . _ -, starting with a letter or digit'
 MAX_PORT = 65_535
 
 # Hashing joins names with `|` and `/`, so neither may be part of a name.
 _NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+# A host name or address; urlsplit alone takes almost any character.
+_HOST = re.compile(r'[A-Za-z0-9._-]{1,253}|\[[0-9A-Fa-f:.]+\]')
 
 
 def is_name(text: str) -> bool:
@@ -17,13 +18,14 @@
 
 def split_address(text: str) -> tuple[str, int] | None:
     """Split host:port or [IPv6]:port; None for anything else."""
-    if '@' in text or any(each.isspace() for each in text):
+    host, colon, port = text.rpartition(':')
+    if not colon or not is_host(host):
         return None
-    try:
-        parts = urllib.parse.urlsplit('//' + text)
-        port = parts.port
-    except ValueError:
+    if not re.fullmatch(r'[0-9]{1,5}', port) or int(port) > MAX_PORT:
         return None
-    if port is None or not parts.hostname or parts.netloc != text:
-        return None
-    return parts.hostname, port
+    return host.strip('[]'), int(port)
+
+
+def is_host(text: str) -> bool:
+    """Tell whether a text is a host name, an IPv4 or a [IPv6] address."""
+    return _HOST.fullmatch(text) is not None
--- a/amaranthcrank/core/settings.py
+++ b/amaranthcrank/core/settings.py
@@ -118,12 +118,16 @@
 def parse_url(text: str) -> str:
     """Check a base URL; raises ValueError for a bad one."""
     parts = urllib.parse.urlsplit(text)
-    if parts.scheme not in ('http', 'https') or not parts.hostname:
+    if parts.scheme not in ('http', 'https'):
         raise ValueError(text)
-    if parts.query or parts.fragment or parts.username is not None:
+    if parts.query or parts.fragment or not text.isprintable():
         raise ValueError(text)
-    # Reading the port checks it.
-    if parts.port == 0 or any(each.isspace() for each in text):
+    address = names.split_address(parts.netloc)
+    if address is None and not names.is_host(parts.netloc):
+        raise ValueError(text)
+    if address is not None and address[1] == 0:
+        raise ValueError(text)
+    if ' ' in text:
         raise ValueError(text)
     return text.rstrip('/')
 
--- a/amaranthcrank/publish/status.py
+++ b/amaranthcrank/publish/status.py
@@ -5,12 +5,16 @@
 """
 
 from collections import abc
+import datetime
 import typing
 
+from amaranthcrank.core import codes
 from amaranthcrank.core import model
 
 Document = dict[str, typing.Any]
 
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.timezone.utc)
+
 
 class HostView(typing.NamedTuple):
     """What is known of one host.
@@ -179,6 +183,35 @@
     }
 
 
+def problems_document(
+    problems: abc.Iterable[codes.Problem],
+    current: abc.Mapping[str, typing.Any] | None = None,
+) -> Document:
+    """Make the document of an error.
+
+    Args:
+      problems: What was found.
+      current: The fields of the current ticket, when a filing was refused.
+
+    Returns:
+      The document.
+    """
+    document: Document = {
+        'problems': [
+            {
+                'number': each.code.number,
+                'name': each.code.name,
+                'place': each.place,
+                'detail': each.detail,
+            }
+            for each in problems
+        ]
+    }
+    if current is not None:
+        document['current'] = dict(current)
+    return document
+
+
 def status_text(document: Document) -> str:
     """Put the document of `GET /status` into tables."""
     ready = 'ready' if document['ready'] else 'not ready'
@@ -216,8 +249,7 @@
         (
             f'Host {document["host"]} of cell {document["cell"]}: {ready}\n'
             f'Ticket {document["ticket"]}: {force}\n'
-            f'Store: {store} since {document["store"]["since_ms"]} ms '
-            '(Unix time)',
+            f'Store: {store} since {time_text(document["store"]["since_ms"])}',
             table(
                 ('CELL', 'VERSION', 'EFFECTIVE', 'SETTLED', 'CONTROLLER'),
                 cells,
@@ -262,6 +294,12 @@
     )
 
 
+def time_text(unix_ms: int) -> str:
+    """Put a time into ISO 8601 form, in UTC."""
+    time = _EPOCH + datetime.timedelta(milliseconds=unix_ms)
+    return time.strftime('%Y-%m-%dT%H:%M:%SZ')
+
+
 def _cell_document(view: CellView) -> Document:
     return {
         'version': view.version,
--- a/amaranthcrank/publish/status_test.py
+++ b/amaranthcrank/publish/status_test.py
@@ -69,6 +69,7 @@
             make_status({'balaju': make_cell(('b1', 4)), 'patan': make_cell()})
         )
         self.assertIn('not in force everywhere (lagging: b1)', text)
+        self.assertIn('Store: reachable since 1970-01-01T00:00:01Z', text)
         self.assertIn('balaju  b1    4       yes    40', text)
         self.assertIn('patan   7        6          4        -', text)
         owner = status.owner_document('a', 'k\n', 3, 'c', 's1', 9, True)
--- a/amaranthcrank/record/tickets.py
+++ b/amaranthcrank/record/tickets.py
@@ -4,6 +4,7 @@
 without, `to`. A document removes a service or a cell by null.
 """
 
+import collections
 from collections import abc
 import json
 import typing
@@ -314,9 +315,10 @@
     ) -> dict[str, typing.Any]:
         fields = dict(pairs)
         if len(fields) < len(pairs):
-            names = [name for name, _ in pairs]
-            twice = sorted({each for each in names if names.count(each) > 1})
-            for name in twice:
+            counts = collections.Counter(name for name, _ in pairs)
+            for name, count in counts.items():
+                if count == 1:
+                    continue
                 problems.append(
                     codes.Problem(
                         codes.TICKET_DUPLICATE_FIELD,
