Split the upstream stand-in into small modules

Cause: one module of 818 lines held state, grants, work, records and control.

Ruled out: any change of behaviour; the tests changed only the module that they take the state and the settings from.

--- /dev/null
+++ b/standins/upstream_record.py
@@ -0,0 +1,114 @@
+"""What an upstream shows and reports of its runs and holds."""
+
+import json
+import math
+import typing
+
+import logbook
+import urllib3
+
+from standins import http_server
+from standins import upstream_state
+
+_LOG = logbook.Logger('upstream')
+
+
+def get_ran(
+    state: upstream_state.UpstreamState, content: dict[str, typing.Any]
+) -> http_server.Answer:
+    """Answer GET /ran."""
+    with state.lock:
+        return http_server.json_answer(200, state.ran)
+
+
+def get_holds(
+    state: upstream_state.UpstreamState, content: dict[str, typing.Any]
+) -> http_server.Answer:
+    """Answer GET /holds."""
+    with state.lock:
+        grant = state.grant
+        current = None
+        if state.clock() < grant.expires_at:
+            current = {
+                'version': grant.version,
+                'until_ms': math.floor(
+                    upstream_state.wall_ms(state, grant.expires_at)
+                ),
+                'slots': [
+                    [*slot_key, fence]
+                    for slot_key, fence in grant.fence_by_slot.items()
+                ],
+            }
+        history = [
+            _hold_entry(state, hold)
+            for hold in (*state.past_holds, *state.hold_by_slot.values())
+        ]
+    return http_server.json_answer(
+        200,
+        {
+            'target': state.settings.target,
+            'incarnation': state.incarnation,
+            'current': current,
+            'history': history,
+        },
+    )
+
+
+def _hold_entry(
+    state: upstream_state.UpstreamState, hold: upstream_state.Hold
+) -> list[typing.Any]:
+    return [
+        hold.service,
+        hold.slot,
+        hold.fence,
+        math.ceil(upstream_state.wall_ms(state, hold.from_s)),
+        math.floor(upstream_state.wall_ms(state, hold.until_s)),
+    ]
+
+
+def hold_report(
+    state: upstream_state.UpstreamState, holds: tuple[upstream_state.Hold, ...]
+) -> dict[str, typing.Any]:
+    """Make the next report of holds; call it under the lock."""
+    state.hold_number += 1
+    return {
+        'target': state.settings.target,
+        'incarnation': state.incarnation,
+        'number': state.hold_number,
+        'holds': [_hold_entry(state, hold) for hold in holds],
+    }
+
+
+def record_start(state: upstream_state.UpstreamState) -> None:
+    """Tell the recorder that this incarnation begins.
+
+    It ends every hold of the incarnation before, which may have been killed.
+    """
+    with state.lock:
+        report = hold_report(state, ())
+        report['started_ms'] = math.floor(
+            upstream_state.wall_ms(state, state.clock())
+        )
+    post_record(state, '/holds', report)
+
+
+def post_record(
+    state: upstream_state.UpstreamState,
+    path: str,
+    content: dict[str, typing.Any],
+) -> bool:
+    """Post to the recorder; tells whether it was kept."""
+    if not state.settings.record_url:
+        return True
+    try:
+        answer = state.record_pool.request(
+            'POST',
+            state.settings.record_url + path,
+            body=json.dumps(content).encode(),
+        )
+    except urllib3.exceptions.HTTPError as error:
+        _LOG.error('No record at {}: {}', path, error)
+        return False
+    if answer.status != 200:
+        _LOG.error('No record at {}: status {}', path, answer.status)
+    return answer.status == 200
--- a/standins/upstream_test.py
+++ b/standins/upstream_test.py
@@ -11,6 +11,7 @@
 from standins import http_server
 from standins import recorder
 from standins import upstream
+from standins import upstream_state
 
 
 class UpstreamTest(unittest.TestCase):
@@ -19,8 +20,8 @@
         self.make(service_ms=0)
 
     def make(self, **settings):
-        self.state = upstream.UpstreamState(
-            upstream.Settings('t1', 'soaklog', **settings),
+        self.state = upstream_state.UpstreamState(
+            upstream_state.Settings('t1', 'soaklog', **settings),
             clock=lambda: self.now_s,
         )
         self.addCleanup(self.state.close)
@@ -217,7 +218,7 @@
 
     def test_cold_start_and_shedding(self):
         """Guards against refusals that lack their reason."""
-        self.make(service_ms=0, cold_ms=500, cold_mode=upstream.REFUSE)
+        self.make(service_ms=0, cold_ms=500, cold_mode=upstream_state.REFUSE)
         self.grant()
         self.assertEqual((503, 'cold'), self.not_run(self.work()))
         self.now_s += 0.5
@@ -341,8 +342,8 @@
                 recorder.handler_of(self.recorder), lambda: None
             )
         )
-        self.state = upstream.UpstreamState(
-            upstream.Settings(
+        self.state = upstream_state.UpstreamState(
+            upstream_state.Settings(
                 't1',
                 'soaklog',
                 service_ms=0,
