--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -822,15 +822,20 @@
     return page.partition(BEGIN + '\n')[2].partition(END)[0]
 
 
+def write_page(figures: Figures) -> None:
+    """Put the tables into the page."""
+    page = PAGE.read_text()
+    new = tables_of(figures) + END
+    PAGE.write_text(page.replace(tables_in(page) + END, new, 1))
+
+
 def main(options: abc.Sequence[str]) -> None:
     """Print the tables, or put them into the page."""
-    tables = tables_of(json.loads(FIGURES.read_text()))
-    if '--write' not in options:
-        print(tables, end='')
+    figures = json.loads(FIGURES.read_text())
+    if '--write' in options:
+        write_page(figures)
         return
-    page = PAGE.read_text()
-    old = tables_in(page)
-    PAGE.write_text(page.replace(old + END, tables + END, 1))
+    print(tables_of(figures), end='')
 
 
 if __name__ == '__main__':
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -3,7 +3,8 @@
 `python -m tools.measure` runs all of them; with names, such as
 `python -m tools.measure control`, only these, and the figures of the others
 are kept. A script prints one JSON line for each figure. The figures go to
-docs/measurements.json and, as tables, to docs/measurements.md.
+docs/measurements.json and, as tables, to docs/measurements.md; the tables of
+docs/CAPACITY.md follow from them.
 """
 
 from collections import abc
@@ -17,6 +18,8 @@
 import time
 import typing
 
+from tools import capacity
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIGURES = ROOT / 'docs' / 'measurements.json'
 PAGE = ROOT / 'docs' / 'measurements.md'
@@ -74,6 +77,11 @@
         figures_by_theme[theme] = figures
     FIGURES.write_text(json.dumps(figures_by_theme, indent=1) + '\n')
     PAGE.write_text(page_of(figures_by_theme))
+    try:
+        capacity.write_page(figures_by_theme)
+    except KeyError as error:
+        print(f'docs/CAPACITY.md is left as it was: {error}', file=sys.stderr)
+        failed = True
     return 1 if failed else 0
 
 
