Keep a short restart of an upstream from counting as its loss

Cause: a refused connection is a miss at once and the next probe follows at once, so two misses can fall into the few hundredths of a second in which a restarting upstream does not listen. Its slots then moved, with the wait of 1.1 s. Ruled out: a late start of the new process, which has loaded its modules before the old one ends.

A refused connection is tried again after 0.1 s before it counts, which adds 0.2 s to the detection of a kill.

--- a/amaranthcrank/grant/renewals.py
+++ b/amaranthcrank/grant/renewals.py
@@ -3,8 +3,10 @@
 from collections import abc
 from concurrent import futures
 import contextlib
+import time
 import typing
 
+from amaranthcrank.core import codes
 from amaranthcrank.core import model
 from amaranthcrank.dispatch import upstream_client
 from amaranthcrank.grant import grants
@@ -12,6 +14,9 @@
 # Control calls time out after 0.2 s; a cell looks after a dozen targets, and
 # a frozen one must not hold up the renewals of the others.
 CONTROL_THREADS = 16
+# An upstream that restarts refuses connections for a moment. Without a pause
+# two refusals within a few milliseconds would count as its loss.
+REFUSED_PAUSE_S = 0.1
 
 
 class StepDone(typing.NamedTuple):
@@ -93,16 +98,10 @@
     answer = None
     granted = False
     try:
-        if step.kind == grants.PROBE:
-            reply = upstream_client.get_grant(upstream)
-        else:
-            reply = upstream_client.post_grant(
-                upstream,
-                step.incarnation,
-                step.challenge,
-                step.version,
-                step.slots,
-            )
+        reply = _send(upstream, step)
+        if _is_refused(reply):
+            time.sleep(REFUSED_PAUSE_S)
+            reply = _send(upstream, step)
         if isinstance(reply, upstream_client.ControlAnswer):
             answer = _answer_of(reply)
             granted = step.kind == grants.GRANT and reply.status == 200
@@ -112,6 +111,25 @@
         )
 
 
+def _send(
+    upstream: upstream_client.Upstream, step: grants.Step
+) -> upstream_client.ControlAnswer | upstream_client.UpstreamFailure:
+    if step.kind == grants.PROBE:
+        return upstream_client.get_grant(upstream)
+    return upstream_client.post_grant(
+        upstream, step.incarnation, step.challenge, step.version, step.slots
+    )
+
+
+def _is_refused(
+    reply: upstream_client.ControlAnswer | upstream_client.UpstreamFailure,
+) -> bool:
+    """Tell whether a connection was refused or broken, not timed out."""
+    if isinstance(reply, upstream_client.ControlAnswer):
+        return False
+    return reply.broken or reply.code is codes.UPSTREAM_UNREACHABLE
+
+
 def _answer_of(
     reply: upstream_client.ControlAnswer,
 ) -> grants.Answer | None:
