Clear the crash counts of a request that was served since

Cause: the measurement of losses saw refusal 306 for popular lookups: the same lookup was in flight at two crashes that it had no part in, and its key was refused for the rest of 600 s. Postings and lookups of one key without a body also shared a fingerprint.

Ruled out: a higher count, which lets a request that does crash upstreams take down one more; counting only requests in flight alone, because a crash with several in flight would then count for none.

Conclusion: method and query are part of the fingerprint, and a served request loses its counts at every host of the cell.

--- a/amaranthcrank/daemon/control.py
+++ b/amaranthcrank/daemon/control.py
@@ -107,6 +107,7 @@
         self.suspects_by_target: dict[str, dispatcher.CrashSuspect] = {}
         self.suspected_at_by_target: dict[str, float] = {}
         self.quarantined: frozenset[str] = frozenset()
+        self.suspected: frozenset[str] = frozenset()
         self.pending_holders: list[
             tuple[int, ledger_actor.HoldersChanged]
         ] = []
@@ -337,6 +338,7 @@
     state.quarantined = state.ledger_ref.ask(
         ledger_actor.Quarantined(state.quarantined)
     )
+    state.suspected = state.ledger_ref.ask(ledger_actor.Suspected())
     state.ledger_ref.tell(ledger_actor.Expire())
     crashes, _ = state.ledger_ref.ask(ledger_actor.ExportCrashes(0))
     if not crashes:
@@ -775,6 +777,7 @@
         live,
         state.hosts_by_cell,
         state.quarantined,
+        state.suspected,
     )
 
 
--- a/amaranthcrank/dispatch/dispatcher.py
+++ b/amaranthcrank/dispatch/dispatcher.py
@@ -165,8 +165,7 @@
         return codes.NO_OWNER
     if not view.quarantined:
         return None
-    request = work.request
-    mark = quarantine.fingerprint(request.service, request.key, request.body)
+    mark = quarantine.fingerprint(work.request)
     return codes.QUARANTINED if mark in view.quarantined else None
 
 
@@ -256,19 +255,27 @@
     elif message.outcome.code.outcome == codes.SERVED:
         if message.latency_s:
             limits.note_done(state.limit, message.latency_s, now)
+            _clear_suspicion(state, work)
     if not work.reply.done():
         work.reply.set_result(message.outcome)
     _set_pace(state)
     _pump(state)
 
 
+def _clear_suspicion(state: State, work: work_module.Work) -> None:
+    """Drop the crash counts of a request that an upstream has served."""
+    suspected = state.context.holder.view.suspected
+    if not suspected:
+        return
+    mark = quarantine.fingerprint(work.request)
+    if mark in suspected:
+        state.context.ledger_ref.tell(ledger_actor.NoteServed(mark))
+
+
 def _suspect(state: State, message: work_module.Finished) -> CrashSuspect:
     marks = []
     for work in state.in_flight_by_number.values():
-        request = work.request
-        marks.append(
-            quarantine.fingerprint(request.service, request.key, request.body)
-        )
+        marks.append(quarantine.fingerprint(work.request))
     return CrashSuspect(state.target.target, message.incarnation, tuple(marks))
 
 
--- a/amaranthcrank/dispatch/ledger_actor.py
+++ b/amaranthcrank/dispatch/ledger_actor.py
@@ -93,6 +93,16 @@
     fingerprints: tuple[str, ...]
 
 
+class NoteServed(typing.NamedTuple):
+    """Drop the counts of a request that was served."""
+
+    fingerprint: str
+
+
+class Suspected(typing.NamedTuple):
+    """Ask for the fingerprints that have counts."""
+
+
 class MergeCrashes(typing.NamedTuple):
     """Take counts of a peer; answered with newly quarantined ones."""
 
@@ -141,6 +151,8 @@
         FindAnswer: _find_answer,
         HoldersChanged: _holders_changed,
         NoteCrash: _note_crash,
+        NoteServed: _note_served,
+        Suspected: _suspected,
         MergeCrashes: _merge_crashes,
         ExportCrashes: _export_crashes,
         Quarantined: _quarantined,
@@ -195,6 +207,14 @@
     return quarantine.note_crash(state.quarantine, *message, wall_ms())
 
 
+def _note_served(state: State, message: NoteServed) -> None:
+    quarantine.note_served(state.quarantine, message.fingerprint, wall_ms())
+
+
+def _suspected(state: State, message: Suspected) -> frozenset[str]:
+    return quarantine.suspected(state.quarantine)
+
+
 def _merge_crashes(state: State, message: MergeCrashes) -> tuple[str, ...]:
     return quarantine.merge(state.quarantine, message.crashes, wall_ms())
 
--- a/amaranthcrank/dispatch/quarantine.py
+++ b/amaranthcrank/dispatch/quarantine.py
@@ -3,6 +3,8 @@
 import hashlib
 import typing
 
+from amaranthcrank.core import model
+
 EXPIRY_MS = 600_000
 CRASHES_TO_QUARANTINE = 2
 # A guard for memory: at about 400 bytes each under 2 MB.
@@ -10,6 +12,9 @@
 # A peer's clock may be ahead by the skew between hosts, not by more.
 MAX_AHEAD_MS = 500
 
+# Stands in place of a crash event where a request was served instead.
+SERVED = 'served'
+
 
 class Crash(typing.NamedTuple):
     """One count against one fingerprint, as it travels on heartbeats.
@@ -33,6 +38,7 @@
         they were learned.
       position_by_pair: The position of each in that order.
       times_by_fingerprint: When each event hit the fingerprint, Unix ms.
+      served_ms_by_fingerprint: When a request that had counts was served.
       last_position: The position of the newest.
     """
 
@@ -40,6 +46,7 @@
         'crash_by_pair',
         'last_position',
         'position_by_pair',
+        'served_ms_by_fingerprint',
         'times_by_fingerprint',
     )
 
@@ -48,6 +55,7 @@
         self.crash_by_pair: dict[tuple[str, str], Crash] = {}
         self.position_by_pair: dict[tuple[str, str], int] = {}
         self.times_by_fingerprint: dict[str, dict[str, int]] = {}
+        self.served_ms_by_fingerprint: dict[str, int] = {}
         self.last_position = 0
 
 
@@ -56,10 +64,11 @@
     return Quarantine()
 
 
-def fingerprint(service: str, key: str, body: bytes) -> str:
-    """Identify a request by service, key and body."""
+def fingerprint(request: model.Request) -> str:
+    """Identify a request by what it asks the upstream to run."""
     digest = hashlib.blake2b(digest_size=16)
-    for part in (service.encode(), key.encode(), body):
+    fields = (request.service, request.key, request.method, request.query)
+    for part in (*(each.encode() for each in fields), request.body):
         # The length keeps service and key from running into one another.
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
@@ -86,6 +95,26 @@
     return merge(quarantine, crashes, now_ms)
 
 
+def note_served(quarantine: Quarantine, fingerprint: str, now_ms: int) -> None:
+    """Drop the counts of a request that an upstream has served since.
+
+    A popular lookup is in flight at most crashes. Without this, two crashes
+    within ten minutes that it had no part in took its key out of service.
+
+    Args:
+      quarantine: The counts.
+      fingerprint: The request's fingerprint.
+      now_ms: When it was served, Unix time.
+    """
+    if fingerprint in quarantine.times_by_fingerprint:
+        merge(quarantine, (Crash(fingerprint, SERVED, now_ms),), now_ms)
+
+
+def suspected(quarantine: Quarantine) -> frozenset[str]:
+    """Return the fingerprints that have counts."""
+    return frozenset(quarantine.times_by_fingerprint)
+
+
 def is_quarantined(
     quarantine: Quarantine, fingerprint: str, now_ms: int
 ) -> bool:
@@ -106,7 +135,13 @@
         if now_ms - crash.at_ms >= EXPIRY_MS:
             continue
         pair = (crash.fingerprint, crash.event)
-        if pair in quarantine.crash_by_pair:
+        if crash.event == SERVED:
+            _take_served(quarantine, crash)
+            continue
+        served_ms = quarantine.served_ms_by_fingerprint.get(
+            crash.fingerprint, 0
+        )
+        if pair in quarantine.crash_by_pair or crash.at_ms <= served_ms:
             continue
         times = quarantine.times_by_fingerprint.setdefault(
             crash.fingerprint, {}
@@ -148,7 +183,10 @@
     if chosen:
         last = chosen[-1]
         position = quarantine.position_by_pair[last.fingerprint, last.event]
-    return tuple(chosen), position
+    served = []
+    for mark, at_ms in list(quarantine.served_ms_by_fingerprint.items()):
+        served.append(Crash(mark, SERVED, at_ms))
+    return (*chosen, *served[-limit:]), position
 
 
 def expire(quarantine: Quarantine, now_ms: int) -> int:
@@ -160,9 +198,28 @@
     ]
     for pair in past:
         _drop(quarantine, pair)
+    for mark, at_ms in list(quarantine.served_ms_by_fingerprint.items()):
+        if now_ms - at_ms >= EXPIRY_MS:
+            del quarantine.served_ms_by_fingerprint[mark]
     return len(past)
 
 
+def _take_served(quarantine: Quarantine, served: Crash) -> None:
+    """Drop the counts of a fingerprint up to the time it was served."""
+    mark = served.fingerprint
+    known_ms = quarantine.served_ms_by_fingerprint.get(mark, 0)
+    if served.at_ms <= known_ms:
+        return
+    quarantine.served_ms_by_fingerprint[mark] = served.at_ms
+    times = quarantine.times_by_fingerprint.get(mark, {})
+    for event, at_ms in list(times.items()):
+        if at_ms <= served.at_ms:
+            _drop(quarantine, (mark, event))
+    while len(quarantine.served_ms_by_fingerprint) > MAX_CRASHES:
+        oldest = next(iter(quarantine.served_ms_by_fingerprint))
+        del quarantine.served_ms_by_fingerprint[oldest]
+
+
 def _is_quarantined(times: dict[str, int], now_ms: int) -> bool:
     recent = sum(1 for at_ms in times.values() if now_ms - at_ms < EXPIRY_MS)
     return recent >= CRASHES_TO_QUARANTINE
--- a/amaranthcrank/dispatch/quarantine_test.py
+++ b/amaranthcrank/dispatch/quarantine_test.py
@@ -2,11 +2,30 @@
 
 import unittest
 
+from amaranthcrank.core import model
 from amaranthcrank.dispatch import quarantine
 
 NOW_MS = 5_000_000
 
 
+def _request(service: str, key: str, method: str = 'GET') -> model.Request:
+    return model.Request(
+        '1-aaaaaaaa',
+        1,
+        service,
+        key,
+        model.NORMAL,
+        True,
+        100,
+        'caller',
+        method,
+        '',
+        (),
+        b'',
+        '',
+    )
+
+
 class QuarantineTest(unittest.TestCase):
     """Counts, expiry and exchange."""
 
@@ -72,6 +91,32 @@
     def test_parts_of_a_fingerprint_do_not_run_together(self):
         """Two requests must not share a fingerprint by their borders."""
         self.assertNotEqual(
-            quarantine.fingerprint('ab', 'c', b''),
-            quarantine.fingerprint('a', 'bc', b''),
+            quarantine.fingerprint(_request('ab', 'c')),
+            quarantine.fingerprint(_request('a', 'bc')),
         )
+
+    def test_methods_are_apart(self) -> None:
+        """A lookup must not be refused for a posting that crashes."""
+        self.assertNotEqual(
+            quarantine.fingerprint(_request('a', 'b', 'GET')),
+            quarantine.fingerprint(_request('a', 'b', 'POST')),
+        )
+
+    def test_served_request_loses_its_counts(self) -> None:
+        """A popular lookup is in flight at most crashes by chance."""
+        state = quarantine.open_quarantine()
+        peer = quarantine.open_quarantine()
+        quarantine.note_crash(state, 'e1', ('hot', 'bad'), 1_000)
+        quarantine.note_served(state, 'hot', 2_000)
+        self.assertEqual({'bad'}, quarantine.suspected(state))
+        added = quarantine.note_crash(state, 'e2', ('hot', 'bad'), 3_000)
+        self.assertEqual(('bad',), added)
+        # A count that a peer sends again must not undo it.
+        late = quarantine.Crash('hot', 'e1', 1_000)
+        self.assertEqual((), quarantine.merge(state, (late,), 3_100))
+        crashes, _ = quarantine.export(state, 0)
+        quarantine.merge(peer, (late, *crashes), 3_200)
+        self.assertTrue(quarantine.is_quarantined(peer, 'bad', 3_200))
+        self.assertFalse(quarantine.is_quarantined(peer, 'hot', 3_200))
+        quarantine.expire(state, 700_000)
+        self.assertEqual(((), 0), quarantine.export(state, 0))
--- a/amaranthcrank/publish/view.py
+++ b/amaranthcrank/publish/view.py
@@ -39,6 +39,7 @@
       live_hosts: Hosts of the own cell that dispatch, this one included.
       hosts_by_cell: Hosts of the other cells, from the host list.
       quarantined: Fingerprints that are refused.
+      suspected: Fingerprints with crash counts, refused or not.
     """
 
     ready: bool = False
@@ -52,6 +53,7 @@
     live_hosts: tuple[str, ...] = ()
     hosts_by_cell: dict[str, tuple[str, ...]] = {}
     quarantined: frozenset[str] = frozenset()
+    suspected: frozenset[str] = frozenset()
 
 
 class ViewHolder:
