--- a/amaranthcrank/peers/links.py
+++ b/amaranthcrank/peers/links.py
@@ -90,9 +90,7 @@
         self.lock = threading.Lock()
         self.link_by_host: dict[str, _Link] = {}
         self.accepted_by_host: dict[str, ws_connection.Connection] = {}
-        # A random start keeps an answer to an earlier process of this host
-        # from matching a call of this one.
-        self.ids = itertools.count(secrets.randbits(62) + 1)
+        self.ids = itertools.count(_first_id())
         self.handshakes = threading.BoundedSemaphore(MAX_HANDSHAKES)
         self.logged_at: dict[tuple[str, int], float] = {}
         self.server: ws_server.Server
@@ -562,6 +560,16 @@
         _fail_calls(link)
 
 
+def _first_id() -> int:
+    # A random start keeps an answer to an earlier process of this host from
+    # matching a call of this one.
+    return secrets.randbits(62) + 1
+
+
+def _take_call(link: _Link, frame_id: int) -> _Call | None:
+    return link.call_by_id.pop(frame_id, None)
+
+
 def _receive(links: Links, host: str, message: bytes | str) -> None:
     frame, problems = frames.decode_frame(message)
     if frame is None:
@@ -574,8 +582,8 @@
             _log.exception('{} frame from {} failed', frame['type'], host)
         return
     link = links.link_by_host.get(host)
-    open_call = link and link.call_by_id.pop(frame['id'], None)
-    if not open_call:
+    open_call = _take_call(link, frame['id']) if link else None
+    if open_call is None:
         _log.debug('late {} from {} dropped', frame['type'], host)
         return
     with contextlib.suppress(futures.InvalidStateError):
