--- a/amaranthcrank/intake/server.py
+++ b/amaranthcrank/intake/server.py
@@ -230,13 +230,7 @@
     server = bound.server
     server.draining = True
     end = time.monotonic() + limit_s
-    quiet_since = time.monotonic()
-    while time.monotonic() < end:
-        if server.in_flight():
-            quiet_since = time.monotonic()
-        elif time.monotonic() - quiet_since >= min(QUIET_S, limit_s / 2):
-            break
-        time.sleep(POLL_S)
+    _wait_until_quiet(server, end, min(QUIET_S, limit_s / 2))
     left = server.in_flight()
     # cheroot joins its workers without a limit in the end, so a handler that
     # never returns must not hold up the caller.
@@ -249,6 +243,17 @@
     return left
 
 
+def _wait_until_quiet(server: '_Server', end: float, quiet_s: float) -> None:
+    """Wait until nothing has been in flight for a while."""
+    quiet_since = time.monotonic()
+    while time.monotonic() < end:
+        if server.in_flight():
+            quiet_since = time.monotonic()
+        elif time.monotonic() - quiet_since >= quiet_s:
+            return
+        time.sleep(POLL_S)
+
+
 class _Reject(Exception):
     """Ends an exchange with a numbered refusal and closes the connection."""
 
@@ -354,15 +359,19 @@
         """Write an answer, then drop what the caller still sends."""
         with contextlib.suppress(OSError):
             self.wfile.write(_raw(answer))
-            self.socket.shutdown(socket.SHUT_WR)
-            self.socket.settimeout(DRAIN_LIMIT_S)
-            end = time.monotonic() + DRAIN_LIMIT_S
-            left = DRAIN_MAX_BYTES
-            while left > 0 and time.monotonic() < end:
-                data = self.socket.recv(65536)
-                if not data:
-                    break
-                left -= len(data)
+            self.drop_input()
+
+    def drop_input(self) -> None:
+        """End the output and read until the caller closes, up to a limit."""
+        self.socket.shutdown(socket.SHUT_WR)
+        self.socket.settimeout(DRAIN_LIMIT_S)
+        end = time.monotonic() + DRAIN_LIMIT_S
+        left = DRAIN_MAX_BYTES
+        while left > 0 and time.monotonic() < end:
+            data = self.socket.recv(65536)
+            if not data:
+                break
+            left -= len(data)
 
 
 class _ThreadPool(threadpool.ThreadPool):
@@ -479,9 +488,17 @@
         except Exception:
             _log.exception('{} {} failed', exchange.method, raw_path)
             answer = _refused(codes.INTERNAL)
-        if server.draining:
+        # Asked once: a stop that begins during the write must not end the
+        # output of a connection that was announced to stay open.
+        is_last = server.draining
+        if is_last:
             req.close_connection = True
         self._write(answer)
+        if is_last:
+            # The next request may already wait unread in the socket; closing
+            # would reset the connection and lose the end of this answer.
+            with contextlib.suppress(OSError):
+                req.conn.drop_input()
 
     def _read_body(self) -> bytes:
         length = int(self.req.inheaders.get(b'Content-Length', b'0'))
