--- a/amaranthcrank/daemon/requests_test.py
+++ b/amaranthcrank/daemon/requests_test.py
@@ -58,8 +58,8 @@
 
         request = _request(repeatable)
         deadline_at = requests.time.monotonic() + 5.0
-        with mock.patch.object(requests, '_try_once', try_once):
-            with mock.patch.object(requests.time, 'sleep'):
+        with mock.patch.object(requests, '_try_once', new=try_once):
+            with mock.patch.object(requests.time, 'sleep', autospec=True):
                 outcome = requests._try_until(_node(), request, deadline_at)
         return outcome, len(outcomes) - len(left)
 
