Show points 2 and 6 failing under three deliberate faults

The faults of the ownership proof were found as any of points 1, 2 and 8. Point 6 had none, and point 2 none that is named for it. There are now: a plan that ignores draining, a host that uses its record before the write took effect, and a store that writes without the condition. Each has to be found as a violation of its own point.

The oracle is stricter in two places. A grant at a version above those that the store holds is a violation of point 2. A write that replaces a stored version by another record is one too; the driver had no way to do that before.

Ruled out: to accept any point for these faults, as for the others. A violation of point 1 would not show that the lost record is noticed.

Conclusion: points 2 and 6 fail with the faults and pass without.

--- a/proofs/driver.py
+++ b/proofs/driver.py
@@ -537,9 +537,17 @@
         return self.history[-1]
 
     def store_write(self, record: model.CellRecord) -> model.CellRecord | None:
-        if not self.store_up or record.version != self.history[-1].version + 1:
-            return None
         before = self.history[-1]
+        if not self.store_up or not self.condition_holds(record):
+            return None
+        if record.version <= before.version:
+            stored = self.history[record.version - 1]
+            if record != stored or record.version < before.version:
+                raise Violation(
+                    f'point 2: version {before.version} overwritten by '
+                    f'{record}'
+                )
+            return record
         for slot_id, old in before.assignment_by_slot.items():
             new = record.assignment_by_slot.get(slot_id)
             if new != old and (new is None or new.fence != record.version):
@@ -555,6 +563,10 @@
         self.history.append(record)
         return None if self._answer_is_lost() else record
 
+    def condition_holds(self, record: model.CellRecord) -> bool:
+        """Tell whether the conditional update takes this record."""
+        return record.version == self.history[-1].version + 1
+
     def _answer_is_lost(self) -> bool:
         self.lost_answers -= 1
         return self.lost_answers >= 0
@@ -570,6 +582,10 @@
                     f'point 1: {sorted(both)} held by {name} and '
                     f'{upstream.name} at {self.now:.3f}'
                 )
+        if step.version > len(self.history):
+            raise Violation(
+                f'point 2: grant at version {step.version}, not in the store'
+            )
         record = self.history[step.version - 1]
         for service, slot, fence in step.slots:
             held = record.assignment_by_slot[model.SlotId(service, slot)]
--- a/proofs/ownership_test.py
+++ b/proofs/ownership_test.py
@@ -15,6 +15,7 @@
 from amaranthcrank.core import model
 from amaranthcrank.grant import standing
 from amaranthcrank.observe import failure_detector
+from amaranthcrank.plan import assignment
 from amaranthcrank.record import cell_record
 from proofs import driver
 
@@ -385,6 +386,7 @@
         *faults: typing.Any,
         challenge_time: bool = True,
         shapes: tuple[tuple[int, bool], ...] = SHAPES,
+        text: str = 'point [128]',
     ) -> None:
         """Expect a violation for one of the shapes within 60 examples."""
         for shape in shapes:
@@ -396,7 +398,7 @@
                 try:
                     run_machine(60, shape, challenge_time)
                 except driver.Violation as violation:
-                    self.assertRegex(str(violation), 'point [128]')
+                    self.assertRegex(str(violation), text)
                     return
         self.fail('the machine found no violation')
 
@@ -436,6 +438,47 @@
         fault = mock.patch.object(standing, 'list_change_in_force', in_force)
         self.find(fault, shapes=((2, True), *ODD))
 
+    def test_plan_ignores_draining(self) -> None:
+        """A leaving upstream keeps its slots and gets their work."""
+        plan = assignment.plan_slots
+
+        def ignoring(
+            owners: assignment.Assignments,
+            wanted: frozenset[model.SlotId],
+            targets: tuple[model.Target, ...],
+            *rest: typing.Any,
+        ) -> typing.Any:
+            active = [each._replace(draining=False) for each in targets]
+            return plan(owners, wanted, tuple(active), *rest)
+
+        fault = mock.patch.object(assignment, 'plan_slots', ignoring)
+        self.find(fault, text='point 6')
+
+    def test_grants_before_the_write_took_effect(self) -> None:
+        """An outage or another writer makes the granted record vanish."""
+        ask = driver.Host.ask_store
+
+        def eager(
+            host: driver.Host,
+            operation: typing.Callable[..., typing.Any],
+            args: tuple[typing.Any, ...],
+        ) -> None:
+            ask(host, operation, args)
+            for record in args:
+                host.install(record, True)
+
+        fault = mock.patch.object(driver.Host, 'ask_store', eager)
+        self.find(fault, text='point 2.* not in the store')
+
+    def test_write_is_not_conditional(self) -> None:
+        """A record that was answered as written is replaced by another."""
+
+        def holds(world: driver.World, record: model.CellRecord) -> bool:
+            return True
+
+        fault = mock.patch.object(driver.World, 'condition_holds', holds)
+        self.find(fault, text='point 2.* overwritten')
+
 
 def each_heard(
     state: standing.StandingState, attesters: tuple[str, ...], version: int
