--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -184,9 +184,11 @@
     """Return the record with every slot on a usable target."""
     record = agreement.record
     held = frozenset(record.assignment_by_slot)
-    pins = settlement.pinned_slots(state.state, state.cell)
-    remapped = settlement.remapped_slots(record, frozenset(pins))
     wanted = (due.wanted & held) | frozenset(due.take)
+    pins = settlement.placeable_pins(
+        settlement.pinned_slots(state.state, state.cell), wanted
+    )
+    remapped = settlement.remapped_slots(record, frozenset(pins))
     planned, moves = assignment.plan_slots(
         record.assignment_by_slot,
         wanted - frozenset(pins),
--- a/amaranthcrank/record/settlement.py
+++ b/amaranthcrank/record/settlement.py
@@ -152,6 +152,30 @@
     return target_by_slot
 
 
+def placeable_pins(
+    target_by_slot: dict[model.SlotId, str],
+    slots: abc.Collection[model.SlotId],
+) -> dict[model.SlotId, str]:
+    """Leave out pins that another cell may still hold.
+
+    A pinned key comes to a cell with its hash slot. A cell that holds the
+    hash slot is the only one to hold the key, so a new pin there need not
+    wait for other cells.
+
+    Args:
+      target_by_slot: What pinned_slots returned.
+      slots: The slots that the cell keeps or may take now.
+
+    Returns:
+      The pins whose own slot or hash slot is among them.
+    """
+    placeable = {}
+    for slot_id, target in target_by_slot.items():
+        if slot_id in slots or _base(slot_id) in slots:
+            placeable[slot_id] = target
+    return placeable
+
+
 def remapped_slots(
     record: model.CellRecord, pins: abc.Collection[model.SlotId]
 ) -> Remapped:
