Let a cell plan nothing by a ticket that others have overtaken

Cause: a host that becomes the acting controller may know an older ticket than the one before it, until it has read the store. The settlement proof had assumed the check. With controllers that are replaced, and the assumption taken out, the machine found two owners on the code as it was.

The host now plans nothing while its own record or another one it has read names a higher ticket.

Ruled out: to compare only the host's own record. It was not shown to be enough, and the other records are at hand.

--- a/amaranthcrank/daemon/duties.py
+++ b/amaranthcrank/daemon/duties.py
@@ -144,16 +144,30 @@
     due = _settlement(state, agreement, effective)
     if due.missing or due.waiting_for:
         _ask_others(state, due)
-    following = _planned(state, agreement, live, effective, due)
-    if following is None and due.raise_settled:
-        following = cell_record.with_settled_ticket(
-            agreement.record, state.ticket.number
-        )
+    following = _settled_or_planned(state, agreement, live, effective, due)
     if following is None and not due.waiting_for:
         state.planned_for = seen
     return following
 
 
+def _settled_or_planned(
+    state: 'control.ControlState',
+    agreement: standing.StandingState,
+    live: tuple[str, ...],
+    effective: int,
+    due: settlement.Settlement,
+) -> model.CellRecord | None:
+    """Return the next version for the known ticket, None if none."""
+    record = agreement.record
+    ticket = state.ticket.number
+    if settlement.is_overtaken(ticket, record, _settled_by_cell(state)):
+        return None
+    following = _planned(state, agreement, live, effective, due)
+    if following is None and due.raise_settled:
+        following = cell_record.with_settled_ticket(record, ticket)
+    return following
+
+
 def _without_silent(
     state: 'control.ControlState',
     agreement: standing.StandingState,
@@ -217,20 +231,24 @@
     agreement: standing.StandingState,
     effective: int,
 ) -> settlement.Settlement:
-    settled_by_cell = {}
-    for cell, record in state.other_record_by_cell.items():
-        if record is not None:
-            settled_by_cell[cell] = record.settled_ticket
     return settlement.settle(
         state.cell,
         state.ticket.number,
         state.state,
         agreement.record,
         effective,
-        settled_by_cell,
+        _settled_by_cell(state),
     )
 
 
+def _settled_by_cell(state: 'control.ControlState') -> dict[str, int]:
+    settled_by_cell = {}
+    for cell, record in state.other_record_by_cell.items():
+        if record is not None:
+            settled_by_cell[cell] = record.settled_ticket
+    return settled_by_cell
+
+
 def _ask_others(
     state: 'control.ControlState', due: settlement.Settlement
 ) -> None:
--- a/amaranthcrank/record/settlement.py
+++ b/amaranthcrank/record/settlement.py
@@ -103,6 +103,32 @@
     )
 
 
+def is_overtaken(
+    ticket: int,
+    record: model.CellRecord,
+    settled_by_cell: dict[str, int],
+) -> bool:
+    """Tell whether cells have followed a newer ticket than the one known.
+
+    A host that begins to act may know an older ticket. By it, the host would
+    take back slots that its cell has dropped and others may hold.
+
+    Args:
+      ticket: The number of the newest ticket known.
+      record: The newest record of this cell.
+      settled_by_cell: settled_ticket of each other record.
+
+    Returns:
+      True when nothing may be planned before the newer ticket is known.
+    """
+    followed = (
+        record.planned_ticket,
+        record.settled_ticket,
+        *settled_by_cell.values(),
+    )
+    return max(followed) > ticket
+
+
 def home_slots(
     ticket_state: dict[str, typing.Any], cell: str
 ) -> frozenset[model.SlotId]:
--- a/proofs/settlement_test.py
+++ b/proofs/settlement_test.py
@@ -62,13 +62,22 @@
 
     def learn(self, name: str) -> None:
         """Let a cell take up the newest ticket."""
+        if self.up and self.cells[name].ticket < len(self.states):
+            self.take_up(name, len(self.states))
+
+    def replace(self, name: str, behind: int) -> None:
+        """Let another host act for a cell, perhaps with an older ticket."""
+        self.cells[name].reads.clear()
+        if self.cells[name].ticket > behind:
+            self.take_up(name, self.cells[name].ticket - behind)
+
+    def take_up(self, name: str, number: int) -> None:
         cell = self.cells[name]
-        if not self.up or cell.ticket == len(self.states):
-            return
-        cell.ticket = len(self.states)
-        cell.state.ticket = types.SimpleNamespace(number=cell.ticket)
-        cell.state.state = self.states[-1]
-        cell.state.target_by_id = tickets.targets_of(self.states[-1])
+        state = self.states[number - 1]
+        cell.ticket = number
+        cell.state.ticket = types.SimpleNamespace(number=number)
+        cell.state.state = state
+        cell.state.target_by_id = tickets.targets_of(state)
         cell.state.other_record_by_cell = {}
 
     def read(self, name: str) -> None:
@@ -101,21 +110,15 @@
         if not self.up or not cell.ticket:
             return
         if not cell.history:
-            first = cell_record.first_record(
-                name, (cell.state.host,), None, cell.ticket
-            )
+            first = cell_record.first_record(name, (cell.state.host,), None, 0)
             cell.history.append(first)
             return
         record = cell.history[-1]
-        if record.settled_ticket > cell.ticket:
-            return
         agreement = types.SimpleNamespace(record=record)
         due = duties._settlement(cell.state, agreement, cell.effective)
-        following = duties._planned(
+        following = duties._settled_or_planned(
             cell.state, agreement, (), cell.effective, due
         )
-        if following is None and due.raise_settled:
-            following = cell_record.with_settled_ticket(record, cell.ticket)
         if following is not None:
             cell.history.append(following)
         self.check()
@@ -227,6 +230,11 @@
         """Take up the newest ticket."""
         self.world.learn(name)
 
+    @stateful.rule(name=_cell, behind=strategies.integers(0, 2))
+    def replace(self, name: str, behind: int) -> None:
+        """Lose the acting controller; another may have an older ticket."""
+        self.world.replace(name, behind)
+
     @stateful.rule(name=_cell, heard=strategies.booleans())
     def read(self, name: str, heard: bool) -> None:
         """Read the others' records, and perhaps hear of them at once."""
@@ -321,3 +329,9 @@
         ):
             with self.assertRaisesRegex(Violation, 'point 1: k'):
                 _run()
+
+    def test_older_ticket_is_followed(self) -> None:
+        """A new acting controller takes back what its cell has dropped."""
+        with mock.patch.object(settlement, 'is_overtaken', lambda *_: False):
+            with self.assertRaisesRegex(Violation, 'point 1'):
+                _run()
