--- a/amaranthcrank/record/settlement.py
+++ b/amaranthcrank/record/settlement.py
@@ -103,6 +103,32 @@
     )
 
 
+def is_overtaken(
+    ticket: int,
+    record: model.CellRecord,
+    settled_by_cell: dict[str, int],
+) -> bool:
+    """Tell whether cells have followed a newer ticket than the one known.
+
+    A host that begins to act may know an older ticket. By it, the host would
+    take back slots that its cell has dropped and others may hold.
+
+    Args:
+      ticket: The number of the newest ticket known.
+      record: The newest record of this cell.
+      settled_by_cell: settled_ticket of each other record.
+
+    Returns:
+      True when nothing may be planned before the newer ticket is known.
+    """
+    followed = (
+        record.planned_ticket,
+        record.settled_ticket,
+        *settled_by_cell.values(),
+    )
+    return max(followed) > ticket
+
+
 def home_slots(
     ticket_state: dict[str, typing.Any], cell: str
 ) -> frozenset[model.SlotId]:
@@ -152,6 +178,30 @@
     return target_by_slot
 
 
+def placeable_pins(
+    target_by_slot: dict[model.SlotId, str],
+    slots: abc.Collection[model.SlotId],
+) -> dict[model.SlotId, str]:
+    """Leave out pins that another cell may still hold.
+
+    A pinned key comes to a cell with its hash slot. A cell that holds the
+    hash slot is the only one to hold the key, so a new pin there need not
+    wait for other cells.
+
+    Args:
+      target_by_slot: What pinned_slots returned.
+      slots: The slots that the cell keeps or may take now.
+
+    Returns:
+      The pins whose own slot or hash slot is among them.
+    """
+    placeable = {}
+    for slot_id, target in target_by_slot.items():
+        if slot_id in slots or _base(slot_id) in slots:
+            placeable[slot_id] = target
+    return placeable
+
+
 def remapped_slots(
     record: model.CellRecord, pins: abc.Collection[model.SlotId]
 ) -> Remapped:
