--- a/tools/measure.py
+++ b/tools/measure.py
@@ -28,12 +28,13 @@
 EXIT_S = 15.0
 
 TITLE_BY_THEME = {
+    'admission': 'Floods at one target, fairness and ledger memory',
+    'assignment': 'Imbalance and churn',
+    'edges': 'Caller server, links and upstream client',
+    'flood': 'Floods through real processes',
     'failover': 'Unavailable time after losses',
     'throughput': 'Requests: rate, latency, processor time and memory',
     'control': 'Control cost and tickets',
-    'assignment': 'Imbalance and churn',
-    'admission': 'Floods, fairness and ledger memory',
-    'edges': 'Caller server, links and upstream client',
 }
 HEAD = """# Measurements
 
@@ -149,11 +150,15 @@
 def _rows(figure: Figure) -> abc.Iterator[str]:
     """Yield the rows of one line of output."""
     if 'value' in figure:
+        labels = []
+        for name, each in figure.items():
+            if name not in ('figure', 'value', 'unit', 'setup', 'seed'):
+                labels.append(f'{name} {each}')
         fields = (
             figure['figure'],
             _shown(figure['value']),
             figure.get('unit', ''),
-            figure.get('setup', ''),
+            figure.get('setup', ', '.join(labels)),
             figure.get('seed', ''),
         )
         yield _row(fields)
--- a/tools/measure_assignment.py
+++ b/tools/measure_assignment.py
@@ -4,12 +4,12 @@
 per target) and churn (keys moved over the least number needed).
 """
 
-import json
 import random
 
 from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 from amaranthcrank.plan import assignment
+from tools import measuring
 
 SERVICE = 'soaklog'
 SLOTS = 256
@@ -119,8 +119,9 @@
 
 def report(method: str, event: str, figure: str, value: float) -> None:
     """Print one figure."""
-    line = {'method': method, 'event': event, figure: round(value, 3)}
-    print(json.dumps(line))
+    setup = f'{method}; {event}; {KEYS} keys, {TARGETS} targets'
+    unit = 'keys' if figure == 'keys moved' else 'ratio'
+    measuring.emit(f'{figure}, {event}, {method}', value, unit, setup)
 
 
 def main() -> None:
