Raise what an actor's function raised instead of returning it

Cause: an actor that caught an exception returned it as its answer, so that a caller could take an error for a stored outcome or a code.

Ruled out: letting the exception end the actor, which owns queues and intents.

Conclusion: every question to an actor goes through actors.ask.

--- a/amaranthcrank/core/actors.py
+++ b/amaranthcrank/core/actors.py
@@ -9,6 +9,9 @@
 
 log = logs.logger('actor')
 
+# Actors answer within a millisecond; a longer wait is a fault.
+ASK_TIMEOUT_S = 1.0
+
 Handler = abc.Callable[[typing.Any, typing.Any], typing.Any]
 
 
@@ -32,7 +35,7 @@
         """Apply the function for the type of the message.
 
         An exception would end the actor and with it all that it owns, so it
-        is logged and the next message is handled.
+        is logged and the next message is handled; ask raises it.
         """
         try:
             return self.handler_by_type[type(message)](self.state, message)
@@ -57,3 +60,25 @@
       The reference to send messages to.
     """
     return StateActor.start(name, state, handler_by_type)
+
+
+def ask(
+    ref: pykka.ActorRef, message: typing.Any, timeout_s: float = ASK_TIMEOUT_S
+) -> typing.Any:
+    """Send a message and wait for its answer.
+
+    Args:
+      ref: The actor.
+      message: The message.
+      timeout_s: How long to wait.
+
+    Returns:
+      What the function for the message returned.
+
+    Raises:
+      Exception: What that function raised; the actor goes on.
+    """
+    answer = ref.ask(message, timeout=timeout_s)
+    if isinstance(answer, Exception):
+        raise answer
+    return answer
--- a/amaranthcrank/daemon/crashes.py
+++ b/amaranthcrank/daemon/crashes.py
@@ -2,6 +2,7 @@
 
 import time
 
+from amaranthcrank.core import actors
 from amaranthcrank.core import logs
 from amaranthcrank.daemon import control_state
 from amaranthcrank.dispatch import dispatcher
@@ -26,19 +27,19 @@
     for mark, event, at_ms in frame['crashes']:
         crashes.append(quarantine.Crash(mark, event, at_ms))
     merge = ledger_actor.MergeCrashes(tuple(crashes))
-    _quarantine(state, state.ledger_ref.ask(merge))
+    _quarantine(state, actors.ask(state.ledger_ref, merge))
 
 
 def export_crashes(
     state: control_state.ControlState, live: tuple[str, ...]
 ) -> None:
     """Send the crash counts to the peers and drop old ones."""
-    state.quarantined = state.ledger_ref.ask(
-        ledger_actor.Quarantined(state.quarantined)
+    state.quarantined = actors.ask(
+        state.ledger_ref, ledger_actor.Quarantined(state.quarantined)
     )
-    state.suspected = state.ledger_ref.ask(ledger_actor.Suspected())
+    state.suspected = actors.ask(state.ledger_ref, ledger_actor.Suspected())
     state.ledger_ref.tell(ledger_actor.Expire())
-    crashes, _ = state.ledger_ref.ask(ledger_actor.ExportCrashes(0))
+    crashes, _ = actors.ask(state.ledger_ref, ledger_actor.ExportCrashes(0))
     if not crashes:
         return
     frame = {
@@ -62,7 +63,7 @@
     if noted.down or restarted:
         event = quarantine.crash_event(name, suspect.incarnation)
         crash = ledger_actor.NoteCrash(event, suspect.fingerprints)
-        _quarantine(state, state.ledger_ref.ask(crash))
+        _quarantine(state, actors.ask(state.ledger_ref, crash))
         state.next_export_at = time.monotonic()
     elif age < SUSPICION_S:
         return
--- a/amaranthcrank/daemon/operators.py
+++ b/amaranthcrank/daemon/operators.py
@@ -10,6 +10,7 @@
 import expression
 import pykka
 
+from amaranthcrank.core import actors
 from amaranthcrank.core import codes
 from amaranthcrank.core import hashing
 from amaranthcrank.core import model
@@ -26,7 +27,6 @@
 from amaranthcrank.routing import route
 
 STATUS_TIMEOUT_S = 0.5
-ACTOR_TIMEOUT_S = 2.0
 # Enough to see who changed what today; each one is a read of the store.
 LISTED_TICKETS = 20
 NO_TICKET = tickets.Ticket(0, '', '', 0, (), model.EMPTY_STATE)
@@ -73,8 +73,7 @@
     operators: Operators, host: str, frame: frames.Frame
 ) -> None:
     """Answer a host of another cell that asks for this cell's status."""
-    pending = operators.control_ref.ask(messages.AskStatus(), block=False)
-    view = pending.get(timeout=ACTOR_TIMEOUT_S)
+    view = _own_cell(operators)
     reply = {'type': frames.STATUS_REPLY, 'cell': json.dumps(_packed(view))}
     links_module.reply(operators.node.context.links, host, frame['id'], reply)
 
@@ -122,9 +121,7 @@
         node.cell,
         view.ready,
         view.ticket,
-        operators.control_ref.ask(
-            messages.AskStore(), timeout=ACTOR_TIMEOUT_S
-        ),
+        actors.ask(operators.control_ref, messages.AskStore()),
         view_by_cell,
         view.state,
     )
@@ -132,9 +129,7 @@
 
 
 def _own_cell(operators: Operators) -> status.CellView:
-    return operators.control_ref.ask(
-        messages.AskStatus(), timeout=ACTOR_TIMEOUT_S
-    )
+    return actors.ask(operators.control_ref, messages.AskStatus())
 
 
 def _ask_other_cells(
@@ -198,7 +193,7 @@
     for target, ref in list(node.ref_by_target.items()):
         if hashing.rendezvous(target, live, 1) != (node.context.host,):
             continue
-        report = ref.ask(dispatcher.Load(), timeout=ACTOR_TIMEOUT_S)
+        report = actors.ask(ref, dispatcher.Load())
         view_by_target[target] = status.QueueView(*report)
     return 200, status.queues_document(view_by_target)
 
@@ -243,9 +238,7 @@
     if result.is_ok():
         found = result.ok
     else:
-        found = operators.control_ref.ask(
-            messages.AskTicket(), timeout=ACTOR_TIMEOUT_S
-        )
+        found = actors.ask(operators.control_ref, messages.AskTicket())
         if found is None:
             return _store_error(result.error)
     if found is None:
--- a/amaranthcrank/daemon/requests.py
+++ b/amaranthcrank/daemon/requests.py
@@ -14,6 +14,7 @@
 
 from amaranthcrank.admission import gate
 from amaranthcrank.admission import intake_limit
+from amaranthcrank.core import actors
 from amaranthcrank.core import codes
 from amaranthcrank.core import hashing
 from amaranthcrank.core import metrics
@@ -48,7 +49,6 @@
 # A host that gets a request after this many hops dispatches it itself: any
 # host with standing may, and two that disagree must not pass it to and fro.
 MAX_HOPS = 2
-ACTOR_TIMEOUT_S = 1.0
 # About as long as a few requests take at an upstream.
 INTAKE_RETRY_AFTER_MS = 200
 
@@ -286,7 +286,7 @@
     check = gate.Check(
         request.service, home.cell, request.rank, len(request.body), crosses
     )
-    admission = node.gate_ref.ask(check, timeout=ACTOR_TIMEOUT_S)
+    admission = actors.ask(node.gate_ref, check)
     if admission.code is not None:
         return _refused(admission.code, '', admission.retry_after_ms)
     pending = _forward(node, chosen[0], request, home.cell, deadline_at, 0)
@@ -382,7 +382,7 @@
 ) -> model.Outcome:
     """Answer unknown where this host knows the id from an earlier attempt."""
     ask = ledger_actor.RefusalCode(request.request_id, '', outcome.code)
-    code = node.context.ledger_ref.ask(ask, timeout=ACTOR_TIMEOUT_S)
+    code = actors.ask(node.context.ledger_ref, ask)
     if code is outcome.code:
         return outcome
     return model.refusal(code)
--- a/amaranthcrank/dispatch/dispatcher.py
+++ b/amaranthcrank/dispatch/dispatcher.py
@@ -303,9 +303,7 @@
     """
     if not work.request.repeatable:
         ask = ledger_actor.RefusalCode(work.request.request_id, '', code)
-        code = state.context.ledger_ref.ask(
-            ask, timeout=work_module.ACTOR_TIMEOUT_S
-        )
+        code = actors.ask(state.context.ledger_ref, ask)
     work.reply.set_result(model.refusal(code, '', retry_after_ms))
 
 
--- a/amaranthcrank/dispatch/work.py
+++ b/amaranthcrank/dispatch/work.py
@@ -8,6 +8,7 @@
 
 import pykka
 
+from amaranthcrank.core import actors
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
 from amaranthcrank.core import tracing
@@ -21,7 +22,6 @@
 # Between failure domains a frame takes 0.5 ms; a holder that needs longer
 # than this is replaced by the third one.
 INTENT_TIMEOUT_S = 0.1
-ACTOR_TIMEOUT_S = 1.0
 
 
 class Work(typing.NamedTuple):
@@ -346,4 +346,4 @@
 
 
 def _ask(context: Context, message: typing.Any) -> typing.Any:
-    return context.ledger_ref.ask(message, timeout=ACTOR_TIMEOUT_S)
+    return actors.ask(context.ledger_ref, message)
