Let a ticket change the slots and floors of a running dispatcher

Cause: found in the read-through. The dispatcher called a function of the queue that does not exist when a ticket stated its target again, so that new floors were logged as a failure and left out; its threads and connections stayed at the slots of the first ticket; and the actor of a removed target never ended.

Ruled out: a new dispatcher for each ticket, because work waits in the old one.

Conclusion: floors, slots and connections follow the ticket; a removed target's actor ends when nothing is in flight.

--- a/amaranthcrank/admission/rank_queue.py
+++ b/amaranthcrank/admission/rank_queue.py
@@ -136,6 +136,14 @@
     return RankQueue(floor_by_rank, width, service_s, max_entries)
 
 
+def set_floors(
+    queue: RankQueue, floor_by_rank: abc.Mapping[str, float]
+) -> None:
+    """Set the guaranteed shares; what waits and its credit stay."""
+    for rank, entries in queue.rank_by_name.items():
+        entries.floor = floor_by_rank.get(rank, 0.0)
+
+
 def set_pace(queue: RankQueue, width: int, service_s: float) -> None:
     """Set the target's limit and expected service time."""
     queue.width = width
--- a/amaranthcrank/dispatch/dispatcher.py
+++ b/amaranthcrank/dispatch/dispatcher.py
@@ -94,7 +94,9 @@
         self.upstream = upstream_client.open_upstream(self.stack, target)
         self.executor = self.stack.enter_context(
             futures.ThreadPoolExecutor(
-                target.slots, f'dispatch-{target.target}'
+                # Threads start when needed; a ticket may raise the slots.
+                model.MAX_TARGET_SLOTS,
+                f'dispatch-{target.target}',
             )
         )
         self.limit = limits.open_limit(target.slots)
@@ -103,6 +105,7 @@
         )
         self.waiting_by_number: dict[str, work_module.Work] = {}
         self.in_flight_by_number: dict[str, work_module.Work] = {}
+        self.stopped = False
         self.ref: pykka.ActorRef | None = None
 
 
@@ -141,6 +144,8 @@
 def _submit(state: State, message: Submit) -> None:
     work = message.work
     refused = _refused_now(state, work)
+    if state.stopped:
+        refused = codes.NO_OWNER
     if refused is not None:
         _refuse(state, work, refused)
         return
@@ -198,7 +203,7 @@
 ) -> None:
     rank_queue.remove(state.queue, work.number)
     del state.waiting_by_number[work.number]
-    work.reply.set_result(model.refusal(code))
+    _refuse(state, work, code)
 
 
 def _lost(state: State, message: Lost) -> None:
@@ -258,6 +263,9 @@
             _clear_suspicion(state, work)
     if not work.reply.done():
         work.reply.set_result(message.outcome)
+    if state.stopped:
+        _end_if_idle(state)
+        return
     _set_pace(state)
     _pump(state)
 
@@ -316,7 +324,15 @@
 
 
 def _set_target(state: State, message: SetTarget) -> None:
+    old = state.target
     state.target = message.target
+    pools = (message.target.slots, message.target.connections)
+    if (old.slots, old.connections) != pools:
+        # Work in flight ends on the pools that it began with.
+        upstream_client.close_upstream(state.upstream)
+        state.upstream = upstream_client.open_upstream(
+            state.stack, message.target
+        )
     limits.set_slots(state.limit, message.target.slots)
     rank_queue.set_floors(state.queue, message.floor_by_rank)
 
@@ -339,8 +355,16 @@
 
 def _stop(state: State, message: Stop) -> None:
     """Refuse what waits; work in flight still answers its callers."""
-    for work in state.waiting_by_number.values():
-        work.reply.set_result(model.refusal(codes.NO_OWNER))
-    state.waiting_by_number.clear()
+    state.stopped = True
+    for work in list(state.waiting_by_number.values()):
+        _refuse_waiting(state, work, codes.NO_OWNER)
+    _end_if_idle(state)
+
+
+def _end_if_idle(state: State) -> None:
+    """End the actor of a target that is gone once nothing is in flight."""
+    if state.in_flight_by_number:
+        return
     state.executor.shutdown(wait=False)
     upstream_client.close_upstream(state.upstream)
+    state.ref.stop(block=False)
--- /dev/null
+++ b/amaranthcrank/dispatch/dispatcher_test.py
@@ -0,0 +1,103 @@
+from concurrent import futures
+import time
+import unittest
+
+import pykka
+
+from amaranthcrank.core import actors
+from amaranthcrank.core import codes
+from amaranthcrank.core import model
+from amaranthcrank.dispatch import dispatcher
+from amaranthcrank.dispatch import ledger_actor
+from amaranthcrank.dispatch import work as work_module
+from amaranthcrank.publish import view as view_module
+
+SLOT = model.SlotId('soaklog', 3)
+TARGET = model.Target('t1', 'soaklog', 'c', '127.0.0.1:9', 2, 8, True, False)
+
+
+def _view():
+    record = model.CellRecord(
+        'c', 1, ('h',), ('h',), (), 1, {SLOT: model.Assignment('t1', 1, '')}
+    )
+    granted = view_module.Granted('i1', 1e12, frozenset({SLOT}))
+    return view_module.View(
+        ready=True,
+        ticket=1,
+        record=record,
+        standing_until=time.monotonic() + 60,
+        granted_by_target={'t1': granted},
+    )
+
+
+def _work(repeatable=True):
+    request = model.Request(
+        '1-aaaaaaaa',
+        1,
+        'soaklog',
+        'key',
+        model.NORMAL,
+        repeatable,
+        2_000,
+        'caller',
+        'GET',
+        '',
+        (),
+        b'',
+        '',
+    )
+    return work_module.Work(
+        '1', request, SLOT, SLOT, time.monotonic() + 2, futures.Future()
+    )
+
+
+class DispatcherTest(unittest.TestCase):
+    def setUp(self):
+        self.holder = view_module.ViewHolder()
+        self.holder.view = _view()
+        ledger_ref = ledger_actor.start('h')
+        self.addCleanup(ledger_ref.stop)
+        context = work_module.Context(
+            'h', 'i', self.holder, None, ledger_ref, lambda: 1
+        )
+        self.ref = dispatcher.start(TARGET, {}, context, lambda suspect: None)
+
+    def submit(self, work):
+        self.ref.tell(dispatcher.Submit(work))
+        return work.reply.result(5)
+
+    def test_refused_connection_is_not_run(self):
+        """Guards against `unknown` for work that was never sent."""
+        self.addCleanup(self.ref.stop)
+        outcome = self.submit(_work())
+        self.assertEqual(codes.NOT_RUN, outcome.code.outcome)
+
+    def test_slot_without_a_grant_has_no_owner(self):
+        """Guards against work sent to a target without a grant."""
+        self.addCleanup(self.ref.stop)
+        self.holder.view = self.holder.view._replace(granted_by_target={})
+        self.assertEqual(codes.NO_OWNER, self.submit(_work()).code)
+
+    def test_no_work_without_standing(self):
+        """Guards against work sent by a host that lost its majority."""
+        self.addCleanup(self.ref.stop)
+        self.holder.view = self.holder.view._replace(standing_until=0.0)
+        self.assertEqual(codes.NO_STANDING, self.submit(_work(False)).code)
+
+    def test_ticket_changes_slots_and_floors(self):
+        """Guards against a target that keeps the limits it started with."""
+        self.addCleanup(self.ref.stop)
+        target = TARGET._replace(slots=9, connections=20)
+        answer = actors.ask(
+            self.ref, dispatcher.SetTarget(target, {model.BULK: 0.2})
+        )
+        self.assertIsNone(answer)
+        report = actors.ask(self.ref, dispatcher.Load())
+        self.assertIsInstance(report, dispatcher.LoadReport)
+
+    def test_actor_of_a_removed_target_ends(self):
+        """Guards against a thread for each target that ever was."""
+        self.ref.tell(dispatcher.Stop())
+        with self.assertRaises(pykka.ActorDeadError):
+            while True:
+                actors.ask(self.ref, dispatcher.Load())
--- a/amaranthcrank/record/ticket_checks.py
+++ b/amaranthcrank/record/ticket_checks.py
@@ -24,7 +24,6 @@
 # A cell record spends about 60 bytes on a slot and has to stay within the
 # megabyte that the store takes.
 MAX_SLOTS = 16_384
-MAX_TARGET_SLOTS = 256
 MAX_TARGET_CONNECTIONS = 65_535
 MAX_BYTES_PER_S = 10**12
 MAX_AUTHOR_CHARACTERS = 128
@@ -251,7 +250,7 @@
     checks: dict[str, Check] = {
         'address': _check_address,
         'cell': _check_name,
-        'slots': _integer_check(1, MAX_TARGET_SLOTS),
+        'slots': _integer_check(1, model.MAX_TARGET_SLOTS),
         'connections': _integer_check(1, MAX_TARGET_CONNECTIONS),
         'fenced': _check_boolean,
         'state': _check_target_state,
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -426,8 +426,8 @@
             processor,
             'cores',
             LIMIT_CORE,
-            'plans every 50 ms also where nothing changed; planning only on '
-            'a change would carry its part',
+            'duties looked through on each tick, plans only on a change; the '
+            'part on top of the host is small beside its renewals',
         ),
         Row(
             role,
