Run all state machines by one function, and share a sample request

Cause: duplicates showed the settings of hypothesis in seven proof files and the same sample request in three tests.

Ruled out: one class for all machines; only the settings and the run are the same.

Conclusion: a change of the settings reaches every proof.

--- a/amaranthcrank/daemon/requests_test.py
+++ b/amaranthcrank/daemon/requests_test.py
@@ -8,6 +8,7 @@
 from amaranthcrank.core import model
 from amaranthcrank.daemon import requests
 from amaranthcrank.dispatch import retries
+from standins import samples
 
 OK = model.Outcome(codes.OK, 200, (), b'answer', 0, '')
 NO_OWNER = model.refusal(codes.NO_OWNER)
@@ -31,21 +32,7 @@
 
 
 def _request(repeatable=True):
-    return model.Request(
-        '1-aaaaaaaa',
-        1,
-        'soaklog',
-        'key',
-        model.NORMAL,
-        repeatable,
-        5_000,
-        'caller',
-        'GET',
-        '',
-        (),
-        b'',
-        '',
-    )
+    return samples.LOOKUP._replace(repeatable=repeatable)
 
 
 class RetryTest(unittest.TestCase):
--- a/amaranthcrank/dispatch/dispatcher_test.py
+++ b/amaranthcrank/dispatch/dispatcher_test.py
@@ -11,6 +11,7 @@
 from amaranthcrank.dispatch import ledger_actor
 from amaranthcrank.dispatch import work as work_module
 from amaranthcrank.publish import view as view_module
+from standins import samples
 
 SLOT = model.SlotId('soaklog', 3)
 TARGET = model.Target('t1', 'soaklog', 'c', '127.0.0.1:9', 2, 8, True, False)
@@ -31,21 +32,7 @@
 
 
 def _work(repeatable=True):
-    request = model.Request(
-        '1-aaaaaaaa',
-        1,
-        'soaklog',
-        'key',
-        model.NORMAL,
-        repeatable,
-        2_000,
-        'caller',
-        'GET',
-        '',
-        (),
-        b'',
-        '',
-    )
+    request = samples.LOOKUP._replace(repeatable=repeatable)
     return work_module.Work(
         '1', request, SLOT, SLOT, time.monotonic() + 2, futures.Future()
     )
--- a/amaranthcrank/dispatch/quarantine_test.py
+++ b/amaranthcrank/dispatch/quarantine_test.py
@@ -4,26 +4,13 @@
 
 from amaranthcrank.core import model
 from amaranthcrank.dispatch import quarantine
+from standins import samples
 
 NOW_MS = 5_000_000
 
 
 def _request(service: str, key: str, method: str = 'GET') -> model.Request:
-    return model.Request(
-        '1-aaaaaaaa',
-        1,
-        service,
-        key,
-        model.NORMAL,
-        True,
-        100,
-        'caller',
-        method,
-        '',
-        (),
-        b'',
-        '',
-    )
+    return samples.LOOKUP._replace(service=service, key=key, method=method)
 
 
 class QuarantineTest(unittest.TestCase):
--- a/proofs/admission_test.py
+++ b/proofs/admission_test.py
@@ -11,13 +11,13 @@
 import unittest
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
 from amaranthcrank.admission import rank_queue
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
+from proofs import machines
 
 FLOOR_BY_RANK = {model.URGENT: 0.0, model.NORMAL: 0.15, model.BULK: 0.05}
 CALLERS = ('a', 'b', 'c')
@@ -196,17 +196,7 @@
 
 
 def _run(machine: type) -> None:
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=machine.examples,
-        stateful_step_count=machine.steps,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        report_multiple_bugs=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    stateful.run_state_machine_as_test(machine, settings=settings)
+    machines.run(machine, machine.examples, machine.steps)
 
 
 class ProofTest(unittest.TestCase):
--- a/proofs/answers_test.py
+++ b/proofs/answers_test.py
@@ -22,6 +22,7 @@
 from amaranthcrank.peers import frames
 from amaranthcrank.peers import links
 from amaranthcrank.peers import send_queue
+from proofs import machines
 
 HOSTS = ('a', 'b', 'c')
 DIRECTIONS = tuple((x, y) for x in HOSTS for y in HOSTS if x != y)
@@ -260,17 +261,7 @@
 
 
 def _settings(examples: int) -> hypothesis.settings:
-    return hypothesis.settings(
-        derandomize=True,
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        print_blob=False,
-        report_multiple_bugs=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
+    return machines.settings_of(examples, STEPS)
 
 
 def _run_machine() -> None:
--- a/proofs/at_most_once_test.py
+++ b/proofs/at_most_once_test.py
@@ -17,13 +17,13 @@
 import unittest
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
 from amaranthcrank.dispatch import ledger
+from proofs import machines
 
 SLOT = model.SlotId('holdbook', 7)
 BEGIN_MS = 10_000_000
@@ -700,17 +700,7 @@
 
 def _run(machine: type) -> None:
     """Run a machine the same way with and without a fault."""
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=machine.examples,
-        stateful_step_count=machine.steps,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        report_multiple_bugs=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    stateful.run_state_machine_as_test(machine, settings=settings)
+    machines.run(machine, machine.examples, machine.steps)
 
 
 class ProofTest(unittest.TestCase):
--- a/proofs/ownership_test.py
+++ b/proofs/ownership_test.py
@@ -7,7 +7,6 @@
 import unittest
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -18,6 +17,7 @@
 from amaranthcrank.plan import assignment
 from amaranthcrank.record import cell_record
 from proofs import driver
+from proofs import machines
 
 ODD = ((3, False), (5, False))
 SHAPES = ((2, False), (2, True), *ODD)
@@ -342,18 +342,7 @@
 
     Machine.shape = shape
     Machine.challenge_time = challenge_time
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=examples,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        print_blob=False,
-        report_multiple_bugs=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    stateful.run_state_machine_as_test(Machine, settings=settings)
+    machines.run(Machine, examples, STEPS)
 
 
 class WholeRuleTest(unittest.TestCase):
--- a/proofs/settlement_test.py
+++ b/proofs/settlement_test.py
@@ -11,7 +11,6 @@
 import unittest
 from unittest import mock
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -22,6 +21,7 @@
 from amaranthcrank.record import cell_record
 from amaranthcrank.record import settlement
 from amaranthcrank.record import tickets
+from proofs import machines
 
 SERVICE = 'soaklog'
 SLOTS = 4
@@ -281,18 +281,7 @@
 
 def _run() -> None:
     """Run the machine the same way with and without a fault."""
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=400,
-        stateful_step_count=40,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        report_multiple_bugs=False,
-        print_blob=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    stateful.run_state_machine_as_test(Machine, settings=settings)
+    machines.run(Machine, 400, 40)
 
 
 class ProofTest(unittest.TestCase):
--- a/proofs/shutdown_test.py
+++ b/proofs/shutdown_test.py
@@ -23,6 +23,7 @@
 from amaranthcrank.daemon import messages
 from amaranthcrank.dispatch import dispatcher
 from amaranthcrank.intake import server
+from proofs import machines
 
 EXAMPLES = 60
 STEPS = 25
@@ -370,18 +371,7 @@
 
 
 def _run_machine() -> None:
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=EXAMPLES,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        print_blob=False,
-        report_multiple_bugs=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    stateful.run_state_machine_as_test(ShutdownMachine, settings=settings)
+    machines.run(ShutdownMachine, EXAMPLES, STEPS)
 
 
 class ProofTest(unittest.TestCase):
--- a/proofs/tickets_test.py
+++ b/proofs/tickets_test.py
@@ -21,7 +21,6 @@
 from unittest import mock
 
 import expression
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -34,6 +33,7 @@
 from amaranthcrank.record import keeper
 from amaranthcrank.record import store_client
 from amaranthcrank.record import tickets
+from proofs import machines
 
 HOSTS = 3
 DONE, LOST_AFTER, LATE, LOST_BEFORE = range(4)
@@ -516,18 +516,7 @@
 
 def _run() -> None:
     """Run the machine the same way with and without a fault."""
-    settings = hypothesis.settings(
-        derandomize=True,
-        max_examples=800,
-        stateful_step_count=30,
-        deadline=None,
-        database=None,
-        phases=(hypothesis.Phase.generate,),
-        report_multiple_bugs=False,
-        print_blob=False,
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    stateful.run_state_machine_as_test(Machine, settings=settings)
+    machines.run(Machine, 800, 30)
 
 
 class ProofTest(unittest.TestCase):
