Let a long answer of the store arrive, and try the ticket first after an outage

Traced on a scratch copy with a line for each read: reads of the ticket took 0.7 to 1.57 s and were given up after 1.5 s and begun anew, which filled the link further. Ruled out: a watch that misses a change (all that answered had version 11). Change: an answer that arrives is given up only after 1.5 s without a part of it; the other kinds wait until the ticket's reads succeed again (3 s at most), which also makes one priced call of three while the store is away.

The controller is split as well: renewals, maps in the store and refused holders are modules of their own, with no change of behaviour but one: maps that cannot be read are tried again after 0.3 s (0.1 s before), like writes.

--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -10,6 +10,9 @@
 
 OBJECTS_PATH = '/v1/objects/'
 CONNECT_TIMEOUT_S = 0.5
+# A long answer over a busy link is not given up while it arrives: asking
+# anew would send all of it again.
+SILENCE_S = 1.5
 
 
 class StoreError(Exception):
@@ -218,6 +221,7 @@
                 body,
                 CONNECT_TIMEOUT_S,
                 timeout_s,
+                SILENCE_S,
             )
         except http_client.ConnectError as error:
             raise StoreError(f'unreachable: {error}', refused=True) from error
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -21,6 +21,8 @@
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 4.0
 MAX_IDLE_PER_ADDRESS = 16
+# An answer that arrives in drops is given up in the end.
+LONGEST_ANSWER_S = 30.0
 
 
 class Answer(typing.NamedTuple):
@@ -74,6 +76,8 @@
         self.idle_limit_s = DEFAULT_IDLE_S
         self.reusable = True
         self._http = _new_state()
+        # Called whenever a part of an answer arrives.
+        self.on_part: typing.Callable[[], None] | None = None
         self._waiter: asyncio.Future[Answer] | None = None
         self._expected_id: bytes | None = None
         self._request: h11.Request | None = None
@@ -106,6 +110,8 @@
             self.reusable = False
             self.abort()
             return
+        if self.on_part is not None:
+            self.on_part()
         self._feed(data)
 
     @property
@@ -385,16 +391,47 @@
     body: bytes,
     connect_timeout_s: float,
     timeout_s: float,
+    silence_s: float = 0.0,
 ) -> Answer:
     """Make one exchange over a pooled connection, without an id.
 
+    Args:
+      pool: The connections.
+      address: The server.
+      method: The HTTP method.
+      path: The path with the query.
+      headers: All headers, with Host and the length of the body.
+      body: The whole body.
+      connect_timeout_s: How long opening a connection may take.
+      timeout_s: How long the answer may take.
+      silence_s: An answer that still arrives when its time is over goes on
+        until nothing came for so long.
+
     Raises:
       ConnectError: No connection could be made.
       ExchangeError: The exchange broke.
       TimeoutError: There was no whole answer in time.
     """
     connection = await pool.acquire(address, connect_timeout_s)
-    async with asyncio.timeout(timeout_s):
+    async with asyncio.timeout(timeout_s) as limit:
+        if silence_s:
+            connection.on_part = _extension(limit, silence_s)
         answer = await connection.exchange(method, path, headers, body, None)
+    connection.on_part = None
     pool.release(address, connection)
     return answer
+
+
+def _extension(
+    limit: asyncio.Timeout, silence_s: float
+) -> typing.Callable[[], None]:
+    """Return a function that extends a timeout while an answer arrives."""
+    loop = asyncio.get_running_loop()
+    last_at = loop.time() + LONGEST_ANSWER_S
+
+    def extend() -> None:
+        until = min(last_at, loop.time() + silence_s)
+        if until > (limit.when() or 0.0):
+            limit.reschedule(until)
+
+    return extend
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -10,8 +10,6 @@
 import time
 import typing
 
-from amaranthcrank.platform import entries
-from amaranthcrank.platform import names
 from amaranthcrank.platform import store
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
@@ -20,31 +18,24 @@
 from amaranthcrank.router import former_owners
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import key_load
+from amaranthcrank.router import key_map_store
 from amaranthcrank.router import key_plan
+from amaranthcrank.router import key_renewals
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
+from amaranthcrank.router import refused_holders
 
-HOLD_S = 6.0
-# While the store does not confirm the lease, grants are made as long as they
-# may be, so that keys stay owned after the lease has ended.
-RENEWAL_S = 2.0
 STEP_S = 0.1
-STORE_TIMEOUT_S = 1.0
-WRITE_RETRY_S = 0.3
 # Load is looked at this often; more often it would follow chance.
 BALANCE_S = 1.0
 # Moves that end shortly after one another are written as done together. The
 # hosts are told at once by datagram.
 GATHER_S = 0.5
-# A target whose address refused connections is given no keys for so long.
-REFUSED_S = 4.0
 # Keys are first given out when no target has come or gone for so long.
 SETTLE_S = 1.2
 # An owner with more work than this part of what it can do has a queue at
 # times, so all hosts should know what the others have there.
 DEMAND_SHARE = 0.5
-# The lease counts as unconfirmed after two missed renewals.
-UNCONFIRMED_S = 1.8
 
 
 class Controller:
@@ -70,7 +61,7 @@
         ) = None
         self.load = key_load.KeyLoad()
         self.services_in_demand: frozenset[str] = frozenset()
-        self._client = client
+        self._store = key_map_store.KeyMapStore(client, lease, log)
         self._lease = lease
         self._calls = calls
         self._targets = targets
@@ -86,11 +77,18 @@
         self._formers = former_owners.FormerOwners(
             calls, targets, self._address_by_holder, log
         )
-        self._refused_at_by_holder: dict[str, float] = {}
+        self._refused = refused_holders.RefusedHolders()
+        self._renewals = key_renewals.KeyRenewals(
+            lease,
+            calls,
+            self._formers,
+            self._refused,
+            self._address_by_holder,
+            log,
+            grant_max_s,
+        )
         self._balanced_at_by_service: dict[str, float] = {}
         self._settled_at = 0.0
-        self._renewed_at_by_holder: dict[str, float] = {}
-        self._renewals: dict[str, asyncio.Task[None]] = {}
         self._renewing: asyncio.Task[None] | None = None
         self._seen_by_service: dict[
             str, tuple[float, list[key_plan.Owner]]
@@ -104,7 +102,9 @@
         try:
             if not await self._read_maps():
                 return
-            self._renewing = asyncio.create_task(self._renew_always())
+            self._renewing = asyncio.create_task(
+                self._renewals.run(self._map_by_service)
+            )
             while self._lease.is_held:
                 for service in self.keyed_services:
                     if not await self._step(service):
@@ -119,47 +119,33 @@
 
     def renew_soon(self, target_id: str) -> None:
         """Renew the grants of a target that said it holds a key no more."""
-        for holder in self._renewed_at_by_holder:
-            if holder.startswith(target_id + '/'):
-                self._renewed_at_by_holder[holder] = 0.0
+        self._renewals.renew_soon(target_id)
 
     def _reset(self) -> None:
         self._map_by_service = {}
         self._settled_by_service = {}
-        self._renewed_at_by_holder = {}
-        self._refused_at_by_holder = {}
+        self._renewals.reset()
+        self._refused.clear()
         self.services_in_demand = frozenset()
 
     def _stop_tasks(self) -> None:
         if self._renewing is not None:
             self._renewing.cancel()
+        self._renewals.stop()
         for task in self._moving_tasks.values():
             task.cancel()
-        for task in self._renewals.values():
-            task.cancel()
         self._moving_tasks.clear()
-        self._renewals.clear()
 
     async def _read_maps(self) -> bool:
-        while self._lease.is_held:
-            try:
-                listing = await self._client.list_all(
-                    names.SHARED_KIND, STORE_TIMEOUT_S
-                )
-            except store.StoreError as error:
-                self._log.event('key_maps_unread', reason=str(error))
-                await asyncio.sleep(STEP_S)
-                continue
-            for name, item in listing.item_by_name.items():
-                if not name.startswith(names.KEY_MAP_PREFIX):
-                    continue
-                service = name.removeprefix(names.KEY_MAP_PREFIX)
-                key_map = entries.decode_key_map(service, item)
-                self._map_by_service[service] = key_map
-                self._address_by_holder.update(key_map.address_by_holder)
-                self._keys.put(key_map)
-            return True
-        return False
+        """Read all key maps; False: the lease was lost meanwhile."""
+        maps = await self._store.read_all()
+        if maps is None:
+            return False
+        for key_map in maps:
+            self._map_by_service[key_map.service] = key_map
+            self._address_by_holder.update(key_map.address_by_holder)
+            self._keys.put(key_map)
+        return True
 
     async def _step(self, service: str) -> bool:
         """Plan, write and start what a service needs; False: lease lost."""
@@ -193,13 +179,6 @@
         self._start_moves(service)
         return True
 
-    async def _renew_always(self) -> None:
-        """Renew grants, also while the store does not answer."""
-        while self._lease.is_held:
-            for service in list(self._map_by_service):
-                self._renew(service)
-            await asyncio.sleep(STEP_S)
-
     def _take_settled(self, service: str) -> list[model.KeyRange]:
         """Return the moves that ended, once their neighbours had time to."""
         settled = self._settled_by_service.get(service, [])
@@ -226,11 +205,6 @@
             ],
         )
 
-    def _is_refused(self, holder: str) -> bool:
-        """Tell whether nothing listened at a target's address just now."""
-        at = self._refused_at_by_holder.get(holder)
-        return at is not None and clock.now() - at < REFUSED_S
-
     def _remember_entries(self, service: str) -> None:
         for target in self._targets.by_service.get(service, ()):
             holder = target.entry.holder
@@ -254,7 +228,7 @@
     ) -> tuple[key_plan.Move, ...]:
         owners = []
         for target in self._targets.ready(service):
-            if self._is_refused(target.entry.holder):
+            if self._refused.is_refused(target.entry.holder):
                 continue
             entry = target.entry
             owners.append(
@@ -325,37 +299,13 @@
 
     async def _write(self, key_map: model.KeyMap) -> bool:
         """Write a map; return False if this host must stop to lead."""
-        spec = entries.encode_key_map(key_map)
-        name = names.KEY_MAP_PREFIX + key_map.service
-        while self._lease.is_held:
-            try:
-                if key_map.revision == 0:
-                    item = await self._client.create(
-                        names.SHARED_KIND, name, spec, STORE_TIMEOUT_S
-                    )
-                else:
-                    item = await self._client.replace(
-                        names.SHARED_KIND,
-                        name,
-                        key_map.revision,
-                        spec,
-                        STORE_TIMEOUT_S,
-                    )
-            except store.StoreError as error:
-                self._log.event('key_map_unwritten', reason=str(error))
-                await asyncio.sleep(WRITE_RETRY_S)
-                continue
-            except store.ConflictError as error:
-                item = error.item
-                if not _holds_spec(item, spec):
-                    self._log.event('key_map_conflict')
-                    return False
-            written = entries.decode_key_map(key_map.service, item)
-            self._map_by_service[key_map.service] = written
-            self._keys.put(written)
-            self._targets.notify()
-            return True
-        return False
+        written = await self._store.write(key_map)
+        if written is None:
+            return False
+        self._map_by_service[key_map.service] = written
+        self._keys.put(written)
+        self._targets.notify()
+        return True
 
     def _start_moves(self, service: str) -> None:
         wanted = set()
@@ -396,7 +346,7 @@
             )
             if (
                 target is None
-                or self._is_refused(holder)
+                or self._refused.is_refused(holder)
                 or self._formers.has_ended(holder)
             ):
                 # The next plan gives the keys to another.
@@ -405,7 +355,7 @@
                 holder,
                 target.entry.address,
                 key_range,
-                self._hold_s(),
+                self._renewals.hold_s(),
                 handover,
             )
             if result == key_calls.GRANTED:
@@ -415,76 +365,16 @@
                 settled.append(key_range)
                 if self.on_settled is not None:
                     self.on_settled(service, key_range)
-                self._renewed_at_by_holder.setdefault(holder, clock.now())
+                self._renewals.note_granted(holder)
                 return
             self._log.event(
                 'grant_failed', target=key_range.target_id, result=result
             )
             if result in (key_calls.REFUSED, key_calls.ELSEWHERE):
-                self._refused_at_by_holder[holder] = clock.now()
+                self._refused.note(holder)
                 return
             await asyncio.sleep(STEP_S)
 
-    def _hold_s(self) -> float:
-        left_s = self._lease.held_until - clock.now()
-        if left_s < controller_lease.LEASE_S - UNCONFIRMED_S:
-            return self._grant_max_s
-        return min(HOLD_S, self._grant_max_s)
-
-    def _renew(self, service: str) -> None:
-        """Start the renewals that are due."""
-        now = clock.now()
-        interval_s = RENEWAL_S
-        if self._hold_s() > HOLD_S:
-            interval_s = RENEWAL_S / 2
-        owned: dict[str, list[model.KeyRange]] = {}
-        for key_range in self._map_by_service[service].ranges:
-            if key_range.moving:
-                continue
-            holder = key_range.holder
-            owned.setdefault(holder, []).append(key_range)
-        for holder, ranges in owned.items():
-            task = self._renewals.get(holder)
-            if task is not None and not task.done():
-                continue
-            if now - self._renewed_at_by_holder.get(holder, 0.0) < interval_s:
-                continue
-            self._renewed_at_by_holder[holder] = now
-            if self._formers.has_ended(holder):
-                # Whoever has its address now must not get its token. Its
-                # keys move.
-                self._refused_at_by_holder[holder] = now
-                continue
-            self._renewals[holder] = asyncio.create_task(
-                self._renew_all(service, holder, ranges)
-            )
-
-    async def _renew_all(
-        self, service: str, holder: str, ranges: list[model.KeyRange]
-    ) -> None:
-        """Renew the ranges of a target, one after the other."""
-        address = self._address_by_holder.get(holder)
-        if address is None:
-            return
-        for key_range in ranges:
-            if key_range not in self._map_by_service[service].ranges:
-                continue
-            if not self._lease.is_held:
-                return
-            result = await self._calls.grant(
-                holder, address, key_range, self._hold_s(), ''
-            )
-            if result == key_calls.GRANTED:
-                self._refused_at_by_holder.pop(holder, None)
-                continue
-            self._log.event(
-                'renewal_failed', target=key_range.target_id, result=result
-            )
-            self._renewed_at_by_holder[holder] = 0.0
-            if result in (key_calls.REFUSED, key_calls.ELSEWHERE):
-                self._refused_at_by_holder[holder] = clock.now()
-            return
-
 
 def _is_needed(
     ranges: tuple[model.KeyRange, ...],
@@ -498,10 +388,3 @@
         if (key_range.target_id, key_range.incarnation) in live:
             return False
     return True
-
-
-def _holds_spec(item: typing.Any, spec: typing.Any) -> bool:
-    """Tell whether an object is what a write without answer has left."""
-    if not isinstance(item, dict):
-        return False
-    return bool(item.get('spec') == spec)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import http_client
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import key_controller
+from amaranthcrank.router import key_renewals
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from standins import platform_target
@@ -113,13 +114,14 @@
 
 class ControllerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        for name, value in (
-            ('HOLD_S', HOLD_S),
-            ('SETTLE_S', 0.05),
-            ('RENEWAL_S', 0.2),
-            ('STEP_S', 0.02),
+        for module, name, value in (
+            (key_renewals, 'HOLD_S', HOLD_S),
+            (key_renewals, 'INTERVAL_S', 0.2),
+            (key_renewals, 'CHECK_S', 0.02),
+            (key_controller, 'SETTLE_S', 0.05),
+            (key_controller, 'STEP_S', 0.02),
         ):
-            patch = mock.patch.object(key_controller, name, value)
+            patch = mock.patch.object(module, name, value)
             patch.start()
             self.addCleanup(patch.stop)
         loop = asyncio.get_running_loop()
@@ -429,7 +431,7 @@
         await self._wait(self._is_assigned)
         before = len(self.calls.grants_to(1))
         self.lease.held_until = clock.now() + (
-            controller_lease.LEASE_S - key_controller.UNCONFIRMED_S
+            controller_lease.LEASE_S - key_renewals.UNCONFIRMED_S
         )
         await self._wait(lambda: len(self.calls.grants_to(1)) > before)
         _, body = self.calls.grants_to(1)[-1]
--- /dev/null
+++ b/amaranthcrank/router/key_map_store.py
@@ -0,0 +1,91 @@
+"""Reads and writes the key maps of all keyed services in the store."""
+
+import asyncio
+import typing
+
+from amaranthcrank.platform import entries
+from amaranthcrank.platform import names
+from amaranthcrank.platform import store
+from amaranthcrank.router import controller_lease
+from amaranthcrank.router import event_log
+from amaranthcrank.router import model
+
+STORE_TIMEOUT_S = 1.0
+RETRY_S = 0.3
+
+
+class KeyMapStore:
+    """The controller's access to the key maps, under its lease."""
+
+    def __init__(
+        self,
+        client: store.Client,
+        lease: controller_lease.Lease,
+        log: event_log.EventLog,
+    ) -> None:
+        """Use the store while the lease is held."""
+        self._client = client
+        self._lease = lease
+        self._log = log
+
+    async def read_all(self) -> list[model.KeyMap] | None:
+        """Return all key maps, or None if the lease was lost meanwhile."""
+        while self._lease.is_held:
+            try:
+                listing = await self._client.list_all(
+                    names.SHARED_KIND, STORE_TIMEOUT_S
+                )
+            except store.StoreError as error:
+                self._log.event('key_maps_unread', reason=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            maps = []
+            for name, item in listing.item_by_name.items():
+                if not name.startswith(names.KEY_MAP_PREFIX):
+                    continue
+                service = name.removeprefix(names.KEY_MAP_PREFIX)
+                maps.append(entries.decode_key_map(service, item))
+            return maps
+        return None
+
+    async def write(self, key_map: model.KeyMap) -> model.KeyMap | None:
+        """Write a map at the revision that it is known at.
+
+        Returns:
+          The map with its new revision; None if the lease was lost, or if
+          another host wrote, so that this one must stop to lead.
+        """
+        spec = entries.encode_key_map(key_map)
+        while self._lease.is_held:
+            try:
+                item = await self._put(key_map, spec)
+            except store.StoreError as error:
+                self._log.event('key_map_unwritten', reason=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            except store.ConflictError as error:
+                item = error.item
+                if not _holds_spec(item, spec):
+                    self._log.event('key_map_conflict')
+                    return None
+            return entries.decode_key_map(key_map.service, item)
+        return None
+
+    async def _put(
+        self, key_map: model.KeyMap, spec: typing.Any
+    ) -> typing.Any:
+        name = names.KEY_MAP_PREFIX + key_map.service
+        if key_map.revision == 0:
+            return await self._client.create(
+                names.SHARED_KIND, name, spec, STORE_TIMEOUT_S
+            )
+        return await self._client.replace(
+            names.SHARED_KIND, name, key_map.revision, spec, STORE_TIMEOUT_S
+        )
+
+
+def _holds_spec(item: typing.Any, spec: typing.Any) -> bool:
+    """Tell whether an object is what a write without answer has left."""
+    if not isinstance(item, dict):
+        return False
+    return bool(item.get('spec') == spec)
--- /dev/null
+++ b/amaranthcrank/router/key_renewals.py
@@ -0,0 +1,155 @@
+"""Renews the grants of all keys that have an owner.
+
+To renew is to send the same grant again, so it needs nothing from the store
+but the lease, and goes on while the store is away.
+"""
+
+import asyncio
+
+from amaranthcrank.router import clock
+from amaranthcrank.router import controller_lease
+from amaranthcrank.router import event_log
+from amaranthcrank.router import former_owners
+from amaranthcrank.router import key_calls
+from amaranthcrank.router import model
+from amaranthcrank.router import refused_holders
+
+HOLD_S = 6.0
+# While the store does not confirm the lease, grants are made as long as they
+# may be, so that keys stay owned after the lease has ended.
+INTERVAL_S = 2.0
+CHECK_S = 0.1
+# The lease counts as unconfirmed after two missed renewals.
+UNCONFIRMED_S = 1.8
+
+
+class KeyRenewals:
+    """Sends each owner its grants again before they run out."""
+
+    def __init__(
+        self,
+        lease: controller_lease.Lease,
+        calls: key_calls.KeyCalls,
+        formers: former_owners.FormerOwners,
+        refused: refused_holders.RefusedHolders,
+        address_by_holder: dict[str, model.Address],
+        log: event_log.EventLog,
+        grant_max_s: float,
+    ) -> None:
+        """Work on what the controller knows.
+
+        Args:
+          lease: Grants are sent while it is held.
+          calls: Sends them.
+          formers: Tells whether an owner has ended.
+          refused: Learns whose address refuses.
+          address_by_holder: Where each holder listens; the controller's.
+          log: Takes failures.
+          grant_max_s: The longest grant that targets take.
+        """
+        self._lease = lease
+        self._calls = calls
+        self._formers = formers
+        self._refused = refused
+        self._address_by_holder = address_by_holder
+        self._log = log
+        self._grant_max_s = grant_max_s
+        self._renewed_at_by_holder: dict[str, float] = {}
+        self._task_by_holder: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self, map_by_service: dict[str, model.KeyMap]) -> None:
+        """Renew what the maps say, as they change, while the lease is held."""
+        while self._lease.is_held:
+            for service in list(map_by_service):
+                self._start_due(service, map_by_service)
+            await asyncio.sleep(CHECK_S)
+
+    def hold_s(self) -> float:
+        """Return how long a grant that is sent now should last."""
+        left_s = self._lease.held_until - clock.now()
+        if left_s < controller_lease.LEASE_S - UNCONFIRMED_S:
+            return self._grant_max_s
+        return min(HOLD_S, self._grant_max_s)
+
+    def note_granted(self, holder: str) -> None:
+        """Learn that a holder was granted keys just now."""
+        self._renewed_at_by_holder.setdefault(holder, clock.now())
+
+    def renew_soon(self, target_id: str) -> None:
+        """Renew the grants of a target without waiting for their time."""
+        for holder in self._renewed_at_by_holder:
+            if holder.startswith(target_id + '/'):
+                self._renewed_at_by_holder[holder] = 0.0
+
+    def reset(self) -> None:
+        """Take no grant for renewed."""
+        self._renewed_at_by_holder.clear()
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        for task in self._task_by_holder.values():
+            task.cancel()
+        self._task_by_holder.clear()
+
+    def _start_due(
+        self, service: str, map_by_service: dict[str, model.KeyMap]
+    ) -> None:
+        now = clock.now()
+        interval_s = INTERVAL_S
+        if self.hold_s() > HOLD_S:
+            interval_s = INTERVAL_S / 2
+        for holder, ranges in _owned(map_by_service[service]).items():
+            task = self._task_by_holder.get(holder)
+            if task is not None and not task.done():
+                continue
+            if now - self._renewed_at_by_holder.get(holder, 0.0) < interval_s:
+                continue
+            self._renewed_at_by_holder[holder] = now
+            if self._formers.has_ended(holder):
+                # Whoever has its address now must not get its token. Its
+                # keys move.
+                self._refused.note(holder)
+                continue
+            self._task_by_holder[holder] = asyncio.create_task(
+                self._renew_all(service, map_by_service, holder, ranges)
+            )
+
+    async def _renew_all(
+        self,
+        service: str,
+        map_by_service: dict[str, model.KeyMap],
+        holder: str,
+        ranges: list[model.KeyRange],
+    ) -> None:
+        """Renew the ranges of a target, one after the other."""
+        address = self._address_by_holder.get(holder)
+        if address is None:
+            return
+        for key_range in ranges:
+            if key_range not in map_by_service[service].ranges:
+                continue
+            if not self._lease.is_held:
+                return
+            result = await self._calls.grant(
+                holder, address, key_range, self.hold_s(), ''
+            )
+            if result == key_calls.GRANTED:
+                self._refused.forget(holder)
+                continue
+            self._log.event(
+                'renewal_failed', target=key_range.target_id, result=result
+            )
+            self._renewed_at_by_holder[holder] = 0.0
+            if result in (key_calls.REFUSED, key_calls.ELSEWHERE):
+                self._refused.note(holder)
+            return
+
+
+def _owned(key_map: model.KeyMap) -> dict[str, list[model.KeyRange]]:
+    """Return by holder the ranges of a map that are not on the move."""
+    owned: dict[str, list[model.KeyRange]] = {}
+    for key_range in key_map.ranges:
+        if key_range.moving:
+            continue
+        owned.setdefault(key_range.holder, []).append(key_range)
+    return owned
--- a/amaranthcrank/router/store_feed.py
+++ b/amaranthcrank/router/store_feed.py
@@ -69,6 +69,7 @@
         self._on_keys = on_keys
         self._news = news
         self._number = -1
+        self._ticket_contact = store_sync.Contact(names.TICKET_KIND, log)
 
     async def follow_ticket(self) -> None:
         """Follow the operator's manifest, for ever."""
@@ -84,7 +85,9 @@
             names.TICKET_KIND,
             take,
             keep,
+            self._ticket_contact,
             store_sync.gather(lambda: 0.0),
+            store_sync.at_once,
             store_sync.WATCH_WAIT_S,
         )
 
@@ -119,6 +122,7 @@
             contact,
             self._log,
             store_sync.gather(self._targets_gather_s),
+            store_sync.behind(self._ticket_contact),
         )
 
     def _targets_gather_s(self) -> float:
@@ -144,7 +148,15 @@
             self._news.note_read()
             await self._news.wait()
 
-        await self._follow(names.SHARED_KIND, take, drop, pause, SHARED_WAIT_S)
+        await self._follow(
+            names.SHARED_KIND,
+            take,
+            drop,
+            store_sync.Contact(names.SHARED_KIND, self._log),
+            pause,
+            store_sync.behind(self._ticket_contact),
+            SHARED_WAIT_S,
+        )
 
     async def register(self) -> None:
         """Tell the other hosts where this one takes datagrams."""
@@ -213,7 +225,9 @@
         kind: str,
         take: typing.Callable[[str, typing.Any], None],
         drop: typing.Callable[[str], None],
+        contact: store_sync.Contact,
         pause: store_sync.Pause,
+        turn: store_sync.Turn,
         wait_s: float,
     ) -> None:
         def take_all(items: dict[str, typing.Any]) -> None:
@@ -231,8 +245,9 @@
             kind,
             take_all,
             take_change,
-            store_sync.Contact(kind, self._log),
+            contact,
             self._log,
             pause,
+            turn,
             wait_s,
         )
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -21,10 +21,14 @@
 LONGEST_PAUSE_S = 0.8
 # A silent connection is noticed this late.
 SILENCE_S = 3.0
+# A kind that waits for another's reads to succeed tries by itself in the end.
+LONGEST_TURN_S = 3.0
+TURN_CHECK_S = 0.1
 
 OnList = typing.Callable[[dict[str, typing.Any]], None]
 OnChange = typing.Callable[[store.Change], None]
 Pause = typing.Callable[[bool], typing.Awaitable[None]]
+Turn = typing.Callable[[], typing.Awaitable[None]]
 
 
 class Contact:
@@ -70,6 +74,26 @@
         self._log.event('store_lost', kind=self._kind, reason=reason)
 
 
+def behind(first: Contact) -> Turn:
+    """Return a wait while a first kind's own reads fail.
+
+    One kind that is tried shows whether the store is back: each call is
+    paid for. What the first kind's readers wait for also has the link to
+    themselves then.
+    """
+
+    async def turn() -> None:
+        end_at = time.monotonic() + LONGEST_TURN_S
+        while first.lost_at is not None and time.monotonic() < end_at:
+            await asyncio.sleep(TURN_CHECK_S)
+
+    return turn
+
+
+async def at_once() -> None:
+    """Wait for no other kind."""
+
+
 def gather(pause_s: typing.Callable[[], float]) -> Pause:
     """Return a pause after changes only.
 
@@ -91,6 +115,7 @@
     contact: Contact,
     log: event_log.EventLog,
     pause: Pause,
+    turn: Turn,
     wait_s: float = WATCH_WAIT_S,
 ) -> None:
     """Follow all objects of a kind, for ever.
@@ -103,6 +128,7 @@
       contact: Learns whether the store answers.
       log: Where faults are logged.
       pause: Waited for before each watch; told whether there were changes.
+      turn: Waited for before each try after a failed one.
       wait_s: How long a watch waits for a change.
     """
     revision: int | None = None
@@ -136,3 +162,4 @@
             revision = None
             await asyncio.sleep(pause_s * (0.5 + random.random()))
             pause_s = min(LONGEST_PAUSE_S, pause_s * 1.5)
+            await turn()
--- /dev/null
+++ b/amaranthcrank/router/store_sync_test.py
@@ -0,0 +1,81 @@
+import asyncio
+import time
+import unittest
+
+from amaranthcrank.platform import store
+from amaranthcrank.router import store_sync
+
+
+class _Log:
+    def event(self, name, **inputs):
+        """Pass over what is logged."""
+
+
+class _Client:
+    """Fails each call until it is told not to."""
+
+    def __init__(self):
+        self.away = True
+        self.calls_by_kind = {}
+
+    async def list_all(self, kind, timeout_s):
+        await self._count(kind)
+        return store.Listing({}, 1)
+
+    async def watch(self, kind, revision, wait_s, timeout_s):
+        await self._count(kind)
+        await asyncio.sleep(wait_s)
+        return (), revision
+
+    async def _count(self, kind):
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+        await asyncio.sleep(0)
+        if self.away:
+            raise store.StoreError('unreachable')
+
+
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    """The store is away, and each call that fails is paid for."""
+
+    async def asyncSetUp(self):
+        self.client = _Client()
+        self.first = store_sync.Contact('first', _Log())
+        self.listed = []
+
+    def _follow(self, kind, contact, turn):
+        task = asyncio.create_task(
+            store_sync.follow(
+                self.client,
+                kind,
+                lambda items: self.listed.append(kind),
+                lambda change: None,
+                contact,
+                _Log(),
+                store_sync.gather(lambda: 0.0),
+                turn,
+            )
+        )
+        self.addCleanup(task.cancel)
+
+    async def test_one_kind_tries_for_all(self):
+        self._follow('first', self.first, store_sync.at_once)
+        second = store_sync.Contact('second', _Log())
+        self._follow('second', second, store_sync.behind(self.first))
+        await asyncio.sleep(1.2)
+        self.assertGreater(self.client.calls_by_kind['first'], 2)
+        self.assertEqual(self.client.calls_by_kind['second'], 1)
+        self.client.away = False
+        async with asyncio.timeout(2.0):
+            while 'second' not in self.listed:
+                await asyncio.sleep(0.02)
+        self.assertEqual(self.listed[0], 'first')
+
+    async def test_first_kind_alone_fails(self):
+        # The others must not wait for it for ever.
+        self.first.note_failure('unreachable', False)
+        turn = store_sync.behind(self.first)
+        started_at = time.monotonic()
+        async with asyncio.timeout(store_sync.LONGEST_TURN_S + 1.0):
+            await turn()
+        waited_s = time.monotonic() - started_at
+        self.assertGreaterEqual(waited_s, store_sync.LONGEST_TURN_S - 0.01)
