Let many hosts ask for a free lease one after the other

Change: a host asks when the lease that it heard of has run out, or was given back, plus 0.01 s times the hosts by chance; it stops as soon as a holder is heard, and waits while the ticket's reads show that the store is away.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -22,8 +22,12 @@
 # Clocks may run at slightly different rates, and a write takes its time.
 MARGIN_S = 0.3
 RETRY_S = 0.3
-# Who waits for the lease to run out looks this often whether it is renewed.
-LOOK_S = 0.8
+# Who waits for the lease to run out looks this often whether a holder is
+# heard.
+LOOK_S = 0.02
+# The hosts ask for a free lease one after the other. Within this time the
+# holder's first heartbeat reaches the next.
+SPREAD_PER_HOST_S = 0.01
 LEASE_NAME = 'key-controller'
 
 
@@ -57,6 +61,7 @@
         self._revision = 0
         self._seen_revision = 0
         self._seen_since = 0.0
+        self._ask_at = clock.now()
         self._count = 0
         self._confirmed = asyncio.Event()
 
@@ -77,28 +82,58 @@
         to find it unchanged in the store need not wait as long again.
         """
         if revision > self._seen_revision:
-            self._seen_revision = revision
-            self._seen_since = clock.now()
+            self._see(revision)
 
-    async def acquire(self, may_skip: typing.Callable[[], bool]) -> None:
+    def note_resigned(self) -> None:
+        """Learn that the holder gave the lease back."""
+        self._ask_at = clock.now()
+
+    async def acquire(
+        self,
+        may_skip: typing.Callable[[], bool],
+        after_outage: typing.Callable[[], typing.Awaitable[None]],
+        hosts: typing.Callable[[], int],
+    ) -> None:
         """Wait until the lease is held.
 
         Args:
           may_skip: Tells whether another holder was heard of just now, so
             that there is no need to ask the store.
+          after_outage: Waits while the store is known to be away.
+          hosts: Returns how many hosts may ask for the lease.
         """
         while not self.is_held:
             if may_skip():
                 await asyncio.sleep(RETRY_S)
                 continue
+            await after_outage()
+            if not await self._wait_turn(may_skip, hosts()):
+                continue
             try:
                 await self._try_acquire()
-            except store.StoreError:
+            except store.StoreError as error:
+                self._log.event('lease_unread', reason=str(error))
                 await asyncio.sleep(RETRY_S * (1 + random.random()))
             except store.ConflictError:
                 # Another was faster.
                 await asyncio.sleep(LEASE_S / 2)
 
+    async def _wait_turn(
+        self, may_skip: typing.Callable[[], bool], hosts: int
+    ) -> bool:
+        """Wait until the lease may be free; False: another holder is heard.
+
+        Of many hosts the first that asks takes it, and the others hear of
+        that before they have asked.
+        """
+        spread_s = SPREAD_PER_HOST_S * hosts * random.random()
+        while clock.now() < self._ask_at + spread_s:
+            if may_skip():
+                return False
+            left_s = self._ask_at + spread_s - clock.now()
+            await asyncio.sleep(min(LOOK_S, max(0.0, left_s)))
+        return not may_skip()
+
     async def renew(self) -> None:
         """Renew the lease until it is lost."""
         while self.is_held:
@@ -139,18 +174,21 @@
         # A process that started at the holder's own address replaces it.
         own = self.holder_id == self._host_id and spec.get('ip') == self._ip
         if self._revision != self._seen_revision:
-            self._seen_revision = self._revision
-            self._seen_since = clock.now()
+            self._see(self._revision)
         unchanged_s = clock.now() - self._seen_since
         if self.holder_id and not own and unchanged_s < LEASE_S + MARGIN_S:
-            left_s = LEASE_S + MARGIN_S - unchanged_s
-            await asyncio.sleep(min(LOOK_S, left_s))
+            self._ask_at = clock.now() + LEASE_S + MARGIN_S - unchanged_s
             return
         former = self.holder_id
         self.is_continued = spec.get('incarnation') == self._incarnation
         await self._write(self._host_id)
         self._log.event('lease_taken', former=former, count=self._count)
 
+    def _see(self, revision: int) -> None:
+        self._seen_revision = revision
+        self._seen_since = clock.now()
+        self._ask_at = self._seen_since + LEASE_S + MARGIN_S
+
     async def _create(self) -> None:
         sent_at = clock.now()
         item = await self._client.create(
--- /dev/null
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -0,0 +1,201 @@
+"""Tests of the lease under which one host alone moves keys."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from amaranthcrank.platform import store
+from amaranthcrank.router import clock
+from amaranthcrank.router import controller_lease
+
+
+class _Store:
+    """One object in memory; can be away, and counts its calls."""
+
+    def __init__(self):
+        self.item = None
+        self.away = False
+        self.revision = 1
+        self.calls = 0
+
+    def _check(self):
+        self.calls += 1
+        if self.away:
+            raise store.StoreError('away')
+
+    async def get(self, kind, name, timeout_s):
+        self._check()
+        return self.item
+
+    async def create(self, kind, name, spec, timeout_s):
+        return await self.replace(kind, name, 0, spec, timeout_s)
+
+    async def replace(self, kind, name, revision, spec, timeout_s):
+        self._check()
+        if self.item and self.item['metadata']['rev'] != revision:
+            raise store.ConflictError(self.item)
+        self.revision += 1
+        self.item = {'metadata': {'rev': self.revision}, 'spec': spec}
+        return self.item
+
+
+async def _store_is_here():
+    """Wait for nothing."""
+
+
+class LeaseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        for name, value in (
+            ('LEASE_S', 0.5),
+            ('RENEWAL_S', 0.1),
+            ('MARGIN_S', 0.1),
+            ('RETRY_S', 0.05),
+        ):
+            patch = mock.patch.object(controller_lease, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.store = _Store()
+
+    def _lease(self, host_id, incarnation='1'):
+        return controller_lease.Lease(
+            self.store, host_id, incarnation, '10.0.0.' + host_id, mock.Mock()
+        )
+
+    async def _acquire(self, lease, seconds=3.0):
+        async with asyncio.timeout(seconds):
+            await lease.acquire(lambda: False, _store_is_here, lambda: 2)
+
+    async def test_renewed_lease_is_not_taken(self):
+        first = self._lease('1')
+        await self._acquire(first)
+        renewing = asyncio.create_task(first.renew())
+        self.addCleanup(renewing.cancel)
+        second = self._lease('2')
+        with self.assertRaises(TimeoutError):
+            await self._acquire(second, 1.5)
+        self.assertTrue(first.is_held)
+
+    async def test_silent_holder_is_replaced_after_its_lease(self):
+        # The second must not hold it before the first has stopped.
+        first = self._lease('1')
+        await self._acquire(first)
+        second = self._lease('2')
+        while not second.is_held:
+            self.assertTrue(
+                not first.is_held or not second.is_held, 'two holders'
+            )
+            await self._acquire(second)
+        self.assertFalse(first.is_held)
+
+    async def test_resigned_lease_is_taken_at_once(self):
+        first = self._lease('1')
+        await self._acquire(first)
+        await first.resign()
+        began_at = clock.now()
+        await self._acquire(self._lease('2'))
+        self.assertLess(clock.now() - began_at, 0.3)
+
+    async def test_restarted_holder_takes_its_own_lease_at_once(self):
+        await self._acquire(self._lease('1'))
+        began_at = clock.now()
+        await self._acquire(self._lease('1', '2'))
+        self.assertLess(clock.now() - began_at, 0.3)
+
+    async def test_holder_stops_when_the_store_is_away(self):
+        lease = self._lease('1')
+        await self._acquire(lease)
+        renewing = asyncio.create_task(lease.renew())
+        self.addCleanup(renewing.cancel)
+        self.store.away = True
+        await asyncio.sleep(0.7)
+        self.assertFalse(lease.is_held)
+
+    async def test_heard_renewals_count_as_seen(self):
+        """Guards against keys without a mover for a lease and a silence.
+
+        A host that heard the holder's heartbeats knows since when the lease
+        is not renewed, and need not find that out from its first look on.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        second = self._lease('2')
+        second.note_heard(first.revision)
+        await asyncio.sleep(0.55)
+        self.assertFalse(first.is_held)
+        began_at = clock.now()
+        await self._acquire(second)
+        self.assertLess(clock.now() - began_at, 0.3)
+
+    async def test_an_old_heartbeat_does_not_hide_a_renewal(self):
+        """Guards against a lease that is taken while its holder renews it."""
+        first = self._lease('1')
+        await self._acquire(first)
+        second = self._lease('2')
+        second.note_heard(first.revision)
+        await asyncio.sleep(0.4)
+        renewing = asyncio.create_task(first.renew())
+        self.addCleanup(renewing.cancel)
+        with self.assertRaises(TimeoutError):
+            await self._acquire(second, 1.0)
+        self.assertTrue(first.is_held)
+
+    async def test_many_hosts_ask_one_after_the_other(self):
+        """Guards against calls that grow with the fleet at each failover.
+
+        The lease of a holder that was lost runs out at the same time for
+        all hosts.
+        """
+        holder = self._lease('0')
+        await self._acquire(holder)
+        leases = [self._lease(str(number)) for number in range(1, 41)]
+        for lease in leases:
+            lease.note_heard(holder.revision)
+        self.store.calls = 0
+        heard = asyncio.Event()
+
+        async def lead(lease):
+            await lease.acquire(heard.is_set, _store_is_here, lambda: 40)
+            # The first heartbeat takes its way.
+            await asyncio.sleep(0.02)
+            heard.set()
+
+        tasks = [asyncio.create_task(lead(lease)) for lease in leases]
+        for task in tasks:
+            self.addCleanup(task.cancel)
+        async with asyncio.timeout(3.0):
+            await heard.wait()
+        self.assertEqual(sum(lease.is_held for lease in leases), 1)
+        self.assertLess(self.store.calls, len(leases))
+
+    async def test_nobody_asks_while_the_store_is_known_to_be_away(self):
+        lease = self._lease('1')
+
+        async def outage():
+            await asyncio.sleep(10)
+
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                await lease.acquire(lambda: False, outage, lambda: 2)
+        self.assertEqual(self.store.calls, 0)
+
+    async def test_lost_word_of_a_resignation(self):
+        """Guards against a wait for a lease that nobody holds any more."""
+        first = self._lease('1')
+        await self._acquire(first)
+        second = self._lease('2')
+        second.note_heard(first.revision)
+        await first.resign()
+        began_at = clock.now()
+        await self._acquire(second)
+        self.assertLess(clock.now() - began_at, 1.0)
+
+    async def test_resignation_that_was_heard(self):
+        first = self._lease('1')
+        await self._acquire(first)
+        second = self._lease('2')
+        second.note_heard(first.revision)
+        await first.resign()
+        second.note_resigned()
+        began_at = clock.now()
+        await self._acquire(second)
+        self.assertLess(clock.now() - began_at, 0.3)
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -157,6 +157,7 @@
     def _hear_resignation(self, host_id: str, content: typing.Any) -> None:
         if host_id == self._controller_id:
             self._controller_heard_at = NEVER
+            self._lease.note_resigned()
 
     # Hosts that join.
 
--- a/amaranthcrank/router/host_reports_test.py
+++ b/amaranthcrank/router/host_reports_test.py
@@ -42,6 +42,7 @@
             is_held=is_leading,
             holder_id='',
             note_heard=lambda revision: None,
+            note_resigned=lambda: None,
         )
         waiting = types.SimpleNamespace(
             serve=self.served.append, waiting_by_owner=dict
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -312,7 +312,11 @@
         loop = asyncio.get_running_loop()
         await asyncio.sleep(LEASE_PAUSE_S * random.random())
         while not self.stopping.is_set():
-            await self.lease.acquire(self.reports.is_controller_heard)
+            await self.lease.acquire(
+                self.reports.is_controller_heard,
+                self.feed.after_outage,
+                lambda: len(self.peers.by_id) + 1,
+            )
             jobs = [
                 loop.create_task(self.lease.renew()),
                 loop.create_task(self.reports.beat()),
--- a/amaranthcrank/router/store_feed.py
+++ b/amaranthcrank/router/store_feed.py
@@ -70,6 +70,8 @@
         self._news = news
         self._number = -1
         self._ticket_contact = store_sync.Contact(names.TICKET_KIND, log)
+        # Waits while the ticket's reads fail.
+        self.after_outage = store_sync.behind(self._ticket_contact)
 
     async def follow_ticket(self) -> None:
         """Follow the operator's manifest, for ever."""
@@ -122,7 +124,7 @@
             contact,
             self._log,
             store_sync.gather(self._targets_gather_s),
-            store_sync.behind(self._ticket_contact),
+            self.after_outage,
         )
 
     def _targets_gather_s(self) -> float:
@@ -154,7 +156,7 @@
             drop,
             store_sync.Contact(names.SHARED_KIND, self._log),
             pause,
-            store_sync.behind(self._ticket_contact),
+            self.after_outage,
             SHARED_WAIT_S,
         )
 
