Release keys with the next owner's token

A target rejects a grant below a token that it has seen. Ruled out: waiting for the predecessor's longest grant at each release (10 s without an owner after each change of controller).

--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -50,14 +50,15 @@
             if address is None:
                 await asyncio.sleep(RELEASE_RETRY_S)
                 continue
-            # A grant that is on its way may arrive after the release.
+            # A grant that is on its way may arrive after the release. With
+            # the next owner's token the release makes the target reject it.
             settled = self._calls.is_settled(former)
             result, handover = await self._calls.release(
                 former,
                 address,
                 key_range.first,
                 key_range.last,
-                key_range.fence - 1,
+                key_range.fence,
             )
             if result == key_calls.ELSEWHERE:
                 self._log.event('former_owner_replaced', former=former)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -397,6 +397,29 @@
         await self._wait(lambda: len(self.calls.grants_to(1)) > before + 1)
         self.assertIn('i-1', self._owners())
 
+    async def test_release_bears_the_next_token(self):
+        """Guards against a predecessor's grant that arrives after a release.
+
+        A controller does not know of grants that one before it sent. A
+        target that has seen the next owner's token rejects them.
+        """
+        self._start()
+        await self._wait(self._is_assigned)
+        self.targets.put(_entry(1, model.DRAINING))
+        await self._wait(lambda: self._owners() == {'i-2'})
+        released = [
+            json.loads(body)
+            for _, port, path, body in self.calls.sent
+            if port == 1 and path == names.RELEASE_PATH
+        ]
+        next_fences = {
+            (key_range.first, key_range.last): key_range.fence
+            for key_range in self.keys.by_service['book'].ranges
+        }
+        newest = max(next_fences.values())
+        self.assertTrue(released)
+        self.assertEqual({fields['fence'] for fields in released}, {newest})
+
     async def test_another_server_at_the_address_frees_at_once(self):
         """Guards against keys without owner while an address is reused."""
         await self._lose_first()
