Let one host of a failure domain read the ticket for its neighbours

Change: in a failure domain of 8 hosts or more one host reads the ticket in short calls and tells its number; the others take the ticket, compressed, from it. While the store is away few hosts of a domain try. Domains of fewer hosts read as before.

--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -32,6 +32,7 @@
 from amaranthcrank.router import service_times
 from amaranthcrank.router import store_feed
 from amaranthcrank.router import target_choice
+from amaranthcrank.router import ticket_feed
 
 HOUSEKEEPING_S = 0.25
 SETTINGS_CHECK_S = 2.0
@@ -146,6 +147,16 @@
             clock,
             random.random,
         )
+        self.ticket_feed = ticket_feed.TicketFeed(
+            self.store,
+            self.peers,
+            self.pool,
+            own,
+            self.log,
+            self._take_ticket,
+            clock,
+        )
+        self.neighbours = http_server.Server(self.ticket_feed.answer)
         self.feed = store_feed.StoreFeed(
             self.store,
             self.targets,
@@ -153,7 +164,7 @@
             self.peers.by_id,
             own,
             self.log,
-            self._take_ticket,
+            self.ticket_feed.contact,
             self.admission.serve,
             self.reports.news,
         )
@@ -181,6 +192,7 @@
         stack.callback(self.pool.close)
         stack.callback(self.peers.close)
         stack.callback(self.probes.close)
+        stack.callback(self.neighbours.close)
         stack.callback(self.server.close)
         await self._listen()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
@@ -199,6 +211,9 @@
             model.Address(settings.ip, settings.metrics_port)
         )
         await self.server.listen(settings.serve)
+        await self.neighbours.listen(
+            model.Address(settings.ip, settings.peer_port)
+        )
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self.peers,
             local_addr=(settings.ip, settings.peer_port),
@@ -206,7 +221,7 @@
 
     def _jobs(self) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
-            self.feed.follow_ticket(),
+            self.ticket_feed.follow(),
             self.feed.follow_targets(),
             self.feed.follow_shared(),
             self._join(),
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -49,7 +49,7 @@
       region_by_domain: The region of each failure domain.
       serve: Where callers connect.
       readiness: Where the load balancer asks for readiness.
-      peer_port: The UDP port between hosts.
+      peer_port: The port between hosts, UDP and TCP.
       metrics_port: Where metrics are served.
       store: The address of the platform's store.
       heartbeat_s: How often targets report to the store.
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -27,6 +27,7 @@
 MOVED = 10
 HELLO = 11
 OWNERS_TOTAL = 12
+TICKET = 13
 
 Handler = typing.Callable[[str, typing.Any], None]
 
@@ -93,6 +94,13 @@
             if peer.failure_domain == self._failure_domain:
                 self._send(data, peer)
 
+    def count_nearby(self) -> int:
+        """Return how many hosts the failure domain has, with this one."""
+        return 1 + sum(
+            peer.failure_domain == self._failure_domain
+            for peer in self.by_id.values()
+        )
+
     def fits(self, kind: int, content: typing.Any) -> bool:
         """Tell whether a message is short enough for a datagram."""
         return len(self._encode(kind, content)) <= MAX_DATAGRAM_BYTES
--- /dev/null
+++ b/amaranthcrank/router/reading_rota_test.py
@@ -0,0 +1,135 @@
+"""Tests of who reads the store for a failure domain.
+
+The pattern: many hosts, each change wakes all of them, and each call is paid
+for; readers fail, are cut off, and come back.
+"""
+
+import unittest
+
+from amaranthcrank.router import reading_rota
+
+STEP_S = 0.05
+
+
+class _Domain:
+    """Hosts that read when they are due; a reading takes its wait."""
+
+    def __init__(self, hosts, lost_share=0.0):
+        self.now = 0.0
+        self.reads = 0
+        self.lost_share = lost_share
+        self.down = set()
+        self.heard_at = {number: 0.0 for number in range(hosts)}
+        self._draws = 0
+        self._reading_until = {}
+        self.rota_by_number = {
+            number: reading_rota.ReadingRota(
+                f'h-{number:02}',
+                lambda: hosts,
+                lambda: self.now,
+                self._draw,
+            )
+            for number in range(hosts)
+        }
+
+    def _draw(self):
+        self._draws += 1
+        return (self._draws * 0.618) % 1.0
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            for number, rota in self.rota_by_number.items():
+                if number not in self.down:
+                    self._step(number, rota)
+
+    def _step(self, number, rota):
+        until = self._reading_until.get(number)
+        if until is None:
+            if rota.is_due():
+                rota.begin()
+                self._reading_until[number] = (
+                    self.now + reading_rota.READER_WAIT_S
+                )
+            return
+        if self.now < until:
+            return
+        del self._reading_until[number]
+        self.reads += 1
+        self.heard_at[number] = self.now
+        for other, heard in self.rota_by_number.items():
+            if other == number or other in self.down:
+                continue
+            if self._draw() < self.lost_share:
+                continue
+            heard.note_heard(f'h-{number:02}')
+            self.heard_at[other] = self.now
+
+    def longest_silence(self):
+        return self.now - min(
+            at
+            for number, at in self.heard_at.items()
+            if number not in self.down
+        )
+
+
+class ReadingRotaTest(unittest.TestCase):
+    def test_one_reads_for_all(self):
+        domain = _Domain(16)
+        domain.run(5.0)
+        domain.reads = 0
+        domain.run(20.0)
+        self.assertLessEqual(domain.reads, 20.0 / reading_rota.READER_WAIT_S)
+
+    def test_reader_that_ends_is_followed(self):
+        """Guards against a change that is missed beyond its bound of 3 s."""
+        domain = _Domain(16)
+        domain.run(5.0)
+        domain.down = {0}
+        worst_s = 0.0
+        for _ in range(100):
+            domain.run(STEP_S)
+            worst_s = max(worst_s, domain.longest_silence())
+        self.assertLess(worst_s, 3.0)
+
+    def test_reader_that_returns(self):
+        domain = _Domain(16)
+        domain.run(5.0)
+        domain.down = {0}
+        domain.run(5.0)
+        domain.down = set()
+        domain.run(5.0)
+        domain.reads = 0
+        domain.run(20.0)
+        self.assertLessEqual(domain.reads, 20.0 / reading_rota.READER_WAIT_S)
+
+    def test_lost_datagrams(self):
+        domain = _Domain(16, lost_share=0.2)
+        worst_s = 0.0
+        domain.run(5.0)
+        for _ in range(400):
+            domain.run(STEP_S)
+            worst_s = max(worst_s, domain.longest_silence())
+        self.assertLess(worst_s, 3.0)
+
+    def test_few_hosts_read_for_themselves(self):
+        rota = reading_rota.ReadingRota(
+            'h-1', lambda: 3, lambda: 0.0, lambda: 0.5
+        )
+        rota.note_heard('h-0')
+        self.assertFalse(rota.is_shared)
+        self.assertTrue(rota.is_due())
+
+    def test_what_was_not_got_is_read(self):
+        rota = reading_rota.ReadingRota(
+            'h-1', lambda: 16, lambda: 0.0, lambda: 0.5
+        )
+        rota.note_heard('h-0')
+        self.assertFalse(rota.is_due())
+        rota.hurry()
+        self.assertTrue(rota.is_due())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/amaranthcrank/router/store_feed.py
+++ b/amaranthcrank/router/store_feed.py
@@ -6,7 +6,6 @@
 import typing
 
 from amaranthcrank.platform import entries
-from amaranthcrank.platform import manifest
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
 from amaranthcrank.router import directory
@@ -32,7 +31,7 @@
 
 
 class StoreFeed:
-    """Follows the ticket, the targets and what the hosts share."""
+    """Follows the targets and what the hosts share."""
 
     def __init__(
         self,
@@ -42,7 +41,7 @@
         peer_by_id: dict[str, peers.Peer],
         own: peers.Peer,
         log: event_log.EventLog,
-        on_ticket: typing.Callable[[model.Ticket], None],
+        ticket_contact: store_sync.Contact,
         on_keys: typing.Callable[[str], None],
         news: shared_news.SharedNews,
     ) -> None:
@@ -55,7 +54,7 @@
           peer_by_id: Takes the other hosts.
           own: This host, as the others should know it.
           log: Where rejected objects are logged.
-          on_ticket: Takes each ticket that replaces the one before.
+          ticket_contact: Whether the ticket's reads succeed.
           on_keys: Called with the service whose key map changed.
           news: Tells when what the hosts share should be read.
         """
@@ -65,33 +64,10 @@
         self._peer_by_id = peer_by_id
         self._own = own
         self._log = log
-        self._on_ticket = on_ticket
         self._on_keys = on_keys
         self._news = news
-        self._number = -1
-        self._ticket_contact = store_sync.Contact(names.TICKET_KIND, log)
         # Waits while the ticket's reads fail.
-        self.after_outage = store_sync.behind(self._ticket_contact)
-
-    async def follow_ticket(self) -> None:
-        """Follow the operator's manifest, for ever."""
-
-        def take(name: str, item: typing.Any) -> None:
-            if name == names.TICKET_NAME:
-                self._take_ticket(item)
-
-        def keep(name: str) -> None:
-            self._log.event('ticket_removed', name=name)
-
-        await self._follow(
-            names.TICKET_KIND,
-            take,
-            keep,
-            self._ticket_contact,
-            store_sync.gather(lambda: 0.0),
-            store_sync.at_once,
-            store_sync.WATCH_WAIT_S,
-        )
+        self.after_outage = store_sync.behind(ticket_contact)
 
     async def follow_targets(self) -> None:
         """Follow what the targets say of themselves, for ever."""
@@ -189,18 +165,6 @@
                 names.SHARED_KIND, name, revision, spec, REGISTER_TIMEOUT_S
             )
 
-    def _take_ticket(self, item: typing.Any) -> None:
-        try:
-            ticket = manifest.decode(item.get('spec'))
-        except manifest.ManifestError as error:
-            self._log.event('ticket_rejected', error=str(error))
-            return
-        if ticket.number <= self._number:
-            return
-        self._number = ticket.number
-        self._on_ticket(ticket)
-        self._log.event('ticket_in_force', number=ticket.number)
-
     def _read_target(
         self, name: str, item: typing.Any
     ) -> model.TargetEntry | None:
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -90,8 +90,9 @@
     return turn
 
 
-async def at_once() -> None:
-    """Wait for no other kind."""
+def is_silence(reason: str) -> bool:
+    """Tell whether a call failed because nothing came in time."""
+    return 'time' in reason
 
 
 def gather(pause_s: typing.Callable[[], float]) -> Pause:
@@ -155,8 +156,7 @@
             contact.note_answer()
             revision = None
         except (store.StoreError, store.ConflictError) as error:
-            silent = 'time' in str(error) or 'timed out' in str(error)
-            contact.note_failure(str(error), silent)
+            contact.note_failure(str(error), is_silence(str(error)))
             # A watch may have missed changes before it broke off: the list
             # tells.
             revision = None
--- a/amaranthcrank/router/store_sync_test.py
+++ b/amaranthcrank/router/store_sync_test.py
@@ -34,6 +34,10 @@
             raise store.StoreError('unreachable')
 
 
+async def _at_once():
+    """Wait for no other kind."""
+
+
 class OutageTest(unittest.IsolatedAsyncioTestCase):
     """The store is away, and each call that fails is paid for."""
 
@@ -58,7 +62,7 @@
         self.addCleanup(task.cancel)
 
     async def test_one_kind_tries_for_all(self):
-        self._follow('first', self.first, store_sync.at_once)
+        self._follow('first', self.first, _at_once)
         second = store_sync.Contact('second', _Log())
         self._follow('second', second, store_sync.behind(self.first))
         await asyncio.sleep(1.2)
--- /dev/null
+++ b/amaranthcrank/router/ticket_feed.py
@@ -0,0 +1,242 @@
+"""Follows the operator's ticket, and passes it on to neighbours.
+
+A ticket of many routes that each of many hosts reads from the store fills
+the link between regions. In a failure domain of many hosts one reads it and
+tells its number to the others, which take the ticket from that host.
+"""
+
+import asyncio
+import random
+import typing
+import zlib
+
+import cbor2
+
+from amaranthcrank.platform import manifest
+from amaranthcrank.platform import names
+from amaranthcrank.platform import store
+from amaranthcrank.router import event_log
+from amaranthcrank.router import http_client
+from amaranthcrank.router import http_server
+from amaranthcrank.router import model
+from amaranthcrank.router import peers
+from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_sync
+
+# Where neighbours take the ticket.
+PATH = b'/ticket'
+CONNECT_TIMEOUT_S = 0.25
+# The ticket is read from the store if a neighbour has not passed it on so
+# soon, or sends nothing of it for as long.
+TAKE_TIMEOUT_S = 0.5
+CHECK_S = 0.05
+# A host tries so often while the store does not answer.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+# With more hosts than these in a failure domain each tries more seldom: one
+# that succeeds tells the others, and each call is paid for.
+TRYING_HOSTS = 4
+# Speed matters more than size here.
+COMPRESSION_LEVEL = 1
+
+_TAKING_ERRORS = (
+    http_client.ConnectError,
+    http_client.ExchangeError,
+    TimeoutError,
+    ValueError,
+    zlib.error,
+    cbor2.CBORDecodeError,
+)
+
+
+class TicketFeed:
+    """Knows the ticket in force.
+
+    Attributes:
+      contact: Whether the store answers, as seen by the ticket's reads.
+    """
+
+    def __init__(
+        self,
+        client: store.Client,
+        talk: peers.Peers,
+        pool: http_client.Pool,
+        own: peers.Peer,
+        log: event_log.EventLog,
+        on_ticket: typing.Callable[[model.Ticket], None],
+        clock: typing.Callable[[], float],
+    ) -> None:
+        """Follow the ticket for one host.
+
+        Args:
+          client: The store's client.
+          talk: Sends to and hears from the other hosts.
+          pool: Connections to neighbours.
+          own: This host.
+          log: Takes what decided.
+          on_ticket: Takes each ticket that replaces the one before.
+          clock: Returns the event loop's time.
+        """
+        self.contact = store_sync.Contact(names.TICKET_KIND, log)
+        self._client = client
+        self._talk = talk
+        self._pool = pool
+        self._own = own
+        self._log = log
+        self._on_ticket = on_ticket
+        self._rota = reading_rota.ReadingRota(
+            own.host_id, talk.count_nearby, clock, random.random
+        )
+        self._number = -1
+        # What a neighbour has, while it is taken from there.
+        self._wanted = -1
+        self._packed = b''
+        self._revision: int | None = None
+        self._is_new = True
+        self._taking: asyncio.Task[None] | None = None
+        talk.handler_by_kind[peers.TICKET] = self._hear
+
+    async def follow(self) -> None:
+        """Follow the ticket, for ever."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            if not self._rota.is_due():
+                await asyncio.sleep(CHECK_S)
+                continue
+            self._rota.begin()
+            try:
+                await self._read()
+                pause_s = FIRST_PAUSE_S
+            except store.HistoryGoneError:
+                self._log.event(
+                    'history_gone',
+                    kind=names.TICKET_KIND,
+                    revision=self._revision,
+                )
+                self._revision = None
+            except (store.StoreError, store.ConflictError) as error:
+                self._note_failure(error)
+                await asyncio.sleep(
+                    self._pause_scale() * pause_s * (0.5 + random.random())
+                )
+                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+
+    async def answer(self, request: http_server.Request) -> http_server.Reply:
+        """Pass the ticket on to a neighbour."""
+        if request.path != PATH or not self._packed:
+            return http_server.Reply(404, [], b'')
+        headers = [(b'content-type', b'application/cbor')]
+        return http_server.Reply(200, headers, self._packed)
+
+    async def _read(self) -> None:
+        """Read the ticket, or wait for its next change."""
+        if self._revision is None:
+            listing = await self._client.list_all(
+                names.TICKET_KIND, store_sync.CALL_TIMEOUT_S
+            )
+            items = list(listing.item_by_name.items())
+            self._revision = listing.revision
+            self._is_new = True
+        else:
+            items = await self._wait_for_changes(self._revision)
+        self.contact.note_answer()
+        for name, item in items:
+            if name == names.TICKET_NAME:
+                self._take(item.get('spec'))
+        if self._rota.is_shared:
+            self._talk.send_nearby(peers.TICKET, self._number)
+
+    async def _wait_for_changes(
+        self, revision: int
+    ) -> list[tuple[str, typing.Any]]:
+        wait_s = store_sync.WATCH_WAIT_S
+        # A host that has just begun may have neighbours that it does not
+        # know of yet.
+        if self._rota.is_shared or self._is_new:
+            wait_s = reading_rota.READER_WAIT_S
+        self._is_new = False
+        changes, self._revision = await self._client.watch(
+            names.TICKET_KIND, revision, wait_s, store_sync.CALL_TIMEOUT_S
+        )
+        for change in changes:
+            if change.deleted:
+                self._log.event('ticket_removed', name=change.name)
+        return [
+            (change.name, change.item)
+            for change in changes
+            if not change.deleted
+        ]
+
+    def _note_failure(self, error: Exception) -> None:
+        reason = str(error)
+        self.contact.note_failure(reason, store_sync.is_silence(reason))
+        # A call that broke off may have missed a change: the list tells.
+        self._revision = None
+
+    def _pause_scale(self) -> float:
+        return max(1.0, self._talk.count_nearby() / TRYING_HOSTS)
+
+    def _hear(self, host_id: str, content: typing.Any) -> None:
+        """Learn which ticket a neighbour has read just now."""
+        if not isinstance(content, int) or content < self._number:
+            return
+        if content == self._number:
+            self._confirm(host_id)
+            return
+        self._wanted = content
+        if self._taking is None or self._taking.done():
+            loop = asyncio.get_running_loop()
+            self._taking = loop.create_task(self._take_from(host_id))
+
+    def _confirm(self, host_id: str) -> None:
+        self._rota.note_heard(host_id)
+        if self._number >= 0:
+            self.contact.note_answer()
+
+    async def _take_from(self, host_id: str) -> None:
+        """Take the ticket from a neighbour; otherwise the store is read."""
+        while self._number < self._wanted:
+            peer = self._talk.by_id.get(host_id)
+            if peer is None:
+                return
+            known = self._number
+            try:
+                self._take(await self._fetch(peer.address))
+            except _TAKING_ERRORS as error:
+                self._log.event(
+                    'ticket_not_taken', neighbour=host_id, reason=repr(error)
+                )
+            if self._number == known:
+                self._rota.hurry()
+                return
+        self._confirm(host_id)
+
+    async def _fetch(self, address: model.Address) -> typing.Any:
+        host = f'{address.ip}:{address.port}'.encode()
+        answer = await http_client.request(
+            self._pool,
+            address,
+            b'GET',
+            PATH,
+            [(b'host', host)],
+            b'',
+            CONNECT_TIMEOUT_S,
+            TAKE_TIMEOUT_S,
+            TAKE_TIMEOUT_S,
+        )
+        if answer.status != 200:
+            raise ValueError(f'answered {answer.status}')
+        return cbor2.loads(zlib.decompress(answer.body))
+
+    def _take(self, spec: typing.Any) -> None:
+        try:
+            ticket = manifest.decode(spec)
+        except manifest.ManifestError as error:
+            self._log.event('ticket_rejected', error=str(error))
+            return
+        if ticket.number <= self._number:
+            return
+        self._number = ticket.number
+        self._packed = zlib.compress(cbor2.dumps(spec), COMPRESSION_LEVEL)
+        self._on_ticket(ticket)
+        self._log.event('ticket_in_force', number=ticket.number)
--- /dev/null
+++ b/amaranthcrank/router/ticket_feed_test.py
@@ -0,0 +1,173 @@
+"""Tests of how the ticket reaches many hosts of a failure domain.
+
+The pattern: a long ticket, changed in series, at a fleet whose link to the
+store carries it only a few times a second.
+"""
+
+import asyncio
+import contextlib
+import unittest
+from unittest import mock
+
+from amaranthcrank.platform import names
+from amaranthcrank.platform import store
+from amaranthcrank.router import http_client
+from amaranthcrank.router import http_server
+from amaranthcrank.router import model
+from amaranthcrank.router import peers
+from amaranthcrank.router import reading_rota
+from amaranthcrank.router import ticket_feed
+from standins import platform_site
+from standins import platform_store
+
+HOSTS = 8
+FOLLOW_S = 3.0
+
+
+class _Talk(peers.Peers):
+    """Datagrams that arrive at once, unless their sender is cut off."""
+
+    def __init__(self, host_id, talks):
+        super().__init__(host_id, 'a')
+        self.cut = False
+        self._id = host_id
+        self._talks = talks
+        talks[host_id] = self
+
+    def send_nearby(self, kind, content):
+        if self.cut:
+            return
+        for talk in self._talks.values():
+            if talk is not self and not talk.cut:
+                talk.handler_by_kind[kind](self._id, content)
+
+
+class TicketFeedTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.loop = asyncio.get_running_loop()
+        self.store = platform_store.PlatformStore()
+        address = model.Address(platform_site.IP, platform_site.free_port())
+        await self.store.listen(address)
+        self.stack.callback(self.store.server.close)
+        self.pool = http_client.Pool(self.loop.time)
+        self.stack.callback(self.pool.close)
+        self.client = store.Client(address, self.pool)
+        self._put(1)
+        self.talks = {}
+        self.number_by_id = {}
+        self.task_by_id = {}
+        self.server_by_id = {}
+        for number in range(HOSTS):
+            await self._start(f'h-{number}')
+
+    def _put(self, version):
+        self.store.put(
+            names.TICKET_KIND,
+            names.TICKET_NAME,
+            {
+                'spec': platform_site.manifest(
+                    version,
+                    [platform_site.route('read', '/', 'desk')],
+                    [['desk', '/healthz', 100, None]],
+                )
+            },
+        )
+
+    async def _start(self, host_id):
+        address = model.Address(platform_site.IP, platform_site.free_port())
+        own = peers.Peer(host_id, address, 'a')
+        talk = _Talk(host_id, self.talks)
+        for other in self.talks.values():
+            if other is talk:
+                continue
+            other.by_id[host_id] = own
+        talk.by_id.update(
+            {
+                other_id: peers.Peer(
+                    other_id, self.server_by_id[other_id][1], 'a'
+                )
+                for other_id in self.server_by_id
+            }
+        )
+
+        def note(ticket):
+            self.number_by_id[host_id] = ticket.number
+
+        feed = ticket_feed.TicketFeed(
+            self.client,
+            talk,
+            self.pool,
+            own,
+            mock.Mock(),
+            note,
+            self.loop.time,
+        )
+        server = http_server.Server(feed.answer)
+        await server.listen(address)
+        self.stack.callback(server.close)
+        self.server_by_id[host_id] = (server, address)
+        task = self.loop.create_task(feed.follow())
+        self.stack.callback(task.cancel)
+        self.task_by_id[host_id] = task
+
+    async def _settle(self):
+        await self._wait_for(1, self.talks)
+        await asyncio.sleep(2 * reading_rota.READER_WAIT_S)
+
+    async def _wait_for(self, version, host_ids, seconds=FOLLOW_S):
+        async with asyncio.timeout(seconds):
+            while any(
+                self.number_by_id.get(host_id) != version
+                for host_id in host_ids
+            ):
+                await asyncio.sleep(0.02)
+
+    async def test_one_host_reads(self):
+        """Guards against a link that carries the ticket once a host."""
+        await self._settle()
+        before = self.client.calls
+        for version in range(2, 6):
+            self._put(version)
+            await self._wait_for(version, self.talks, 0.5)
+        self.assertLess(self.client.calls - before, HOSTS)
+
+    async def test_reader_ends(self):
+        await self._settle()
+        self.task_by_id['h-0'].cancel()
+        self.talks['h-0'].cut = True
+        self._put(2)
+        rest = [host_id for host_id in self.talks if host_id != 'h-0']
+        await self._wait_for(2, rest)
+
+    async def test_reader_passes_nothing_on(self):
+        """Guards against hosts that wait for one which answers nobody."""
+        await self._settle()
+        self.server_by_id['h-0'][0].close()
+        self._put(2)
+        await self._wait_for(2, self.talks)
+
+    async def test_host_that_hears_nothing(self):
+        await self._settle()
+        self.talks['h-5'].cut = True
+        self._put(2)
+        await self._wait_for(2, self.talks)
+
+    async def test_outage_is_tried_by_few(self):
+        """Guards against calls of each host for the time of an outage."""
+        await self._settle()
+        self.store.fault = platform_store.BUSY
+        await asyncio.sleep(4.0)
+        before = self.client.calls
+        await asyncio.sleep(3.0)
+        tries = self.client.calls - before
+        # Each by itself would try every 0.8 s.
+        self.assertLess(tries, HOSTS * 3.0 / ticket_feed.LONGEST_PAUSE_S)
+        self.store.fault = ''
+        self._put(2)
+        await self._wait_for(2, self.talks)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -38,20 +38,26 @@
 SERVICE_COLUMNS = ['name', 'healthPath', 'maxConnections', 'sharded']
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that nothing uses now.
+def free_port() -> int:
+    """Return a port that nothing uses now, by TCP or UDP.
 
     It lies below the ports that the system gives to outgoing connections,
     which could take it before it is listened on.
     """
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind((IP, port))
-            except OSError:
-                continue
-            return port
+        if _is_free(port, socket.SOCK_STREAM):
+            if _is_free(port, socket.SOCK_DGRAM):
+                return port
+
+
+def _is_free(port: int, kind: int) -> bool:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        try:
+            sock.bind((IP, port))
+        except OSError:
+            return False
+        return True
 
 
 def manifest(
@@ -197,7 +203,7 @@
             region_by_domain={'a': 'north'},
             serve=model.Address(IP, free_port()),
             readiness=model.Address(IP, free_port()),
-            peer_port=free_port(socket.SOCK_DGRAM),
+            peer_port=free_port(),
             metrics_port=free_port(),
             store=self._store_address,
             heartbeat_s=0.5,
