--- a/amaranthcrank/router/admission.py
+++ b/amaranthcrank/router/admission.py
@@ -11,9 +11,10 @@
 
 # Waiting requests of one service; more are refused at once.
 MAX_WAITING = 400
-# An owner that leaves is still sent requests for so long, until its keys have
-# moved.
-LEAVING_S = 1.0
+# An owner that leaves is still sent requests for this part of the drain time,
+# until its keys have moved. The host may have learnt of it late, and a request
+# takes its way.
+LEAVING_SHARE = 0.25
 # When a caller should try another host if this one cannot reach the owner.
 SILENT_WAIT_S = 0.15
 # All hosts share targets of other failure domains.
@@ -370,7 +371,8 @@
         if target is None:
             return None
         leaving_since = target.leaving_since
-        if leaving_since is not None and now > leaving_since + LEAVING_S:
+        leaving_s = LEAVING_SHARE * self._targets.drain_s
+        if leaving_since is not None and now > leaving_since + leaving_s:
             return None
         rank = waiter.standing.rank
         interval_s = target_choice.owner_interval_s(
--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -5,10 +5,12 @@
 
 from amaranthcrank.router import admission
 from amaranthcrank.router import directory
+from amaranthcrank.router import forwarder
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
 from amaranthcrank.router import service_times
+from amaranthcrank.router import store_feed
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import wait_order
 
@@ -26,6 +28,10 @@
     )
 
 
+# Two ways of a packet over a link on which others wait.
+BUSY_LINK_S = 0.4
+
+
 class _AdmissionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         loop = asyncio.get_running_loop()
@@ -259,8 +265,21 @@
             await self._acquire(2, key=5)
         self.assertLess(self.now() - began_at, 0.05)
 
+    def test_time_for_an_owner_that_leaves(self):
+        """Guards against requests that reach it after the drain time.
+
+        A host learns of it late, then waits for a connection, and the link
+        to the target may be busy.
+        """
+        for drain_s in (2.0, 3.0):
+            used_s = drain_s * store_feed.GATHER_DRAIN_SHARE
+            used_s += drain_s * admission.LEAVING_SHARE
+            used_s += forwarder.CONNECT_TIMEOUT_S
+            self.assertLessEqual(used_s + BUSY_LINK_S, drain_s)
+
     async def test_owner_that_left_gets_nothing(self):
-        self.owner.leaving_since = self.now() - admission.LEAVING_S - 0.1
+        leaving_s = admission.LEAVING_SHARE * self.targets.drain_s
+        self.owner.leaving_since = self.now() - leaving_s - 0.1
         task = asyncio.create_task(self._acquire(key=5))
         await asyncio.sleep(0.02)
         self.assertFalse(task.done())
