--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -28,6 +28,8 @@
 # The hosts ask for a free lease one after the other. Within this time the
 # holder's first heartbeat reaches the next.
 SPREAD_PER_HOST_S = 0.01
+# With more hosts than these each tries more seldom while the store fails.
+ASKING_HOSTS = 20
 LEASE_NAME = 'key-controller'
 
 
@@ -113,7 +115,8 @@
                 await self._try_acquire()
             except store.StoreError as error:
                 self._log.event('lease_unread', reason=str(error))
-                await asyncio.sleep(RETRY_S * (1 + random.random()))
+                scale = max(1.0, hosts() / ASKING_HOSTS)
+                await asyncio.sleep(scale * RETRY_S * (1 + random.random()))
             except store.ConflictError:
                 # Another was faster.
                 await asyncio.sleep(LEASE_S / 2)
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -199,3 +199,20 @@
         began_at = clock.now()
         await self._acquire(second)
         self.assertLess(clock.now() - began_at, 0.3)
+
+    async def test_many_hosts_ask_seldom_while_the_store_fails(self):
+        """Guards against calls of each host all through an outage.
+
+        An outage shows at the lease before the ticket's long call breaks.
+        """
+        self.store.away = True
+        for number in range(40):
+            lease = self._lease(str(number))
+            task = asyncio.create_task(
+                lease.acquire(lambda: False, _store_is_here, lambda: 40)
+            )
+            self.addCleanup(task.cancel)
+        await asyncio.sleep(1.0)
+        calls = self.store.calls
+        few = controller_lease.ASKING_HOSTS / controller_lease.RETRY_S
+        self.assertLess(calls, few + 40)
