Let one host of a failure domain read the targets for its neighbours

Change: the reader of a domain of eight hosts or more passes changes of targets on by datagram; a host that missed one, or to which one was too long to send, reads itself. Without a controller each of more than 20 hosts reads shared objects more seldom.

--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -75,7 +75,11 @@
         """
         self.board = peers.LoadBoard(clock)
         self.news = shared_news.SharedNews(
-            clock, random, keys.revision, self.is_controller_near
+            clock,
+            random,
+            keys.revision,
+            self.is_controller_near,
+            lambda: len(talk.by_id) + 1,
         )
         self._own = own
         self._in_demand: frozenset[str] = frozenset()
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -31,7 +31,9 @@
 from amaranthcrank.router import route_table
 from amaranthcrank.router import service_times
 from amaranthcrank.router import store_feed
+from amaranthcrank.router import store_sync
 from amaranthcrank.router import target_choice
+from amaranthcrank.router import target_feed
 from amaranthcrank.router import ticket_feed
 
 HOUSEKEEPING_S = 0.25
@@ -157,14 +159,23 @@
             clock,
         )
         self.neighbours = http_server.Server(self.ticket_feed.answer)
-        self.feed = store_feed.StoreFeed(
+        self.after_outage = store_sync.behind(self.ticket_feed.contact)
+        self.target_feed = target_feed.TargetFeed(
             self.store,
             self.targets,
+            self.peers,
+            own,
+            self.log,
+            self.after_outage,
+            clock,
+        )
+        self.feed = store_feed.StoreFeed(
+            self.store,
             self.keys,
             self.peers.by_id,
             own,
             self.log,
-            self.ticket_feed.contact,
+            self.after_outage,
             self.admission.serve,
             self.reports.news,
         )
@@ -222,7 +233,7 @@
     def _jobs(self) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
         return [
             self.ticket_feed.follow(),
-            self.feed.follow_targets(),
+            self.target_feed.follow(),
             self.feed.follow_shared(),
             self._join(),
             self.reports.report_load(),
@@ -329,7 +340,7 @@
         while not self.stopping.is_set():
             await self.lease.acquire(
                 self.reports.is_controller_heard,
-                self.feed.after_outage,
+                self.after_outage,
                 lambda: len(self.peers.by_id) + 1,
             )
             jobs = [
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -28,6 +28,7 @@
 HELLO = 11
 OWNERS_TOTAL = 12
 TICKET = 13
+TARGETS = 14
 
 Handler = typing.Callable[[str, typing.Any], None]
 
--- a/amaranthcrank/router/reading_rota.py
+++ b/amaranthcrank/router/reading_rota.py
@@ -16,6 +16,12 @@
 # hosts must follow a change; by chance, so that not all read together.
 SHORTEST_PATIENCE_S = 1.2
 LONGEST_PATIENCE_S = 1.8
+# Hosts that missed something together do not read together.
+HURRY_S = 0.3
+# With more hosts than these in a failure domain each tries more seldom while
+# the store fails: one that succeeds tells the others, and each call is paid
+# for.
+TRYING_HOSTS = 4
 
 
 class ReadingRota:
@@ -48,6 +54,13 @@
         """Whether there are enough hosts for one to read for all."""
         return self._hosts() >= MIN_HOSTS
 
+    @property
+    def pause_scale(self) -> float:
+        """How much longer pauses after failures are than for a host alone."""
+        if not self.is_shared:
+            return 1.0
+        return self._hosts() / TRYING_HOSTS
+
     def is_due(self) -> bool:
         """Tell whether this host should read now."""
         if self._is_reader or not self.is_shared:
@@ -60,7 +73,7 @@
 
     def hurry(self) -> None:
         """Let this host read soon: what it heard of it could not get."""
-        self._patient_until = self._clock()
+        self._patient_until = self._clock() + HURRY_S * self._random()
 
     def note_heard(self, reader_id: str) -> None:
         """Learn that another host of the failure domain has just read."""
@@ -70,3 +83,8 @@
         span_s = LONGEST_PATIENCE_S - SHORTEST_PATIENCE_S
         patience_s = SHORTEST_PATIENCE_S + span_s * self._random()
         self._patient_until = self._clock() + patience_s
+
+
+def alone(clock: typing.Callable[[], float]) -> ReadingRota:
+    """Return the rota of a host that always reads for itself."""
+    return ReadingRota('', lambda: 1, clock, lambda: 0.0)
--- a/amaranthcrank/router/shared_news.py
+++ b/amaranthcrank/router/shared_news.py
@@ -17,6 +17,9 @@
 SPREAD_S = 0.5
 # Without a controller nobody tells of the changes that its successor makes.
 ALONE_S = 1.0
+# With more hosts than these each reads more seldom then: the successor's
+# heartbeats tell who is behind.
+ALONE_HOSTS = 20
 # Well before the store forgets the revision that this host last read at.
 LONGEST_S = 15.0
 CHECK_S = 0.1
@@ -31,6 +34,7 @@
         random: typing.Callable[[], float],
         revision_of: typing.Callable[[str], int],
         is_controller_near: typing.Callable[[], bool],
+        hosts: typing.Callable[[], int],
     ) -> None:
         """Start as if everything had just been read.
 
@@ -41,11 +45,13 @@
             has of a service, 0 without one.
           is_controller_near: Tells whether a controller is heard, or this
             host is the one.
+          hosts: Returns how many hosts there are.
         """
         self._clock = clock
         self._random = random
         self._revision_of = revision_of
         self._is_controller_near = is_controller_near
+        self._hosts = hosts
         self._read_at = clock()
         self._behind_since: float | None = None
         self._spread_s = 0.0
@@ -82,7 +88,8 @@
             return now - self._behind_since >= BEHIND_S + self._spread_s
         age_s = now - self._read_at
         if not self._is_controller_near():
-            return age_s >= ALONE_S + self._spread_s
+            scale = max(1.0, self._hosts() / ALONE_HOSTS)
+            return age_s >= scale * (ALONE_S + self._spread_s)
         return age_s >= LONGEST_S
 
     async def wait(self) -> None:
--- a/amaranthcrank/router/shared_news_test.py
+++ b/amaranthcrank/router/shared_news_test.py
@@ -10,11 +10,13 @@
         self.now = 100.0
         self.revision = 7
         self.near = True
+        self.hosts = 2
         self.news = shared_news.SharedNews(
             lambda: self.now,
             lambda: 0.5,
             lambda service: self.revision,
             lambda: self.near,
+            lambda: self.hosts,
         )
 
     def test_nothing_is_read_while_datagrams_arrive(self):
@@ -61,3 +63,12 @@
         self.assertTrue(self.news.is_due())
         self.news.note_read()
         self.assertFalse(self.news.is_due())
+
+    def test_many_hosts_without_a_controller(self):
+        """Guards against reads of each host all through a failover."""
+        self.hosts = 88
+        self.near = False
+        self.now += 3.5
+        self.assertFalse(self.news.is_due())
+        self.now += 4.0
+        self.assertTrue(self.news.is_due())
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -11,6 +11,7 @@
 
 from amaranthcrank.platform import store
 from amaranthcrank.router import event_log
+from amaranthcrank.router import reading_rota
 
 # A watch that waits is held open by TCP keep-alive, so it may wait long:
 # each call is paid for. It ends well before the store forgets the revision
@@ -24,9 +25,8 @@
 # A kind that waits for another's reads to succeed tries by itself in the end.
 LONGEST_TURN_S = 3.0
 TURN_CHECK_S = 0.1
+DUE_CHECK_S = 0.05
 
-OnList = typing.Callable[[dict[str, typing.Any]], None]
-OnChange = typing.Callable[[store.Change], None]
 Pause = typing.Callable[[bool], typing.Awaitable[None]]
 Turn = typing.Callable[[], typing.Awaitable[None]]
 
@@ -90,9 +90,8 @@
     return turn
 
 
-def is_silence(reason: str) -> bool:
-    """Tell whether a call failed because nothing came in time."""
-    return 'time' in reason
+async def at_once() -> None:
+    """Wait for no other kind."""
 
 
 def gather(pause_s: typing.Callable[[], float]) -> Pause:
@@ -108,58 +107,161 @@
     return pause
 
 
-async def follow(
-    client: store.Client,
-    kind: str,
-    on_list: OnList,
-    on_change: OnChange,
-    contact: Contact,
-    log: event_log.EventLog,
-    pause: Pause,
-    turn: Turn,
-    wait_s: float = WATCH_WAIT_S,
-) -> None:
-    """Follow all objects of a kind, for ever.
-
-    Args:
-      client: The store's client.
-      kind: The kind.
-      on_list: Takes all objects, at first and whenever history was lost.
-      on_change: Takes each change after that.
-      contact: Learns whether the store answers.
-      log: Where faults are logged.
-      pause: Waited for before each watch; told whether there were changes.
-      turn: Waited for before each try after a failed one.
-      wait_s: How long a watch waits for a change.
+class Sink(typing.NamedTuple):
+    """Takes what a follower reads.
+
+    Attributes:
+      take_list: Takes all objects, at first and whenever history was lost.
+      take_changes: Takes the changes after that.
+      tell: Tells neighbours what was read: from which revision, None for
+        the list, up to which, and the changes between.
     """
-    revision: int | None = None
-    pause_s = FIRST_PAUSE_S
-    while True:
-        try:
-            if revision is None:
-                listing = await client.list_all(kind, CALL_TIMEOUT_S)
-                contact.note_answer()
-                on_list(listing.item_by_name)
-                revision = listing.revision
-                await pause(False)
-            changes, next_revision = await client.watch(
-                kind, revision, wait_s, CALL_TIMEOUT_S
-            )
-            contact.note_answer()
-            for change in changes:
-                on_change(change)
-            revision = next_revision
-            pause_s = FIRST_PAUSE_S
-            await pause(bool(changes))
-        except store.HistoryGoneError:
-            log.event('history_gone', kind=kind, revision=revision)
-            contact.note_answer()
-            revision = None
-        except (store.StoreError, store.ConflictError) as error:
-            contact.note_failure(str(error), is_silence(str(error)))
-            # A watch may have missed changes before it broke off: the list
-            # tells.
-            revision = None
-            await asyncio.sleep(pause_s * (0.5 + random.random()))
-            pause_s = min(LONGEST_PAUSE_S, pause_s * 1.5)
-            await turn()
+
+    take_list: typing.Callable[[dict[str, typing.Any]], None]
+    take_changes: typing.Callable[[typing.Sequence[store.Change]], None]
+    tell: typing.Callable[
+        [int | None, int, typing.Sequence[store.Change]], None
+    ]
+
+
+class Follower:
+    """Follows all objects of a kind, alone or in turns with neighbours.
+
+    Attributes:
+      revision: Up to where the kind is known; None before its list was read
+        and after a call that failed.
+      rota: Tells whether it is this host's turn to read.
+    """
+
+    def __init__(
+        self,
+        client: store.Client,
+        kind: str,
+        sink: Sink,
+        contact: Contact,
+        log: event_log.EventLog,
+        rota: reading_rota.ReadingRota,
+        pause: Pause,
+        turn: Turn,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> None:
+        """Follow one kind.
+
+        Args:
+          client: The store's client.
+          kind: The kind.
+          sink: Takes what is read.
+          contact: Learns whether the store answers.
+          log: Where faults are logged.
+          rota: Tells whether it is this host's turn to read.
+          pause: Waited for before each watch; told whether there were
+            changes.
+          turn: Waited for before each try after a failed one.
+          wait_s: How long a watch waits for a change.
+        """
+        self.revision: int | None = None
+        self.rota = rota
+        self._client = client
+        self._kind = kind
+        self._sink = sink
+        self._contact = contact
+        self._log = log
+        self._pause = pause
+        self._turn = turn
+        self._wait_s = wait_s
+        self._is_new = True
+
+    async def follow(self) -> None:
+        """Follow the kind, for ever."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            if not self.rota.is_due():
+                await asyncio.sleep(DUE_CHECK_S)
+                continue
+            self.rota.begin()
+            try:
+                changed = await self._read()
+                pause_s = FIRST_PAUSE_S
+                await self._pause(changed)
+            except store.HistoryGoneError:
+                self._log.event(
+                    'history_gone', kind=self._kind, revision=self.revision
+                )
+                self._contact.note_answer()
+                self.revision = None
+            except (store.StoreError, store.ConflictError) as error:
+                self._note_failure(str(error))
+                await asyncio.sleep(
+                    self.rota.pause_scale * pause_s * (0.5 + random.random())
+                )
+                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                await self._turn()
+
+    def advance(
+        self,
+        former: int | None,
+        revision: int,
+        told: typing.Any,
+        take: typing.Callable[[typing.Any], None],
+    ) -> bool:
+        """Take what a neighbour has read; False: it cannot be made use of.
+
+        Args:
+          former: From where the neighbour read, None for a list.
+          revision: Up to where.
+          told: What it read, None if it was too long to send.
+          take: Takes what it read.
+        """
+        if self.revision is None or revision < self.revision:
+            return False
+        if revision == self.revision:
+            return True
+        if former is None or former > self.revision or told is None:
+            return False
+        take(told)
+        self.revision = revision
+        return True
+
+    async def _read(self) -> bool:
+        """Read the list, or wait for changes; tell whether there were any."""
+        if self.revision is None:
+            await self._read_list()
+            return False
+        former = self.revision
+        changes, revision = await self._client.watch(
+            self._kind, former, self._watch_s(), CALL_TIMEOUT_S
+        )
+        self._contact.note_answer()
+        if self.revision is not None and revision < self.revision:
+            # A neighbour has told of these, and of more, meanwhile.
+            return False
+        self._sink.take_changes(changes)
+        self.revision = revision
+        if self.rota.is_shared:
+            self._sink.tell(former, revision, changes)
+        return bool(changes)
+
+    async def _read_list(self) -> None:
+        listing = await self._client.list_all(self._kind, CALL_TIMEOUT_S)
+        self._contact.note_answer()
+        self._sink.take_list(listing.item_by_name)
+        self.revision = listing.revision
+        self._is_new = True
+        if self.rota.is_shared:
+            self._sink.tell(None, listing.revision, ())
+
+    def _watch_s(self) -> float:
+        wait_s = self._wait_s
+        # A host that has just begun may have neighbours that it does not
+        # know of yet.
+        if self.rota.is_shared or self._is_new:
+            wait_s = min(wait_s, reading_rota.READER_WAIT_S)
+        self._is_new = False
+        return wait_s
+
+    def _note_failure(self, reason: str) -> None:
+        # What broke off for want of time was silent for a while.
+        self._contact.note_failure(reason, 'time' in reason)
+        # A watch may have missed changes before it broke off: the list
+        # tells.
+        self.revision = None
--- /dev/null
+++ b/amaranthcrank/router/target_feed.py
@@ -0,0 +1,151 @@
+"""Follows what the targets say of themselves, and tells neighbours of it.
+
+In a failure domain of many hosts one reads from the store and passes the
+changes on by datagram. A host that missed one, or to which a change was too
+long to send, reads itself.
+"""
+
+import random
+import typing
+
+from amaranthcrank.platform import entries
+from amaranthcrank.platform import names
+from amaranthcrank.platform import store
+from amaranthcrank.router import directory
+from amaranthcrank.router import event_log
+from amaranthcrank.router import model
+from amaranthcrank.router import peers
+from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_sync
+
+# Targets that start report several times within their first seconds.
+GATHER_S = 0.5
+# With more hosts than these, where each reads for itself, each asks more
+# seldom, as the store's rate is shared, but within this part of the time for
+# which a target that leaves may still get requests.
+GATHER_HOSTS = 30
+GATHER_DRAIN_SHARE = 0.4
+
+_Entry = tuple[str, model.TargetEntry | None]
+
+
+class TargetFeed:
+    """Brings the targets' entries to the directory."""
+
+    def __init__(
+        self,
+        client: store.Client,
+        targets: directory.Directory,
+        talk: peers.Peers,
+        own: peers.Peer,
+        log: event_log.EventLog,
+        turn: store_sync.Turn,
+        clock: typing.Callable[[], float],
+    ) -> None:
+        """Follow the targets for one host.
+
+        Args:
+          client: The store's client.
+          targets: Takes the targets.
+          talk: Sends to and hears from the other hosts.
+          own: This host.
+          log: Where rejected entries are logged.
+          turn: Waited for before each try after a failed one.
+          clock: Returns the event loop's time.
+        """
+        self._targets = targets
+        self._talk = talk
+        self._log = log
+        self._contact = store_sync.Contact(
+            names.TARGETS_KIND, log, targets.note_store_back
+        )
+        self._follower = store_sync.Follower(
+            client,
+            names.TARGETS_KIND,
+            store_sync.Sink(self._take_list, self._take_changes, self._tell),
+            self._contact,
+            log,
+            reading_rota.ReadingRota(
+                own.host_id, talk.count_nearby, clock, random.random
+            ),
+            store_sync.gather(self._gather_s),
+            turn,
+        )
+        talk.handler_by_kind[peers.TARGETS] = self._hear
+
+    async def follow(self) -> None:
+        """Follow the targets, for ever."""
+        await self._follower.follow()
+
+    def _gather_s(self) -> float:
+        if self._follower.rota.is_shared:
+            return GATHER_S
+        hosts = len(self._talk.by_id) + 1
+        wanted_s = GATHER_S * max(1.0, hosts / GATHER_HOSTS)
+        return min(wanted_s, GATHER_DRAIN_SHARE * self._targets.drain_s)
+
+    def _take_list(self, item_by_name: dict[str, typing.Any]) -> None:
+        found = []
+        for name, item in item_by_name.items():
+            entry = self._decode(name, item)
+            if entry is not None:
+                found.append(entry)
+        self._targets.replace_all(found)
+
+    def _take_changes(self, changes: typing.Sequence[store.Change]) -> None:
+        for change in changes:
+            self._put(*self._entry_of(change))
+
+    def _put(self, target_id: str, entry: model.TargetEntry | None) -> None:
+        if entry is None:
+            self._targets.remove(target_id)
+            return
+        self._targets.put(entry)
+
+    def _entry_of(self, change: store.Change) -> _Entry:
+        if change.deleted:
+            return change.name, None
+        return change.name, self._decode(change.name, change.item)
+
+    def _decode(self, name: str, item: typing.Any) -> model.TargetEntry | None:
+        try:
+            return entries.decode_target(name, item)
+        except entries.EntryError as error:
+            self._log.event('entry_rejected', name=name, error=str(error))
+            return None
+
+    def _tell(
+        self,
+        former: int | None,
+        revision: int,
+        changes: typing.Sequence[store.Change],
+    ) -> None:
+        told = [self._entry_of(change) for change in changes]
+        content: list[typing.Any] = [former, revision, told]
+        if not self._talk.fits(peers.TARGETS, content):
+            content = [former, revision, None]
+        self._talk.send_nearby(peers.TARGETS, content)
+
+    def _hear(self, host_id: str, content: typing.Any) -> None:
+        """Take what a neighbour has read just now."""
+        if not isinstance(content, list) or len(content) != 3:
+            return
+        former, revision, told = content
+        if self._follower.advance(former, revision, told, self._take_told):
+            self._follower.rota.note_heard(host_id)
+            return
+        if revision > (self._follower.revision or 0):
+            self._follower.rota.hurry()
+
+    def _take_told(self, told: typing.Sequence[typing.Any]) -> None:
+        for target_id, fields in told:
+            entry = None
+            if fields is not None:
+                entry = _entry_from(fields)
+            self._put(target_id, entry)
+
+
+def _entry_from(fields: typing.Sequence[typing.Any]) -> model.TargetEntry:
+    """Return an entry as a neighbour has sent it."""
+    entry = model.TargetEntry(*fields)
+    return entry._replace(address=model.Address(*entry.address))
--- /dev/null
+++ b/amaranthcrank/router/target_feed_test.py
@@ -0,0 +1,149 @@
+"""Tests of how entries of targets reach many hosts of a failure domain.
+
+The pattern: targets come, leave and restart all the time, each change wakes
+every host, and each call of the store is paid for.
+"""
+
+import asyncio
+import contextlib
+import unittest
+from unittest import mock
+
+from amaranthcrank.platform import names
+from amaranthcrank.platform import store
+from amaranthcrank.router import directory
+from amaranthcrank.router import http_client
+from amaranthcrank.router import model
+from amaranthcrank.router import peers
+from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_sync
+from amaranthcrank.router import target_feed
+from standins import neighbours
+from standins import platform_site
+from standins import platform_store
+from standins import platform_target
+
+HOSTS = 8
+DRAIN_S = 3.0
+
+
+class TargetFeedTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.loop = asyncio.get_running_loop()
+        self.store = platform_store.PlatformStore()
+        address = model.Address(platform_site.IP, platform_site.free_port())
+        await self.store.listen(address)
+        self.stack.callback(self.store.server.close)
+        pool = http_client.Pool(self.loop.time)
+        self.stack.callback(pool.close)
+        self.client = store.Client(address, pool)
+        self._put(1)
+        self.talks = {}
+        self.targets_by_host = {}
+        self.task_by_host = {}
+        for number in range(HOSTS):
+            self._start(f'h-{number}')
+        await self._wait(lambda targets: 'i-1' in targets.by_id)
+        await asyncio.sleep(2 * reading_rota.READER_WAIT_S)
+
+    def _put(self, number, state=model.READY):
+        self.store.put(
+            names.TARGETS_KIND,
+            f'i-{number}',
+            platform_target.entry(
+                'desk', model.Address('10.0.0.1', number), 'a', 1, state
+            ),
+        )
+
+    def _start(self, host_id):
+        own = peers.Peer(host_id, model.Address('10.0.0.2', 1), 'a')
+        talk = neighbours.Talk(host_id, self.talks)
+        for other_id, other in self.talks.items():
+            other.by_id[host_id] = own
+            talk.by_id[other_id] = peers.Peer(other_id, own.address, 'a')
+        del talk.by_id[host_id]
+        targets = directory.Directory(
+            self.loop.time, 0.87, DRAIN_S, lambda *_, **__: None
+        )
+        self.targets_by_host[host_id] = targets
+        feed = target_feed.TargetFeed(
+            self.client,
+            targets,
+            talk,
+            own,
+            mock.Mock(),
+            store_sync.at_once,
+            self.loop.time,
+        )
+        task = self.loop.create_task(feed.follow())
+        self.stack.callback(task.cancel)
+        self.task_by_host[host_id] = task
+
+    async def _wait(self, condition, seconds=2.0, without=()):
+        async with asyncio.timeout(seconds):
+            while not all(
+                condition(targets)
+                for host_id, targets in self.targets_by_host.items()
+                if host_id not in without
+            ):
+                await asyncio.sleep(0.02)
+
+    async def test_one_host_reads(self):
+        """Guards against calls that grow with hosts times changes."""
+        before = self.client.calls
+        for number in range(2, 6):
+            self._put(number)
+            name = f'i-{number}'
+            await self._wait(lambda targets, name=name: name in targets.by_id)
+        self.store.remove(names.TARGETS_KIND, 'i-2')
+        await self._wait(lambda targets: 'i-2' not in targets.by_id)
+        self.assertLess(self.client.calls - before, 2 * HOSTS)
+
+    async def test_told_entry_is_whole(self):
+        self._put(2, model.DRAINING)
+        await self._wait(lambda targets: 'i-2' in targets.by_id)
+        seen = {
+            targets.by_id['i-2'].entry
+            for targets in self.targets_by_host.values()
+        }
+        self.assertEqual(len(seen), 1)
+
+    async def test_missed_datagram(self):
+        """Guards against a target that one host sends to after its end."""
+        self.talks['h-3'].cut = True
+        self._put(2)
+        await self._wait(lambda targets: 'i-2' in targets.by_id)
+        self.talks['h-3'].cut = False
+        self._put(1, model.DRAINING)
+        await self._wait(
+            lambda targets: targets.by_id['i-1'].leaving_since is not None
+        )
+
+    async def test_change_too_long_to_send(self):
+        for number in range(10, 80):
+            self._put(number)
+        await self._wait(lambda targets: len(targets.by_id) == 71)
+
+    async def test_reader_ends(self):
+        """Guards against news of a leaving target after its drain time."""
+        self.task_by_host['h-0'].cancel()
+        self.talks['h-0'].cut = True
+        self._put(1, model.DRAINING)
+        await self._wait(
+            lambda targets: targets.by_id['i-1'].leaving_since is not None,
+            DRAIN_S * (1 - 0.25),
+            without=('h-0',),
+        )
+
+    async def test_outage(self):
+        self.store.fault = platform_store.BUSY
+        await asyncio.sleep(2.0)
+        self._put(2)
+        self.store.fault = ''
+        await self._wait(lambda targets: 'i-2' in targets.by_id, 5.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/amaranthcrank/router/ticket_feed.py
+++ b/amaranthcrank/router/ticket_feed.py
@@ -29,13 +29,6 @@
 # The ticket is read from the store if a neighbour has not passed it on so
 # soon, or sends nothing of it for as long.
 TAKE_TIMEOUT_S = 0.5
-CHECK_S = 0.05
-# A host tries so often while the store does not answer.
-FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.8
-# With more hosts than these in a failure domain each tries more seldom: one
-# that succeeds tells the others, and each call is paid for.
-TRYING_HOSTS = 4
 # Speed matters more than size here.
 COMPRESSION_LEVEL = 1
 
@@ -78,48 +71,32 @@
           clock: Returns the event loop's time.
         """
         self.contact = store_sync.Contact(names.TICKET_KIND, log)
-        self._client = client
         self._talk = talk
         self._pool = pool
-        self._own = own
         self._log = log
         self._on_ticket = on_ticket
-        self._rota = reading_rota.ReadingRota(
-            own.host_id, talk.count_nearby, clock, random.random
+        self._follower = store_sync.Follower(
+            client,
+            names.TICKET_KIND,
+            store_sync.Sink(self._take_list, self._take_changes, self._tell),
+            self.contact,
+            log,
+            reading_rota.ReadingRota(
+                own.host_id, talk.count_nearby, clock, random.random
+            ),
+            store_sync.gather(lambda: 0.0),
+            store_sync.at_once,
         )
         self._number = -1
         # What a neighbour has, while it is taken from there.
         self._wanted = -1
         self._packed = b''
-        self._revision: int | None = None
-        self._is_new = True
         self._taking: asyncio.Task[None] | None = None
         talk.handler_by_kind[peers.TICKET] = self._hear
 
     async def follow(self) -> None:
         """Follow the ticket, for ever."""
-        pause_s = FIRST_PAUSE_S
-        while True:
-            if not self._rota.is_due():
-                await asyncio.sleep(CHECK_S)
-                continue
-            self._rota.begin()
-            try:
-                await self._read()
-                pause_s = FIRST_PAUSE_S
-            except store.HistoryGoneError:
-                self._log.event(
-                    'history_gone',
-                    kind=names.TICKET_KIND,
-                    revision=self._revision,
-                )
-                self._revision = None
-            except (store.StoreError, store.ConflictError) as error:
-                self._note_failure(error)
-                await asyncio.sleep(
-                    self._pause_scale() * pause_s * (0.5 + random.random())
-                )
-                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+        await self._follower.follow()
 
     async def answer(self, request: http_server.Request) -> http_server.Reply:
         """Pass the ticket on to a neighbour."""
@@ -128,53 +105,27 @@
         headers = [(b'content-type', b'application/cbor')]
         return http_server.Reply(200, headers, self._packed)
 
-    async def _read(self) -> None:
-        """Read the ticket, or wait for its next change."""
-        if self._revision is None:
-            listing = await self._client.list_all(
-                names.TICKET_KIND, store_sync.CALL_TIMEOUT_S
-            )
-            items = list(listing.item_by_name.items())
-            self._revision = listing.revision
-            self._is_new = True
-        else:
-            items = await self._wait_for_changes(self._revision)
-        self.contact.note_answer()
-        for name, item in items:
-            if name == names.TICKET_NAME:
-                self._take(item.get('spec'))
-        if self._rota.is_shared:
-            self._talk.send_nearby(peers.TICKET, self._number)
-
-    async def _wait_for_changes(
-        self, revision: int
-    ) -> list[tuple[str, typing.Any]]:
-        wait_s = store_sync.WATCH_WAIT_S
-        # A host that has just begun may have neighbours that it does not
-        # know of yet.
-        if self._rota.is_shared or self._is_new:
-            wait_s = reading_rota.READER_WAIT_S
-        self._is_new = False
-        changes, self._revision = await self._client.watch(
-            names.TICKET_KIND, revision, wait_s, store_sync.CALL_TIMEOUT_S
-        )
+    def _take_list(self, item_by_name: dict[str, typing.Any]) -> None:
+        item = item_by_name.get(names.TICKET_NAME)
+        if item is not None:
+            self._take(item.get('spec'))
+
+    def _take_changes(self, changes: typing.Sequence[store.Change]) -> None:
         for change in changes:
+            if change.name != names.TICKET_NAME:
+                continue
             if change.deleted:
                 self._log.event('ticket_removed', name=change.name)
-        return [
-            (change.name, change.item)
-            for change in changes
-            if not change.deleted
-        ]
-
-    def _note_failure(self, error: Exception) -> None:
-        reason = str(error)
-        self.contact.note_failure(reason, store_sync.is_silence(reason))
-        # A call that broke off may have missed a change: the list tells.
-        self._revision = None
+                continue
+            self._take(change.item.get('spec'))
 
-    def _pause_scale(self) -> float:
-        return max(1.0, self._talk.count_nearby() / TRYING_HOSTS)
+    def _tell(
+        self,
+        former: int | None,
+        revision: int,
+        changes: typing.Sequence[store.Change],
+    ) -> None:
+        self._talk.send_nearby(peers.TICKET, self._number)
 
     def _hear(self, host_id: str, content: typing.Any) -> None:
         """Learn which ticket a neighbour has read just now."""
@@ -189,7 +140,7 @@
             self._taking = loop.create_task(self._take_from(host_id))
 
     def _confirm(self, host_id: str) -> None:
-        self._rota.note_heard(host_id)
+        self._follower.rota.note_heard(host_id)
         if self._number >= 0:
             self.contact.note_answer()
 
@@ -207,7 +158,7 @@
                     'ticket_not_taken', neighbour=host_id, reason=repr(error)
                 )
             if self._number == known:
-                self._rota.hurry()
+                self._follower.rota.hurry()
                 return
         self._confirm(host_id)
 
