--- a/amaranthcrank/router/http_client_test.py
+++ b/amaranthcrank/router/http_client_test.py
@@ -27,8 +27,8 @@
     writer.transport.abort()
 
 
-class SlowAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """An answer that is longer than its link carries in the time for it."""
+class _ServedTest(unittest.IsolatedAsyncioTestCase):
+    """A server of the test's own, and a pool of connections to it."""
 
     async def asyncSetUp(self):
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -37,6 +37,13 @@
         self.address = model.Address(host, port)
         self.pool = http_client.Pool(asyncio.get_running_loop().time)
         self.addCleanup(self.pool.close)
+
+
+class SlowAnswerTest(_ServedTest):
+    """An answer that is longer than its link carries in the time for it."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
         self.pause_s = 0.05
 
     async def _serve(self, reader, writer):
@@ -76,17 +83,12 @@
             await self._request(0.0)
 
 
-class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+class ExchangeTest(_ServedTest):
     async def asyncSetUp(self):
+        await super().asyncSetUp()
         self.answers = []
         self.connections = 0
         self.reset = False
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self.addCleanup(server.close)
-        host, port = server.sockets[0].getsockname()
-        self.address = model.Address(host, port)
-        self.pool = http_client.Pool(asyncio.get_running_loop().time)
-        self.addCleanup(self.pool.close)
 
     async def _serve(self, reader, writer):
         self.connections += 1
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -10,16 +10,12 @@
 from unittest import mock
 
 from amaranthcrank.platform import names
-from amaranthcrank.platform import store
 from amaranthcrank.router import directory
-from amaranthcrank.router import http_client
 from amaranthcrank.router import model
-from amaranthcrank.router import peers
 from amaranthcrank.router import reading_rota
 from amaranthcrank.router import store_sync
 from amaranthcrank.router import target_feed
 from standins import neighbours
-from standins import platform_site
 from standins import platform_store
 from standins import platform_target
 
@@ -31,25 +27,19 @@
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        self.loop = asyncio.get_running_loop()
-        self.store = platform_store.PlatformStore()
-        address = model.Address(platform_site.IP, platform_site.free_port())
-        await self.store.listen(address)
-        self.stack.callback(self.store.server.close)
-        pool = http_client.Pool(self.loop.time)
-        self.stack.callback(pool.close)
-        self.client = store.Client(address, pool)
+        self.around = neighbours.Neighbours(self.stack)
+        await self.around.start_store()
+        self.client = self.around.client
+        self.talks = self.around.talk_by_id
         self._put(1)
-        self.talks = {}
         self.targets_by_host = {}
-        self.task_by_host = {}
         for number in range(HOSTS):
             self._start(f'h-{number}')
         await self._wait(lambda targets: 'i-1' in targets.by_id)
         await asyncio.sleep(2 * reading_rota.READER_WAIT_S)
 
     def _put(self, number, state=model.READY):
-        self.store.put(
+        self.around.store.put(
             names.TARGETS_KIND,
             f'i-{number}',
             platform_target.entry(
@@ -58,28 +48,22 @@
         )
 
     def _start(self, host_id):
-        own = peers.Peer(host_id, model.Address('10.0.0.2', 1), 'a')
-        talk = neighbours.Talk(host_id, self.talks)
-        for other_id, other in self.talks.items():
-            other.by_id[host_id] = own
-            talk.by_id[other_id] = peers.Peer(other_id, own.address, 'a')
-        del talk.by_id[host_id]
+        talk = self.around.add(host_id)
+        clock = asyncio.get_running_loop().time
         targets = directory.Directory(
-            self.loop.time, 0.87, DRAIN_S, lambda *_, **__: None
+            clock, 0.87, DRAIN_S, lambda *_, **__: None
         )
         self.targets_by_host[host_id] = targets
         feed = target_feed.TargetFeed(
             self.client,
             targets,
             talk,
-            own,
+            talk.own,
             mock.Mock(),
             store_sync.at_once,
-            self.loop.time,
+            clock,
         )
-        task = self.loop.create_task(feed.follow())
-        self.stack.callback(task.cancel)
-        self.task_by_host[host_id] = task
+        self.around.follow(host_id, feed.follow())
 
     async def _wait(self, condition, seconds=2.0, without=()):
         async with asyncio.timeout(seconds):
@@ -97,7 +81,7 @@
             self._put(number)
             name = f'i-{number}'
             await self._wait(lambda targets, name=name: name in targets.by_id)
-        self.store.remove(names.TARGETS_KIND, 'i-2')
+        self.around.store.remove(names.TARGETS_KIND, 'i-2')
         await self._wait(lambda targets: 'i-2' not in targets.by_id)
         self.assertLess(self.client.calls - before, 2 * HOSTS)
 
@@ -128,7 +112,7 @@
 
     async def test_reader_ends(self):
         """Guards against news of a leaving target after its drain time."""
-        self.task_by_host['h-0'].cancel()
+        self.around.task_by_id['h-0'].cancel()
         self.talks['h-0'].cut = True
         self._put(1, model.DRAINING)
         await self._wait(
@@ -138,10 +122,10 @@
         )
 
     async def test_outage(self):
-        self.store.fault = platform_store.BUSY
+        self.around.store.fault = platform_store.BUSY
         await asyncio.sleep(2.0)
         self._put(2)
-        self.store.fault = ''
+        self.around.store.fault = ''
         await self._wait(lambda targets: 'i-2' in targets.by_id, 5.0)
 
 
--- a/amaranthcrank/router/ticket_feed_test.py
+++ b/amaranthcrank/router/ticket_feed_test.py
@@ -10,11 +10,7 @@
 from unittest import mock
 
 from amaranthcrank.platform import names
-from amaranthcrank.platform import store
-from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
-from amaranthcrank.router import model
-from amaranthcrank.router import peers
 from amaranthcrank.router import reading_rota
 from amaranthcrank.router import store_sync
 from amaranthcrank.router import ticket_feed
@@ -30,24 +26,18 @@
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        self.loop = asyncio.get_running_loop()
-        self.store = platform_store.PlatformStore()
-        address = model.Address(platform_site.IP, platform_site.free_port())
-        await self.store.listen(address)
-        self.stack.callback(self.store.server.close)
-        self.pool = http_client.Pool(self.loop.time)
-        self.stack.callback(self.pool.close)
-        self.client = store.Client(address, self.pool)
+        self.around = neighbours.Neighbours(self.stack)
+        await self.around.start_store()
+        self.client = self.around.client
+        self.talks = self.around.talk_by_id
         self._put(1)
-        self.talks = {}
         self.number_by_id = {}
-        self.task_by_id = {}
         self.server_by_id = {}
         for number in range(HOSTS):
             await self._start(f'h-{number}')
 
     def _put(self, version):
-        self.store.put(
+        self.around.store.put(
             names.TICKET_KIND,
             names.TICKET_NAME,
             {
@@ -60,21 +50,7 @@
         )
 
     async def _start(self, host_id):
-        address = model.Address(platform_site.IP, platform_site.free_port())
-        own = peers.Peer(host_id, address, 'a')
-        talk = neighbours.Talk(host_id, self.talks)
-        for other in self.talks.values():
-            if other is talk:
-                continue
-            other.by_id[host_id] = own
-        talk.by_id.update(
-            {
-                other_id: peers.Peer(
-                    other_id, self.server_by_id[other_id][1], 'a'
-                )
-                for other_id in self.server_by_id
-            }
-        )
+        talk = self.around.add(host_id)
 
         def note(ticket):
             self.number_by_id[host_id] = ticket.number
@@ -82,19 +58,17 @@
         feed = ticket_feed.TicketFeed(
             self.client,
             talk,
-            self.pool,
-            own,
+            self.around.pool,
+            talk.own,
             mock.Mock(),
             note,
-            self.loop.time,
+            asyncio.get_running_loop().time,
         )
         server = http_server.Server(feed.answer)
-        await server.listen(address)
+        await server.listen(talk.own.address)
         self.stack.callback(server.close)
-        self.server_by_id[host_id] = (server, address)
-        task = self.loop.create_task(feed.follow())
-        self.stack.callback(task.cancel)
-        self.task_by_id[host_id] = task
+        self.server_by_id[host_id] = server
+        self.around.follow(host_id, feed.follow())
 
     async def _settle(self):
         await self._wait_for(1, self.talks)
@@ -119,7 +93,7 @@
 
     async def test_reader_ends(self):
         await self._settle()
-        self.task_by_id['h-0'].cancel()
+        self.around.task_by_id['h-0'].cancel()
         self.talks['h-0'].cut = True
         self._put(2)
         rest = [host_id for host_id in self.talks if host_id != 'h-0']
@@ -128,7 +102,7 @@
     async def test_reader_passes_nothing_on(self):
         """Guards against hosts that wait for one which answers nobody."""
         await self._settle()
-        self.server_by_id['h-0'][0].close()
+        self.server_by_id['h-0'].close()
         self._put(2)
         await self._wait_for(2, self.talks)
 
@@ -141,14 +115,14 @@
     async def test_outage_is_tried_by_few(self):
         """Guards against calls of each host for the time of an outage."""
         await self._settle()
-        self.store.fault = platform_store.BUSY
+        self.around.store.fault = platform_store.BUSY
         await asyncio.sleep(4.0)
         before = self.client.calls
         await asyncio.sleep(3.0)
         tries = self.client.calls - before
         # Each by itself would try every 0.8 s.
         self.assertLess(tries, HOSTS * 3.0 / store_sync.LONGEST_PAUSE_S)
-        self.store.fault = ''
+        self.around.store.fault = ''
         self._put(2)
         await self._wait_for(2, self.talks)
 
