Read all answers of a connection through one buffer in the shutdown proof

Cause, shown without load: each answer was read through a buffer of its own, which took the beginning of the next answer with it where both had arrived; two answers sent in one write gave 'ok' and then RemoteDisconnected. The proof is as strict as before: every answer is still read whole and compared. A test of two answers that arrive together guards it.

--- a/proofs/shutdown_test.py
+++ b/proofs/shutdown_test.py
@@ -96,6 +96,7 @@
         self.clock = StopClock()
         self.callers: list[Caller] = []
         self.idle: list[socket.socket] = []
+        self.reader_by_sock: dict[socket.socket, _Reader] = {}
         self.began: set[int] = set()
         self.reached: queue.Queue = queue.Queue()
         self.may_stop = threading.Event()
@@ -177,13 +178,14 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
         sock.settimeout(HUNG_S)
         sock.connect((self.bound.host, self.bound.port))
+        self.reader_by_sock[sock] = _Reader(sock)
         return sock
 
     def open_idle(self) -> None:
         """Open a connection that stays open after its first request."""
         sock = self.connect()
         sock.sendall(b'GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n')
-        _read(sock)
+        _read(self.reader_by_sock[sock])
         self.idle.append(sock)
 
     def begin(self, size: int, halved: bool, from_idle: bool) -> None:
@@ -209,7 +211,7 @@
         caller.rest = b'67890' if halved else b''
 
     def expect_refusal(self, caller: Caller) -> None:
-        code, _, will_close = _read(caller.sock)
+        code, _, will_close = _read(self.reader_by_sock[caller.sock])
         caller.sock.close()
         caller.is_read = True
         ran = caller.number * 2 in self.began
@@ -247,7 +249,9 @@
             numbers.append(caller.number * 2 + 1)
         for number in numbers:
             try:
-                code, body, will_close = _read(caller.sock)
+                code, body, will_close = _read(
+                    self.reader_by_sock[caller.sock]
+                )
             except (OSError, client.HTTPException) as e:
                 if number in self.began:
                     text = f'the answer to {number} was cut off: {e!r}'
@@ -307,9 +311,26 @@
     return '\r\n'.join([*lines, '', '']).encode()
 
 
-def _read(sock: socket.socket) -> tuple[str | None, bytes, bool]:
+class _Reader(io.BufferedReader):
+    """What arrives on a connection, kept from one answer to the next.
+
+    A buffer for each answer would lose the beginning of the next one where
+    both have arrived.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(socket.SocketIO(sock, 'r'))
+
+    def makefile(self, mode: str) -> '_Reader':
+        return self
+
+    def close(self) -> None:
+        """Stay open: an answer that was read closes what it read from."""
+
+
+def _read(reader: _Reader) -> tuple[str | None, bytes, bool]:
     """Read an answer; fails with an error where it ends early."""
-    response = client.HTTPResponse(sock)
+    response = client.HTTPResponse(typing.cast(socket.socket, reader))
     response.begin()
     body = response.read()
     return response.getheader('X-Result-Code'), body, response.will_close
@@ -374,6 +395,22 @@
     machines.run(ShutdownMachine, EXAMPLES, STEPS)
 
 
+class ReaderTest(unittest.TestCase):
+    """Guards against a proof that takes its own loss for a cut answer."""
+
+    def test_answers_that_arrive_together(self) -> None:
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        ours.settimeout(HUNG_S)
+        answer = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        theirs.sendall(answer + answer)
+        theirs.close()
+        reader = _Reader(ours)
+        for _ in range(2):
+            self.assertEqual(_read(reader)[1], b'ok')
+
+
 class ProofTest(unittest.TestCase):
     """Guards against a stop that cuts off a request in flight."""
 
