Learn from neighbours while the store refuses this host

Ruled out: a reader that ended, lost datagrams. Change: a neighbour's reading shows that the store was not away; a refused call does not forget the revision, so that what neighbours tell is taken.

--- a/amaranthcrank/router/store_feed.py
+++ b/amaranthcrank/router/store_feed.py
@@ -66,7 +66,11 @@
                 listing = await self._client.list_all(
                     names.SHARED_KIND, store_sync.CALL_TIMEOUT_S
                 )
-            except store.StoreError as error:
+            except (
+                store.StoreError,
+                store.ConflictError,
+                store.HistoryGoneError,
+            ) as error:
                 contact.note_failure(str(error))
                 await asyncio.sleep(pause_s * (0.5 + random.random()))
                 pause_s = min(store_sync.LONGEST_PAUSE_S, pause_s * 2)
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -25,7 +25,8 @@
 # A kind that waits for another's reads to succeed tries by itself in the end.
 LONGEST_TURN_S = 3.0
 TURN_CHECK_S = 0.1
-DUE_CHECK_S = 0.05
+# Each check wakes the process.
+DUE_CHECK_S = 0.2
 
 Pause = typing.Callable[[bool], typing.Awaitable[None]]
 Turn = typing.Callable[[], typing.Awaitable[None]]
@@ -36,7 +37,8 @@
 
     Attributes:
       lost_at: Since when it does not, or None.
-      confirmed_at: When it last answered, monotonic seconds.
+      confirmed_at: When it last answered, this host or a neighbour that
+        told of it; monotonic seconds.
     """
 
     def __init__(
@@ -55,10 +57,10 @@
     def note_answer(self) -> None:
         """Learn that the store answered."""
         now = time.monotonic()
-        self.confirmed_at = now
+        known_at, self.confirmed_at = self.confirmed_at, now
         if self.lost_at is None:
             return
-        away_s = now - self.lost_at
+        away_s = now - max(self.lost_at, known_at)
         self.lost_at = None
         self._log.event(
             'store_regained', kind=self._kind, away_s=round(away_s, 2)
@@ -66,6 +68,13 @@
         if self._on_back is not None:
             self._on_back(away_s)
 
+    def note_heard(self) -> None:
+        """Learn that the store answered a neighbour.
+
+        It was not away then, even where it does not answer this host.
+        """
+        self.confirmed_at = time.monotonic()
+
     def note_failure(self, reason: str) -> None:
         """Learn that the store did not answer."""
         if self.lost_at is not None:
@@ -189,7 +198,7 @@
                 self._contact.note_answer()
                 self.revision = None
             except (store.StoreError, store.ConflictError) as error:
-                self._note_failure(str(error))
+                self._note_failure(error)
                 await asyncio.sleep(
                     self.rota.pause_scale * pause_s * (0.5 + random.random())
                 )
@@ -258,8 +267,14 @@
             return reading_rota.READER_WAIT_S
         return WATCH_WAIT_S
 
-    def _note_failure(self, reason: str) -> None:
-        self._contact.note_failure(reason)
+    def _note_failure(
+        self, error: store.StoreError | store.ConflictError
+    ) -> None:
+        self._contact.note_failure(str(error))
+        refused = isinstance(error, store.StoreError) and error.refused
+        if refused and self.rota.is_shared:
+            # Neighbours that are served tell how it goes on from here.
+            return
         # A watch may have missed changes before it broke off: the list
         # tells.
         self.revision = None
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -131,6 +131,7 @@
         if not isinstance(content, list) or len(content) != 3:
             return
         former, revision, told = content
+        self._contact.note_heard()
         if self._follower.advance(former, revision, told, self._take_told):
             self._follower.rota.note_heard(host_id)
             return
