--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -173,11 +173,8 @@
 
 def _key_table(listing: store.Listing) -> key_table.KeyTable:
     table = key_table.KeyTable()
-    for name, item in listing.item_by_name.items():
-        if not name.startswith(names.KEY_MAP_PREFIX):
-            continue
-        service = name.removeprefix(names.KEY_MAP_PREFIX)
-        table.put(entries.decode_key_map(service, item))
+    for key_map in entries.decode_key_maps(listing.item_by_name):
+        table.put(key_map)
     return table
 
 
--- a/amaranthcrank/platform/entries.py
+++ b/amaranthcrank/platform/entries.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from amaranthcrank.platform import names
 from amaranthcrank.platform import settings_file
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
@@ -86,6 +87,23 @@
         raise EntryError(f'{type(error).__name__}: {error}') from error
 
 
+def decode_key_maps(
+    item_by_name: dict[str, typing.Any],
+) -> list[model.KeyMap]:
+    """Decode all key maps among the objects that the hosts share.
+
+    Raises:
+      EntryError: A map is malformed.
+    """
+    key_maps = []
+    for name, item in item_by_name.items():
+        if not name.startswith(names.KEY_MAP_PREFIX):
+            continue
+        service = name.removeprefix(names.KEY_MAP_PREFIX)
+        key_maps.append(decode_key_map(service, item))
+    return key_maps
+
+
 def encode_key_map(key_map: model.KeyMap) -> dict[str, typing.Any]:
     """Encode the owners of a service's keys as an object's spec."""
     return {
--- a/amaranthcrank/router/admission.py
+++ b/amaranthcrank/router/admission.py
@@ -59,6 +59,22 @@
         )
 
 
+class _Round(typing.NamedTuple):
+    """What holds for all that wait for a service while it is served once.
+
+    Attributes:
+      service: The service.
+      service_s: Its usual service time.
+      now: The event loop's time.
+      waiting_by_owner: How many requests wait for each owner at this host.
+    """
+
+    service: str
+    service_s: float
+    now: float
+    waiting_by_owner: dict[str, int]
+
+
 class Admission:
     """Gives waiting requests to targets, in order, as these fall free.
 
@@ -159,12 +175,14 @@
                 waiter.standing, now, service_s
             )
         )
-        waiting = self._count_by_owner(service)
+        serving = _Round(
+            service, service_s, now, self._count_by_owner(service)
+        )
         left = []
         for waiter in queue:
             if waiter.future.done():
                 continue
-            target = self._choose(service, waiter, service_s, now, waiting)
+            target = self._choose(serving, waiter)
             if target is None:
                 left.append(waiter)
                 continue
@@ -277,18 +295,14 @@
         return wait_order.expected_wait_s(ahead, service_s, places)
 
     def _choose(
-        self,
-        service: str,
-        waiter: Waiter,
-        service_s: float,
-        now: float,
-        waiting: dict[str, int],
+        self, serving: _Round, waiter: Waiter
     ) -> directory.Target | None:
         if waiter.key is not None:
-            return self._owner(service, waiter, service_s, now, waiting)
+            return self._owner(serving, waiter)
+        now = serving.now
         targets = [
             target
-            for target in self._targets.ready(service)
+            for target in self._targets.ready(serving.service)
             if target.entry.target_id not in waiter.excluded
         ]
         waited = now - waiter.since
@@ -307,7 +321,7 @@
             ):
                 return None
             chosen = target_choice.choose(
-                near, service_s, now, hosts, self._random
+                near, serving.service_s, now, hosts, self._random
             )
             if chosen is not None:
                 return chosen
@@ -350,24 +364,12 @@
         return counts
 
     def _owner(
-        self,
-        service: str,
-        waiter: Waiter,
-        service_s: float,
-        now: float,
-        waiting: dict[str, int],
+        self, serving: _Round, waiter: Waiter
     ) -> directory.Target | None:
-        """Return the owner of a waiter's key if it has room.
-
-        Args:
-          service: The service.
-          waiter: The request.
-          service_s: The usual service time.
-          now: The event loop's time.
-          waiting: How many requests wait for each owner at this host.
-        """
+        """Return the owner of a waiter's key if it has room."""
         assert waiter.key is not None
-        target = self.owner(service, waiter.key)
+        now = serving.now
+        target = self.owner(serving.service, waiter.key)
         if target is None:
             return None
         leaving_since = target.leaving_since
@@ -376,7 +378,9 @@
             return None
         rank = waiter.standing.rank
         interval_s = target_choice.owner_interval_s(
-            target, service_s, waiting.get(target.entry.target_id, 0)
+            target,
+            serving.service_s,
+            serving.waiting_by_owner.get(target.entry.target_id, 0),
         )
         if not target_choice.owner_has_room(
             target, now, rank, interval_s, self.domain_hosts, self._random
--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -178,9 +178,8 @@
         own = self.holder_id == self._host_id and spec.get('ip') == self._ip
         if self._revision != self._seen_revision:
             self._see(self._revision)
-        unchanged_s = clock.now() - self._seen_since
-        if self.holder_id and not own and unchanged_s < LEASE_S + MARGIN_S:
-            self._ask_at = clock.now() + LEASE_S + MARGIN_S - unchanged_s
+        if self.holder_id and not own and clock.now() < self._seen_until:
+            self._ask_at = self._seen_until
             return
         former = self.holder_id
         self.is_continued = spec.get('incarnation') == self._incarnation
@@ -190,7 +189,12 @@
     def _see(self, revision: int) -> None:
         self._seen_revision = revision
         self._seen_since = clock.now()
-        self._ask_at = self._seen_since + LEASE_S + MARGIN_S
+        self._ask_at = self._seen_until
+
+    @property
+    def _seen_until(self) -> float:
+        """When the lease has run out if it is not renewed again."""
+        return self._seen_since + LEASE_S + MARGIN_S
 
     async def _create(self) -> None:
         sent_at = clock.now()
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -80,7 +80,7 @@
             random,
             keys.revision,
             self.is_controller_near,
-            lambda: len(talk.by_id) + 1,
+            talk.count_all,
         )
         self._own = own
         self._in_demand: frozenset[str] = frozenset()
@@ -321,7 +321,7 @@
             if now - self._reported_at >= self._near_interval_s():
                 self._report_near(now)
             if now - self._owners_reported_at >= owners_interval_s(
-                len(self._talk.by_id) + 1
+                self._talk.count_all()
             ):
                 self._report_owners(now)
 
--- a/amaranthcrank/router/key_map_store.py
+++ b/amaranthcrank/router/key_map_store.py
@@ -39,13 +39,7 @@
                 self._log.event('key_maps_unread', reason=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
-            maps = []
-            for name, item in listing.item_by_name.items():
-                if not name.startswith(names.KEY_MAP_PREFIX):
-                    continue
-                service = name.removeprefix(names.KEY_MAP_PREFIX)
-                maps.append(entries.decode_key_map(service, item))
-            return maps
+            return entries.decode_key_maps(listing.item_by_name)
         return None
 
     async def write(self, key_map: model.KeyMap) -> model.KeyMap | None:
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -27,10 +27,11 @@
 from amaranthcrank.router import metrics
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
+from amaranthcrank.router import reading_rota
 from amaranthcrank.router import retry_rules
 from amaranthcrank.router import route_table
 from amaranthcrank.router import service_times
-from amaranthcrank.router import store_feed
+from amaranthcrank.router import shared_feed
 from amaranthcrank.router import store_sync
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
@@ -153,10 +154,9 @@
             self.store,
             self.peers,
             self.pool,
-            own,
             self.log,
             self._take_ticket,
-            clock,
+            self._new_rota(clock),
         )
         self.neighbours = http_server.Server(self.ticket_feed.answer)
         self.after_outage = store_sync.behind(self.ticket_feed.contact)
@@ -164,12 +164,11 @@
             self.store,
             self.targets,
             self.peers,
-            own,
             self.log,
             self.after_outage,
-            clock,
+            self._new_rota(clock),
         )
-        self.feed = store_feed.StoreFeed(
+        self.shared_feed = shared_feed.SharedFeed(
             self.store,
             self.keys,
             self.peers.by_id,
@@ -180,6 +179,16 @@
             self.reports.news,
         )
 
+    def _new_rota(
+        self, clock: typing.Callable[[], float]
+    ) -> reading_rota.ReadingRota:
+        return reading_rota.ReadingRota(
+            self.settings.host_id,
+            self.peers.count_nearby,
+            clock,
+            random.random,
+        )
+
     def _connect(self) -> None:
         self.forwarder.note_key = self.reports.note_key
         self.forwarder.note_disowned = self.reports.note_disowned
@@ -234,7 +243,7 @@
         return [
             self.ticket_feed.follow(),
             self.target_feed.follow(),
-            self.feed.follow_shared(),
+            self.shared_feed.follow(),
             self._join(),
             self.reports.report_load(),
             self.reports.report_keys(),
@@ -330,7 +339,7 @@
 
     async def _join(self) -> None:
         """Register, and tell the other hosts of it."""
-        await self.feed.register()
+        await self.shared_feed.register()
         await self.reports.join()
 
     async def _control(self) -> None:
@@ -341,7 +350,7 @@
             await self.lease.acquire(
                 self.reports.is_controller_heard,
                 self.after_outage,
-                lambda: len(self.peers.by_id) + 1,
+                self.peers.count_all,
             )
             jobs = [
                 loop.create_task(self.lease.renew()),
@@ -361,7 +370,7 @@
             self.targets.expire()
             self.pool.close_idle()
             self.reports.apply_board()
-            self.budget.hosts = len(self.peers.by_id) + 1
+            self.budget.hosts = self.peers.count_all()
             self.log.flush()
 
     def _set_gauges(self) -> None:
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -95,6 +95,10 @@
             if peer.failure_domain == self._failure_domain:
                 self._send(data, peer)
 
+    def count_all(self) -> int:
+        """Return how many hosts there are, with this one."""
+        return 1 + len(self.by_id)
+
     def count_nearby(self) -> int:
         """Return how many hosts the failure domain has, with this one."""
         return 1 + sum(
--- a/amaranthcrank/router/reading_rota.py
+++ b/amaranthcrank/router/reading_rota.py
@@ -83,8 +83,3 @@
         span_s = LONGEST_PATIENCE_S - SHORTEST_PATIENCE_S
         patience_s = SHORTEST_PATIENCE_S + span_s * self._random()
         self._patient_until = self._clock() + patience_s
-
-
-def alone(clock: typing.Callable[[], float]) -> ReadingRota:
-    """Return the rota of a host that always reads for itself."""
-    return ReadingRota('', lambda: 1, clock, lambda: 0.0)
--- a/amaranthcrank/router/store_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -18,7 +18,7 @@
 REGISTER_RETRY_S = 0.5
 
 
-class StoreFeed:
+class SharedFeed:
     """Follows what the hosts share, and registers this one."""
 
     def __init__(
@@ -51,16 +51,15 @@
         self._log = log
         self._on_keys = on_keys
         self._news = news
-        self._turn = turn
+        self._retries = store_sync.Retries(turn)
 
-    async def follow_shared(self) -> None:
+    async def follow(self) -> None:
         """Follow key maps and the other hosts, for ever.
 
         Each time the whole state is read: a watch brings each version of a
         map that changes every second.
         """
         contact = store_sync.Contact(names.SHARED_KIND, self._log)
-        pause_s = store_sync.FIRST_PAUSE_S
         while True:
             try:
                 listing = await self._client.list_all(
@@ -72,12 +71,10 @@
                 store.HistoryGoneError,
             ) as error:
                 contact.note_failure(str(error))
-                await asyncio.sleep(pause_s * (0.5 + random.random()))
-                pause_s = min(store_sync.LONGEST_PAUSE_S, pause_s * 2)
-                await self._turn()
+                await self._retries.wait()
                 continue
             contact.note_answer()
-            pause_s = store_sync.FIRST_PAUSE_S
+            self._retries.reset()
             for name, item in listing.item_by_name.items():
                 self._take(name, item)
             self._news.note_read()
--- a/amaranthcrank/router/store_feed_test.py
+++ b/amaranthcrank/router/shared_feed_test.py
@@ -14,7 +14,7 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
-from amaranthcrank.router import store_feed
+from amaranthcrank.router import shared_feed
 from amaranthcrank.router import store_sync
 
 
@@ -65,7 +65,7 @@
         self.keys = key_table.KeyTable()
         self.peer_by_id = {}
         self.news = _News()
-        feed = store_feed.StoreFeed(
+        feed = shared_feed.SharedFeed(
             self.client,
             self.keys,
             self.peer_by_id,
@@ -75,7 +75,7 @@
             lambda service: None,
             self.news,
         )
-        self.following = asyncio.create_task(feed.follow_shared())
+        self.following = asyncio.create_task(feed.follow())
         self.addCleanup(self.following.cancel)
 
     async def test_the_state_is_read_not_its_history(self):
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -105,6 +105,29 @@
     """Wait for no other kind."""
 
 
+class Retries:
+    """Pauses after reads that failed, longer each time."""
+
+    def __init__(self, turn: Turn) -> None:
+        """Start with the shortest pause.
+
+        Args:
+          turn: Waited for before each try after a failed one.
+        """
+        self._turn = turn
+        self._pause_s = FIRST_PAUSE_S
+
+    def reset(self) -> None:
+        """Learn that a read succeeded."""
+        self._pause_s = FIRST_PAUSE_S
+
+    async def wait(self, scale: float = 1.0) -> None:
+        """Wait until the next try; a scale makes the pause longer."""
+        await asyncio.sleep(scale * self._pause_s * (0.5 + random.random()))
+        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
+        await self._turn()
+
+
 def gather(pause_s: typing.Callable[[], float]) -> Pause:
     """Return a pause after changes only.
 
@@ -176,12 +199,11 @@
         self._contact = contact
         self._log = log
         self._pause = pause
-        self._turn = turn
+        self._retries = Retries(turn)
         self._is_new = True
 
     async def follow(self) -> None:
         """Follow the kind, for ever."""
-        pause_s = FIRST_PAUSE_S
         while True:
             if not self.rota.is_due():
                 await asyncio.sleep(DUE_CHECK_S)
@@ -189,7 +211,7 @@
             self.rota.begin()
             try:
                 changed = await self._read()
-                pause_s = FIRST_PAUSE_S
+                self._retries.reset()
                 await self._pause(changed)
             except store.HistoryGoneError:
                 self._log.event(
@@ -199,11 +221,7 @@
                 self.revision = None
             except (store.StoreError, store.ConflictError) as error:
                 self._note_failure(error)
-                await asyncio.sleep(
-                    self.rota.pause_scale * pause_s * (0.5 + random.random())
-                )
-                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
-                await self._turn()
+                await self._retries.wait(self.rota.pause_scale)
 
     def advance(
         self,
--- a/amaranthcrank/router/store_sync_test.py
+++ b/amaranthcrank/router/store_sync_test.py
@@ -54,7 +54,9 @@
             ),
             contact,
             _Log(),
-            reading_rota.alone(time.monotonic),
+            reading_rota.ReadingRota(
+                'h-1', lambda: 1, time.monotonic, lambda: 0.0
+            ),
             store_sync.gather(lambda: 0.0),
             turn,
         )
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -5,7 +5,6 @@
 long to send, reads itself.
 """
 
-import random
 import typing
 
 from amaranthcrank.platform import entries
@@ -37,10 +36,9 @@
         client: store.Client,
         targets: directory.Directory,
         talk: peers.Peers,
-        own: peers.Peer,
         log: event_log.EventLog,
         turn: store_sync.Turn,
-        clock: typing.Callable[[], float],
+        rota: reading_rota.ReadingRota,
     ) -> None:
         """Follow the targets for one host.
 
@@ -48,10 +46,9 @@
           client: The store's client.
           targets: Takes the targets.
           talk: Sends to and hears from the other hosts.
-          own: This host.
           log: Where rejected entries are logged.
           turn: Waited for before each try after a failed one.
-          clock: Returns the event loop's time.
+          rota: Tells whether it is this host's turn to read.
         """
         self._targets = targets
         self._talk = talk
@@ -65,9 +62,7 @@
             store_sync.Sink(self._take_list, self._take_changes, self._tell),
             self._contact,
             log,
-            reading_rota.ReadingRota(
-                own.host_id, talk.count_nearby, clock, random.random
-            ),
+            rota,
             store_sync.gather(self._gather_s),
             turn,
         )
@@ -80,7 +75,7 @@
     def _gather_s(self) -> float:
         if self._follower.rota.is_shared:
             return GATHER_S
-        hosts = len(self._talk.by_id) + 1
+        hosts = self._talk.count_all()
         wanted_s = GATHER_S * max(1.0, hosts / GATHER_HOSTS)
         return min(wanted_s, GATHER_DRAIN_SHARE * self._targets.drain_s)
 
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -63,10 +63,9 @@
             client,
             targets,
             talk,
-            talk.own,
             mock.Mock(),
             store_sync.at_once,
-            clock,
+            talk.rota(),
         )
         self.around.follow(host_id, feed.follow())
 
--- a/amaranthcrank/router/ticket_feed.py
+++ b/amaranthcrank/router/ticket_feed.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 import typing
 import zlib
 
@@ -54,10 +53,9 @@
         client: store.Client,
         talk: peers.Peers,
         pool: http_client.Pool,
-        own: peers.Peer,
         log: event_log.EventLog,
         on_ticket: typing.Callable[[model.Ticket], None],
-        clock: typing.Callable[[], float],
+        rota: reading_rota.ReadingRota,
     ) -> None:
         """Follow the ticket for one host.
 
@@ -65,10 +63,9 @@
           client: The store's client.
           talk: Sends to and hears from the other hosts.
           pool: Connections to neighbours.
-          own: This host.
           log: Takes what decided.
           on_ticket: Takes each ticket that replaces the one before.
-          clock: Returns the event loop's time.
+          rota: Tells whether it is this host's turn to read.
         """
         self.contact = store_sync.Contact(names.TICKET_KIND, log)
         self._talk = talk
@@ -81,15 +78,15 @@
             store_sync.Sink(self._take_list, self._take_changes, self._tell),
             self.contact,
             log,
-            reading_rota.ReadingRota(
-                own.host_id, talk.count_nearby, clock, random.random
-            ),
+            rota,
             store_sync.gather(lambda: 0.0),
             store_sync.at_once,
         )
         self._number = -1
         # What a neighbour has, while it is taken from there.
         self._wanted = -1
+        self._spec: typing.Any = None
+        # The ticket as neighbours take it, once one has asked for it.
         self._packed = b''
         self._taking: asyncio.Task[None] | None = None
         talk.handler_by_kind[peers.TICKET] = self._hear
@@ -100,8 +97,12 @@
 
     async def answer(self, request: http_server.Request) -> http_server.Reply:
         """Pass the ticket on to a neighbour."""
-        if request.path != PATH or not self._packed:
+        if request.path != PATH or self._spec is None:
             return http_server.Reply(404, [], b'')
+        if not self._packed:
+            self._packed = zlib.compress(
+                cbor2.dumps(self._spec), COMPRESSION_LEVEL
+            )
         headers = [(b'content-type', b'application/cbor')]
         return http_server.Reply(200, headers, self._packed)
 
@@ -188,6 +189,7 @@
         if ticket.number <= self._number:
             return
         self._number = ticket.number
-        self._packed = zlib.compress(cbor2.dumps(spec), COMPRESSION_LEVEL)
+        self._spec = spec
+        self._packed = b''
         self._on_ticket(ticket)
         self._log.event('ticket_in_force', number=ticket.number)
--- a/amaranthcrank/router/ticket_feed_test.py
+++ b/amaranthcrank/router/ticket_feed_test.py
@@ -59,10 +59,9 @@
             self.client,
             talk,
             self.around.pool,
-            talk.own,
             mock.Mock(),
             note,
-            asyncio.get_running_loop().time,
+            talk.rota(),
         )
         server = http_server.Server(feed.answer)
         await server.listen(talk.own.address)
--- a/standins/neighbours.py
+++ b/standins/neighbours.py
@@ -5,12 +5,14 @@
 
 import asyncio
 import contextlib
+import random
 import typing
 
 from amaranthcrank.platform import store
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
+from amaranthcrank.router import reading_rota
 from standins import platform_site
 from standins import platform_store
 
@@ -41,6 +43,13 @@
             self.by_id[other.own.host_id] = other.own
         talk_by_id[own.host_id] = self
 
+    def rota(self) -> reading_rota.ReadingRota:
+        """Return a rota for this host."""
+        loop = asyncio.get_running_loop()
+        return reading_rota.ReadingRota(
+            self.own.host_id, self.count_nearby, loop.time, random.random
+        )
+
     def send_nearby(self, kind: int, content: typing.Any) -> None:
         """Hand a message to all others."""
         if self.cut:
