Wait for the end of a move before its release is looked at

It looked at the calls as soon as the key map showed the new owner, which is before the release is sent (one step of the loop later). Ruled out: the controller does not skip the release (traced: it is sent behind the write).

--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -407,6 +407,7 @@
         await self._wait(self._is_assigned)
         self.targets.put(_entry(1, model.DRAINING))
         await self._wait(lambda: self._owners() == {'i-2'})
+        await self._wait(self._is_assigned)
         released = [
             json.loads(body)
             for _, port, path, body in self.calls.sent
