Tell from other hosts' answers whether the store was away

The logs of the incident could not tell an outage of the store from a host that alone was cut off: store_regained says only how long this host had no answer. A loss is judged by the longest time in which no host is known to have had an answer. What becomes of missing entries does not depend on what others tell yet.

--- a/amaranthcrank/cli/explain.py
+++ b/amaranthcrank/cli/explain.py
@@ -21,6 +21,8 @@
         'ticket_rejected',
         'store_lost',
         'store_regained',
+        'store_absence',
+        'store_answered_others',
         'history_gone',
         'lease_taken',
         'lease_lost',
--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -4,9 +4,11 @@
 import typing
 import urllib.parse
 
+from amaranthcrank.router import clock
 from amaranthcrank.router import headers as fields
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
+from amaranthcrank.router import store_history
 
 OBJECTS_PATH = '/v1/objects/'
 CONNECT_TIMEOUT_S = 0.5
@@ -76,10 +78,17 @@
 
     Attributes:
       calls: How many calls were made.
+      history: Learns when the store answered and when it did not.
     """
 
-    def __init__(self, address: model.Address, pool: http_client.Pool) -> None:
+    def __init__(
+        self,
+        address: model.Address,
+        pool: http_client.Pool,
+        history: store_history.StoreHistory | None = None,
+    ) -> None:
         """Use a pool of connections to the store's address."""
+        self.history = history or store_history.StoreHistory()
         self._address = address
         self._pool = pool
         self._host = f'{address.ip}:{address.port}'.encode()
@@ -198,9 +207,16 @@
             body = json.dumps(content, separators=(',', ':')).encode()
             headers.append((b'content-type', b'application/json'))
             headers.append((b'content-length', str(len(body)).encode()))
-        answer = await self._exchange(
-            method, OBJECTS_PATH + path, headers, body, timeout_s
-        )
+        sent_at = clock.now()
+        try:
+            answer = await self._exchange(
+                method, OBJECTS_PATH + path, headers, body, timeout_s
+            )
+            _check_refusal(answer)
+        except StoreError:
+            self.history.note_failure(sent_at)
+            raise
+        self.history.note_answer()
         return _read(answer)
 
     async def _exchange(
@@ -232,11 +248,14 @@
         return answer
 
 
+def _check_refusal(answer: http_client.Answer) -> None:
+    if answer.status in (429, 503):
+        raise StoreError(f'refused with {answer.status}', refused=True)
+
+
 def _read(answer: http_client.Answer) -> tuple[int, typing.Any]:
     if answer.status == 410:
         raise HistoryGoneError
-    if answer.status in (429, 503):
-        raise StoreError(f'refused with {answer.status}', refused=True)
     try:
         body = json.loads(answer.body) if answer.body else None
     except ValueError as error:
--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -85,6 +85,7 @@
         """
         if revision > self._seen_revision:
             self._see(revision)
+            self._client.history.note_answer()
 
     def note_resigned(self) -> None:
         """Learn that the holder gave the lease back."""
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -7,6 +7,7 @@
 from amaranthcrank.platform import store
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
+from amaranthcrank.router import store_history
 
 
 class _Store:
@@ -14,6 +15,7 @@
 
     def __init__(self):
         self.item = None
+        self.history = store_history.StoreHistory()
         self.away = False
         self.revision = 1
         self.calls = 0
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -32,7 +32,9 @@
 from amaranthcrank.router import route_table
 from amaranthcrank.router import service_times
 from amaranthcrank.router import shared_feed
+from amaranthcrank.router import store_absence
 from amaranthcrank.router import store_sync
+from amaranthcrank.router import store_witness
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import ticket_feed
@@ -160,6 +162,13 @@
         )
         self.neighbours = http_server.Server(self.ticket_feed.answer)
         self.after_outage = store_sync.behind(self.ticket_feed.contact)
+        self.absence = store_absence.StoreAbsence(
+            self.store.history,
+            store_witness.StoreWitness(self.peers, self.store.history),
+            self.targets.note_store_back,
+            settings.heartbeat_s,
+            self.log.event,
+        )
         self.target_feed = target_feed.TargetFeed(
             self.store,
             self.targets,
@@ -167,6 +176,7 @@
             self.log,
             self.after_outage,
             self._new_rota(clock),
+            self.absence,
         )
         self.shared_feed = shared_feed.SharedFeed(
             self.store,
--- /dev/null
+++ b/amaranthcrank/router/store_history.py
@@ -0,0 +1,90 @@
+"""When the platform's store is known to have answered, and to whom.
+
+A host that gets no answers cannot tell from that alone whether the store is
+away or only itself cut off. What other hosts were answered meanwhile tells.
+"""
+
+import bisect
+import heapq
+import typing
+
+from amaranthcrank.router import clock
+
+# Answers are remembered for so long, longer than hosts are usually cut off.
+REMEMBER_S = 30.0
+# Of answers in quick succession one in so long is remembered.
+STEP_S = 0.25
+# A call that waited for news shows by its failure only that the store was
+# out of reach just before: keep-alive notices a silent one so late.
+SILENCE_S = 3.0
+
+
+class StoreHistory:
+    """Answers and failures of the store, by `clock.now`.
+
+    Attributes:
+      failed_at: When a call that failed was last sent; 0.0 before the first.
+    """
+
+    def __init__(self, now: typing.Callable[[], float] = clock.now) -> None:
+        """Start without an answer."""
+        self.failed_at = 0.0
+        self._now = now
+        self._answered_at: list[float] = []
+        self._others_answered_at: list[float] = []
+
+    def note_answer(self) -> None:
+        """Learn that the store has answered just now."""
+        now = self._now()
+        self._forget(now)
+        answered_at = self._answered_at
+        if len(answered_at) > 1 and now - answered_at[-2] < STEP_S:
+            answered_at[-1] = now
+            return
+        answered_at.append(now)
+
+    def note_failure(self, sent_at: float) -> None:
+        """Learn that a call failed.
+
+        Args:
+          sent_at: When it was sent, by `clock.now`.
+        """
+        known_at = max(sent_at, self._now() - SILENCE_S)
+        self.failed_at = max(self.failed_at, known_at)
+
+    def add_ages(self, ages_ms: typing.Iterable[int]) -> None:
+        """Learn when the store answered another host.
+
+        Args:
+          ages_ms: How long ago that was, in milliseconds.
+        """
+        now = self._now()
+        for age_ms in ages_ms:
+            bisect.insort(self._others_answered_at, now - age_ms / 1000)
+        self._forget(now)
+
+    def ages_ms(self) -> list[int]:
+        """Return how long ago the store answered this host, in ms."""
+        now = self._now()
+        return [round((now - at) * 1000) for at in self._answered_at]
+
+    def longest_silence_s(self, since: float) -> float:
+        """Return the longest time without a known answer.
+
+        Args:
+          since: Where to begin, by `clock.now`; the end is now.
+        """
+        longest_s = 0.0
+        last_at = since
+        known = heapq.merge(self._answered_at, self._others_answered_at)
+        for answered_at in [*known, self._now()]:
+            if answered_at <= last_at:
+                continue
+            longest_s = max(longest_s, answered_at - last_at)
+            last_at = answered_at
+        return longest_s
+
+    def _forget(self, now: float) -> None:
+        for answered_at in (self._answered_at, self._others_answered_at):
+            oldest = bisect.bisect_left(answered_at, now - REMEMBER_S)
+            del answered_at[:oldest]
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -10,8 +10,10 @@
 import typing
 
 from amaranthcrank.platform import store
+from amaranthcrank.router import clock
 from amaranthcrank.router import event_log
 from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_history
 
 # A watch that waits is held open by TCP keep-alive, so it may wait long:
 # each call is paid for. It ends well before the store forgets the revision
@@ -20,8 +22,6 @@
 CALL_TIMEOUT_S = 1.5
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-# A silent connection is noticed this late.
-SILENCE_S = 3.0
 # A kind that waits for another's reads to succeed tries by itself in the end.
 LONGEST_TURN_S = 3.0
 TURN_CHECK_S = 0.1
@@ -36,9 +36,7 @@
     """Whether the store answers, as seen by one watch.
 
     Attributes:
-      lost_at: Since when it does not, or None.
-      confirmed_at: When it last answered, this host or a neighbour that
-        told of it; monotonic seconds.
+      lost_at: Since when it does not, by `clock.now`, or None.
     """
 
     def __init__(
@@ -47,33 +45,30 @@
         log: event_log.EventLog,
         on_back: typing.Callable[[float], None] | None = None,
     ) -> None:
-        """Start without an answer."""
+        """Start without an answer.
+
+        Args:
+          kind: The kind that is watched.
+          log: Takes losses and returns.
+          on_back: Called when the store answers again, with the time since
+            when it did not.
+        """
         self.lost_at: float | None = None
-        self.confirmed_at = 0.0
         self._kind = kind
         self._log = log
         self._on_back = on_back
 
     def note_answer(self) -> None:
         """Learn that the store answered."""
-        now = time.monotonic()
-        known_at, self.confirmed_at = self.confirmed_at, now
         if self.lost_at is None:
             return
-        away_s = now - max(self.lost_at, known_at)
-        self.lost_at = None
+        lost_at, self.lost_at = self.lost_at, None
+        away_s = clock.now() - lost_at
         self._log.event(
             'store_regained', kind=self._kind, away_s=round(away_s, 2)
         )
         if self._on_back is not None:
-            self._on_back(away_s)
-
-    def note_heard(self) -> None:
-        """Learn that the store answered a neighbour.
-
-        It was not away then, even where it does not answer this host.
-        """
-        self.confirmed_at = time.monotonic()
+            self._on_back(lost_at)
 
     def note_failure(self, reason: str) -> None:
         """Learn that the store did not answer."""
@@ -81,7 +76,8 @@
             return
         # What broke off for want of time was silent for a while.
         silent = 'time' in reason
-        self.lost_at = time.monotonic() - (SILENCE_S if silent else 0.0)
+        silent_s = store_history.SILENCE_S if silent else 0.0
+        self.lost_at = clock.now() - silent_s
         self._log.event('store_lost', kind=self._kind, reason=reason)
 
 
--- a/amaranthcrank/router/store_sync_test.py
+++ b/amaranthcrank/router/store_sync_test.py
@@ -3,7 +3,9 @@
 import unittest
 
 from amaranthcrank.platform import store
+from amaranthcrank.router import clock
 from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_history
 from amaranthcrank.router import store_sync
 
 
@@ -90,21 +92,9 @@
 class ContactTest(unittest.TestCase):
     """How long the store was away decides whether entries may have lapsed."""
 
-    def setUp(self):
-        self.away_s = []
-        self.contact = store_sync.Contact('any', _Log(), self.away_s.append)
-
     def test_silence_counts_from_its_beginning(self):
-        self.contact.note_failure('no answer in time')
-        self.contact.note_answer()
-        self.assertGreaterEqual(self.away_s[0], store_sync.SILENCE_S)
-
-    def test_store_that_answers_neighbours_is_not_away(self):
-        """Guards against requests to targets that left, after the drain time.
-
-        Their entries would be kept as if they had lapsed in an outage.
-        """
-        self.contact.note_failure('no answer in time')
-        self.contact.note_heard()
-        self.contact.note_answer()
-        self.assertLess(self.away_s[0], 0.5)
+        lost = []
+        contact = store_sync.Contact('any', _Log(), lost.append)
+        contact.note_failure('no answer in time')
+        contact.note_answer()
+        self.assertGreaterEqual(clock.now() - lost[0], store_history.SILENCE_S)
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -15,6 +15,7 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
 from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_absence
 from amaranthcrank.router import store_sync
 
 # Targets that start report several times within their first seconds.
@@ -39,6 +40,7 @@
         log: event_log.EventLog,
         turn: store_sync.Turn,
         rota: reading_rota.ReadingRota,
+        absence: store_absence.StoreAbsence,
     ) -> None:
         """Follow the targets for one host.
 
@@ -49,12 +51,14 @@
           log: Where rejected entries are logged.
           turn: Waited for before each try after a failed one.
           rota: Tells whether it is this host's turn to read.
+          absence: Learns of losses of the store.
         """
+        self._history = client.history
         self._targets = targets
         self._talk = talk
         self._log = log
         self._contact = store_sync.Contact(
-            names.TARGETS_KIND, log, targets.note_store_back
+            names.TARGETS_KIND, log, absence.note_back
         )
         self._follower = store_sync.Follower(
             client,
@@ -126,7 +130,9 @@
         if not isinstance(content, list) or len(content) != 3:
             return
         former, revision, told = content
-        self._contact.note_heard()
+        # The store was not away then, even where it does not answer this
+        # host.
+        self._history.note_answer()
         if self._follower.advance(former, revision, told, self._take_told):
             self._follower.rota.note_heard(host_id)
             return
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -15,7 +15,10 @@
 from amaranthcrank.router import directory
 from amaranthcrank.router import model
 from amaranthcrank.router import reading_rota
+from amaranthcrank.router import store_absence
+from amaranthcrank.router import store_history
 from amaranthcrank.router import store_sync
+from amaranthcrank.router import store_witness
 from amaranthcrank.router import target_feed
 from standins import neighbours
 from standins import platform_store
@@ -23,6 +26,7 @@
 
 HOSTS = 8
 DRAIN_S = 3.0
+HEARTBEAT_S = 0.87
 
 
 class TargetFeedTest(unittest.IsolatedAsyncioTestCase):
@@ -53,12 +57,20 @@
         talk = self.around.add(host_id)
         clock = asyncio.get_running_loop().time
         targets = directory.Directory(
-            clock, 0.87, DRAIN_S, lambda *_, **__: None
+            clock, HEARTBEAT_S, DRAIN_S, lambda *_, **__: None
         )
         self.targets_by_host[host_id] = targets
         # One of its own, so that the store can refuse a single host.
         client = copy.copy(self.around.client)
+        client.history = store_history.StoreHistory()
         self.client_by_host[host_id] = client
+        absence = store_absence.StoreAbsence(
+            client.history,
+            store_witness.StoreWitness(talk, client.history),
+            targets.note_store_back,
+            HEARTBEAT_S,
+            mock.Mock(),
+        )
         feed = target_feed.TargetFeed(
             client,
             targets,
@@ -66,6 +78,7 @@
             mock.Mock(),
             store_sync.at_once,
             talk.rota(),
+            absence,
         )
         self.around.follow(host_id, feed.follow())
 
--- a/standins/neighbours.py
+++ b/standins/neighbours.py
@@ -52,11 +52,14 @@
 
     def send_nearby(self, kind: int, content: typing.Any) -> None:
         """Hand a message to all others."""
-        if self.cut:
-            return
-        for talk in self._talk_by_id.values():
-            if talk is not self and not talk.cut:
-                talk.handler_by_kind[kind](self.own.host_id, content)
+        for host_id in self.by_id:
+            self.send(host_id, kind, content)
+
+    def send(self, host_id: str, kind: int, content: typing.Any) -> None:
+        """Hand a message to one other."""
+        talk = self._talk_by_id[host_id]
+        if not self.cut and not talk.cut:
+            talk.handler_by_kind[kind](self.own.host_id, content)
 
 
 class Neighbours:
