--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -29,7 +29,9 @@
 HEARTBEAT_S = 0.87
 
 
-class TargetFeedTest(unittest.IsolatedAsyncioTestCase):
+class _FeedsTest(unittest.IsolatedAsyncioTestCase):
+    HOSTS = HOSTS
+
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -39,7 +41,8 @@
         self._put(1)
         self.targets_by_host = {}
         self.client_by_host = {}
-        for number in range(HOSTS):
+        self.feed_by_host = {}
+        for number in range(self.HOSTS):
             self._start(f'h-{number}')
         await self._wait(lambda targets: 'i-1' in targets.by_id)
         await asyncio.sleep(2 * reading_rota.READER_WAIT_S)
@@ -80,6 +83,7 @@
             talk.rota(),
             absence,
         )
+        self.feed_by_host[host_id] = feed
         self.around.follow(host_id, feed.follow())
 
     def _calls(self):
@@ -92,8 +96,12 @@
                 for host_id, targets in self.targets_by_host.items()
                 if host_id not in without
             ):
+                for targets in self.targets_by_host.values():
+                    targets.expire()
                 await asyncio.sleep(0.02)
 
+
+class TargetFeedTest(_FeedsTest):
     async def test_one_host_reads(self):
         """Guards against calls that grow with hosts times changes."""
         before = self._calls()
@@ -167,5 +175,61 @@
         await self._wait(lambda targets: 'i-2' in targets.by_id, 5.0)
 
 
+class CutHostTest(_FeedsTest):
+    """A few hosts, each of which reads the store for itself."""
+
+    HOSTS = 3
+    AWAY_S = 2.0
+
+    async def _cut(self, host_ids):
+        """Cut hosts off until the returned stack is closed."""
+        error = store.StoreError('no answer in time')
+        stack = contextlib.AsyncExitStack()
+        for host_id in host_ids:
+            client = self.client_by_host[host_id]
+            for call in ('list_all', 'watch'):
+                stack.enter_context(
+                    mock.patch.object(
+                        client, call, autospec=True, side_effect=error
+                    )
+                )
+            self.around.task_by_id[host_id].cancel()
+            feed = self.feed_by_host[host_id]
+            self.around.follow(host_id, feed.follow())
+        await asyncio.sleep(self.AWAY_S)
+        return stack
+
+    async def test_departure_missed_by_a_cut_off_host(self):
+        """Guards against requests to targets that left, after the drain time.
+
+        A host that alone could not reach the store took an entry that had
+        been removed for one that lapsed in an outage.
+        """
+        async with await self._cut(['h-2']):
+            self.around.store.remove(names.TARGETS_KIND, 'i-1')
+            await self._wait(
+                lambda targets: 'i-1' not in targets.by_id, without=('h-2',)
+            )
+        await self._wait(
+            lambda targets: 'i-1' not in targets.by_id,
+            store_sync.LONGEST_PAUSE_S * 1.5 + 0.5,
+        )
+
+    async def test_entry_that_lapsed_in_an_outage(self):
+        """Guards against living targets that get nothing after an outage."""
+        async with await self._cut(self.targets_by_host):
+            self.around.store.remove(names.TARGETS_KIND, 'i-1')
+        end_at = asyncio.get_running_loop().time() + 1.5
+        while asyncio.get_running_loop().time() < end_at:
+            await asyncio.sleep(0.05)
+            for targets in self.targets_by_host.values():
+                targets.expire()
+                self.assertIn('i-1', targets.by_id)
+        self._put(1)
+        await self._wait(
+            lambda targets: targets.by_id['i-1'].missing_until is None, 1.0
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
