Ask other hosts what became of targets whose entries are missing

Callers saw nothing; requests went to targets that were about to end, up to 12.9 s after their notice (DRAIN; bound 2 s). Cause: a host that cannot reach the store took that for an outage of the store. Entries of living targets lapse in an outage, so those that are missing on its return were kept for 2.3 s, also where the target had left and all other hosts had seen it go. The time counted from the host's first successful read, up to 1.5 s after the store came within reach, and was looked at every 0.25 s. Class: a fact about the whole system concluded from one host's own failure, and a grace period that starts at one's own discovery of an event. Now: (1) a host that finds entries missing asks five others, up to four times within a second; who saw the entry go while it read the store says so, and the target is dropped at once. Who was away as well has seen nothing and says nothing, so after an outage the entries are kept. (2) They are kept no longer than the time after which a host must act by the store again (stableWindowMs), counted from its last failed call. (3) A host tries the store every 0.4 s (0.8 s before) while it is away, so that (2) leaves time for living targets.

--- a/amaranthcrank/cli/explain.py
+++ b/amaranthcrank/cli/explain.py
@@ -22,7 +22,6 @@
         'store_lost',
         'store_regained',
         'store_absence',
-        'store_answered_others',
         'history_gone',
         'lease_taken',
         'lease_lost',
--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -23,6 +23,7 @@
 platform.platform.address=10.200.1.7:8384
 terms.bounds.drainMs=2000
 terms.bounds.graceS=6
+terms.bounds.stableWindowMs=3000
 terms.bounds.retryBudgetRatio=0.2
 terms.bounds.budgetWindowS=10
 terms.bounds.budgetMinRetries=58
--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -64,6 +64,7 @@
     prefix = 'terms.bounds.'
     return model.Bounds(
         drain_s=float(fields[prefix + 'drainMs']) / 1000,
+        settle_s=float(fields[prefix + 'stableWindowMs']) / 1000,
         grace_s=float(fields[prefix + 'graceS']),
         retry_ratio=float(fields[prefix + 'retryBudgetRatio']),
         retry_window_s=float(fields[prefix + 'budgetWindowS']),
--- /dev/null
+++ b/amaranthcrank/router/departure_talk_test.py
@@ -0,0 +1,96 @@
+"""Tests of what hosts tell each other of targets that left."""
+
+import asyncio
+import unittest
+
+from amaranthcrank.router import departure_talk
+from amaranthcrank.router import directory
+from amaranthcrank.router import model
+from amaranthcrank.router import peers
+from standins import neighbours
+
+HOSTS = 3
+KEEP_S = 2.3
+
+
+def _entry(number):
+    return model.TargetEntry(
+        f'i-{number:010}',
+        'desk',
+        model.Address('10.0.0.1', number),
+        'a',
+        3,
+        model.READY,
+        0.0,
+        1769767296096,
+    )
+
+
+class DepartureTalkTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        talk_by_id = {}
+        self.talk_by_id = talk_by_id
+        self.targets_by_host = {}
+        self.departures_by_host = {}
+        for number in range(HOSTS):
+            self._add(f'h-{number}')
+
+    def _add(self, host_id):
+        address = model.Address('10.0.0.2', 1)
+        talk = neighbours.Talk(
+            peers.Peer(host_id, address, neighbours.DOMAIN), self.talk_by_id
+        )
+        targets = directory.Directory(
+            asyncio.get_running_loop().time, 2.0, lambda *_, **__: None
+        )
+        targets.replace_all(map(_entry, range(40)))
+        self.targets_by_host[host_id] = targets
+        self.departures_by_host[host_id] = departure_talk.DepartureTalk(
+            talk, targets
+        )
+
+    async def _return_without(self, host_id, numbers):
+        """Let a host find entries missing, and ask for them."""
+        targets = self.targets_by_host[host_id]
+        targets.keep_missing(KEEP_S)
+        left = set(range(40)) - set(numbers)
+        targets.replace_all(map(_entry, left))
+        self.departures_by_host[host_id].ask()
+        await asyncio.sleep(0.05)
+        return targets
+
+    async def test_departure_that_another_host_saw(self):
+        self.targets_by_host['h-2'].remove(_entry(7).target_id)
+        targets = await self._return_without('h-0', [7, 8])
+        self.assertNotIn(_entry(7).target_id, targets.by_id)
+        self.assertIn(_entry(8).target_id, targets.by_id)
+
+    async def test_lost_answer(self):
+        self.targets_by_host['h-2'].remove(_entry(7).target_id)
+        self.talk_by_id['h-2'].cut = True
+        targets = await self._return_without('h-0', [7])
+        self.assertIn(_entry(7).target_id, targets.by_id)
+        self.talk_by_id['h-2'].cut = False
+        await asyncio.sleep(departure_talk.ASK_AFTER_S[1] + 0.1)
+        self.assertNotIn(_entry(7).target_id, targets.by_id)
+
+    async def test_outage_that_all_hosts_saw(self):
+        for host_id in ('h-1', 'h-2'):
+            await self._return_without(host_id, [7])
+        targets = await self._return_without('h-0', [7])
+        self.assertIn(_entry(7).target_id, targets.by_id)
+
+    async def test_questions_and_answers_fit_into_a_datagram(self):
+        targets = await self._return_without('h-0', range(40))
+        holders = targets.missing_holders()[: departure_talk.ASKED_TARGETS]
+        self.assertTrue(self.talk_by_id['h-0'].fits(peers.MISSING, holders))
+
+    async def test_what_is_no_list_is_passed_over(self):
+        handlers = self.talk_by_id['h-0'].handler_by_kind
+        for kind in (peers.MISSING, peers.DEPARTED):
+            handlers[kind]('h-1', 'x')
+            handlers[kind]('h-1', [1, None])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -12,12 +12,6 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
 
-# Targets that live write their entry again within about two seconds.
-RETURN_S = 2.3
-# An entry lapses after three silent heartbeats, of which one may have been
-# missed before the store went away.
-LAPSE_HEARTBEATS = 1.6
-
 # Weight of the newest sample in moving averages.
 SPEED_WEIGHT = 0.15
 FAULT_WEIGHT = 0.2
@@ -35,8 +29,12 @@
 # A target that leaves serves on for the drain time after its entry is gone,
 # of which a host may learn this much later.
 DRAIN_MARGIN_S = 1.0
-# How an entry went is remembered for so long; no grant lasts longer.
-GONE_S = 20.0
+# How an entry went is remembered for so long: no grant lasts longer, and
+# hosts that were cut off from the store ask for it.
+GONE_S = 60.0
+# Why a target was dropped.
+LAPSED = 'lapsed'
+REMOVED = 'removed'
 # A target that still warms up is taken to be this much slower.
 COLD_FACTOR = 2.0
 
@@ -168,10 +166,13 @@
     Attributes:
       at: When, the event loop's time.
       announced: Whether the target had said that it leaves.
+      lapsed: Whether the entry was missing after a loss of the store, so
+        that this host did not see it go.
     """
 
     at: float
     announced: bool
+    lapsed: bool
 
 
 class Directory:
@@ -188,7 +189,6 @@
     def __init__(
         self,
         clock: typing.Callable[[], float],
-        heartbeat_s: float,
         drain_s: float,
         log: typing.Callable[..., None],
     ) -> None:
@@ -200,14 +200,37 @@
         self.drain_s = drain_s
         self._departure_by_holder: dict[str, Departure] = {}
         self._clock = clock
-        self._lapse_s = heartbeat_s * LAPSE_HEARTBEATS
         self._log = log
         self._keep_missing_until = 0.0
 
-    def note_store_back(self, away_s: float) -> None:
-        """Learn that the store answers again after it was away."""
-        if away_s >= self._lapse_s:
-            self._keep_missing_until = self._clock() + RETURN_S
+    def keep_missing(self, keep_s: float) -> None:
+        """Keep entries that are missing from now on for some seconds.
+
+        They may have lapsed in an outage of the store; their targets write
+        them again. A target that said it leaves is not kept.
+        """
+        self._keep_missing_until = self._clock() + keep_s
+
+    def missing_holders(self) -> list[str]:
+        """Return the targets that are kept though their entry is missing."""
+        return [
+            target.entry.holder
+            for target in self.by_id.values()
+            if target.missing_until is not None
+        ]
+
+    def has_departed(self, holder: str) -> bool:
+        """Tell whether this host saw an entry go while it read the store."""
+        departure = self._departure_by_holder.get(holder)
+        return departure is not None and not departure.lapsed
+
+    def note_departed(self, holder: str) -> None:
+        """Learn from another host that a missing entry did not lapse."""
+        target = self.find(*model.split_holder(holder))
+        if target is None or target.missing_until is None:
+            return
+        self._drop(target.entry.target_id, REMOVED)
+        self._finish()
 
     def replace_all(self, entries: typing.Iterable[model.TargetEntry]) -> None:
         """Take the whole list of entries."""
@@ -240,7 +263,7 @@
         for target_id, target in list(self.by_id.items()):
             if target.missing_until is None or now < target.missing_until:
                 continue
-            self._drop(target_id, 'lapsed')
+            self._drop(target_id, LAPSED)
             dropped = True
         if dropped:
             self._finish()
@@ -280,6 +303,7 @@
         known = self.by_id.get(entry.target_id)
         if known is None or _is_other(known.entry, entry):
             self.by_id[entry.target_id] = Target(entry, now)
+            self._departure_by_holder.pop(entry.holder, None)
             self._log('target_known', **entry._asdict())
             return
         known.missing_until = None
@@ -303,13 +327,13 @@
                 target.missing_until = self._keep_missing_until
                 self._log('target_missing', target=target_id)
             return
-        self._drop(target_id, 'removed')
+        self._drop(target_id, REMOVED)
 
     def _drop(self, target_id: str, reason: str) -> None:
         target = self.by_id.pop(target_id)
         leaving = target.entry.state == model.DRAINING
         self._departure_by_holder[target.entry.holder] = Departure(
-            self._clock(), leaving
+            self._clock(), leaving, reason == LAPSED
         )
         self._log('target_gone', target=target_id, reason=reason)
 
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -15,6 +15,7 @@
 from amaranthcrank.router import admission
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import crash_reports
+from amaranthcrank.router import departure_talk
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
 from amaranthcrank.router import forwarder
@@ -34,7 +35,6 @@
 from amaranthcrank.router import shared_feed
 from amaranthcrank.router import store_absence
 from amaranthcrank.router import store_sync
-from amaranthcrank.router import store_witness
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import ticket_feed
@@ -83,7 +83,7 @@
         settings = self.settings
         bounds = settings.bounds
         self.targets = directory.Directory(
-            clock, settings.heartbeat_s, bounds.drain_s, self.log.event
+            clock, bounds.drain_s, self.log.event
         )
         self.keys = key_table.KeyTable()
         self.times = service_times.ServiceTimes()
@@ -164,9 +164,10 @@
         self.after_outage = store_sync.behind(self.ticket_feed.contact)
         self.absence = store_absence.StoreAbsence(
             self.store.history,
-            store_witness.StoreWitness(self.peers, self.store.history),
-            self.targets.note_store_back,
+            self.targets,
+            departure_talk.DepartureTalk(self.peers, self.targets),
             settings.heartbeat_s,
+            settings.bounds.settle_s,
             self.log.event,
         )
         self.target_feed = target_feed.TargetFeed(
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -23,6 +23,8 @@
 
     Attributes:
       drain_s: How long a leaving upstream may still get requests.
+      settle_s: After a disturbance of the store or of the way to it a host
+        must act by what the store says again within this time.
       grace_s: From SIGTERM to SIGKILL.
       retry_ratio: Second sends allowed per request of a service.
       retry_window_s: The window over which they are counted.
@@ -31,6 +33,7 @@
     """
 
     drain_s: float
+    settle_s: float
     grace_s: float
     retry_ratio: float
     retry_window_s: float
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -29,8 +29,8 @@
 OWNERS_TOTAL = 12
 TICKET = 13
 TARGETS = 14
-STORE_ASKED = 15
-STORE_SEEN = 16
+MISSING = 15
+DEPARTED = 16
 
 Handler = typing.Callable[[str, typing.Any], None]
 
--- a/amaranthcrank/router/store_absence.py
+++ b/amaranthcrank/router/store_absence.py
@@ -1,77 +1,75 @@
-"""Judges a loss of the store: was it away, or this host cut off from it?"""
+"""Decides for how long missing entries are kept after a loss of the store.
+
+Entries of living targets lapse in an outage, and are back shortly after it.
+But a host that alone was cut off from the store finds entries missing because
+their targets left, and it cannot tell the one from the other by itself.
+"""
 
 import typing
 
 from amaranthcrank.router import clock
+from amaranthcrank.router import departure_talk
+from amaranthcrank.router import directory
 from amaranthcrank.router import store_history
-from amaranthcrank.router import store_witness
 
 # Entries lapse after three silent heartbeats, of which one may have been
 # missed before the store went away.
 LAPSE_HEARTBEATS = 1.6
-# What others tell is waited for no longer than this.
-JUDGING_S = 3.0
+# Targets that live write their entry again within about two seconds.
+RETURN_S = 2.3
+# Whether the time is over is looked at this much later, at the latest.
+EXPIRY_MARGIN_S = 0.3
 
 
 class StoreAbsence:
-    """The latest loss of the store that this host has seen."""
+    """Judges losses of the store when they end."""
 
     def __init__(
         self,
         history: store_history.StoreHistory,
-        witness: store_witness.StoreWitness,
-        on_back: typing.Callable[[float], None],
+        targets: directory.Directory,
+        departures: departure_talk.DepartureTalk,
         heartbeat_s: float,
+        settle_s: float,
         log: typing.Callable[..., None],
     ) -> None:
-        """Judge losses by a history and by what other hosts tell.
+        """Judge losses by a history.
 
         Args:
-          history: When the store answered this host and others.
-          witness: Asks the other hosts.
-          on_back: Called with the length of a loss when it ends, in seconds.
+          history: When the store answered, and when it last failed.
+          targets: Keeps entries that may have lapsed.
+          departures: Asks other hosts what became of these.
           heartbeat_s: How often targets report to the store.
+          settle_s: How long after its return the store must be taken at
+            its word.
           log: Takes what decided.
         """
         self._history = history
-        self._witness = witness
-        self._on_back = on_back
+        self._targets = targets
+        self._departures = departures
         self._lapse_s = heartbeat_s * LAPSE_HEARTBEATS
+        self._settle_s = settle_s
         self._log = log
-        self._lost_at = 0.0
-        self._back_at = 0.0
-        self._is_open = False
-        witness.on_news = self._reconsider
 
     def note_back(self, lost_at: float) -> None:
-        """Learn that the store answers again.
+        """Learn that the store answers again, before it is read.
 
         Args:
           lost_at: Since when it did not, by `clock.now`.
         """
-        self._lost_at = lost_at
-        self._back_at = clock.now()
         silence_s = self._history.longest_silence_s(lost_at)
-        self._on_back(silence_s)
-        self._is_open = silence_s >= self._lapse_s
-        if self._is_open:
-            self._log_silence('store_absence', silence_s)
-            self._witness.ask()
-
-    def _reconsider(self) -> None:
-        """Learn from other hosts when the store answered them."""
-        if not self._is_open or clock.now() > self._back_at + JUDGING_S:
-            return
-        silence_s = self._history.longest_silence_s(self._lost_at)
         if silence_s < self._lapse_s:
-            self._is_open = False
-            self._log_silence('store_answered_others', silence_s)
-
-    def _log_silence(self, event: str, silence_s: float) -> None:
+            return
         now = clock.now()
+        failed_s = now - self._history.failed_at
+        # The store may have been back since the last call that failed.
+        keep_s = min(RETURN_S, self._settle_s - EXPIRY_MARGIN_S - failed_s)
         self._log(
-            event,
-            lost_s=round(now - self._lost_at, 2),
+            'store_absence',
+            lost_s=round(now - lost_at, 2),
             silence_s=round(silence_s, 2),
-            failed_s=round(now - self._history.failed_at, 2),
+            failed_s=round(failed_s, 2),
+            keep_s=round(keep_s, 2),
         )
+        self._targets.keep_missing(keep_s)
+        self._departures.ask()
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -21,7 +21,9 @@
 WATCH_WAIT_S = 15.0
 CALL_TIMEOUT_S = 1.5
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.8
+# The sooner a host has the store back, the better it knows which entries
+# lapsed in an outage.
+LONGEST_PAUSE_S = 0.4
 # A kind that waits for another's reads to succeed tries by itself in the end.
 LONGEST_TURN_S = 3.0
 TURN_CHECK_S = 0.1
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -21,6 +21,7 @@
 platform.platform.address={store}
 terms.bounds.drainMs=2000
 terms.bounds.graceS=6
+terms.bounds.stableWindowMs=3000
 terms.bounds.retryBudgetRatio=0.2
 terms.bounds.budgetWindowS=10
 terms.bounds.budgetMinRetries=60
