Let hosts that lost the store follow their neighbours

Now any failed read keeps the revision where neighbours read too (a watch from it brings what was missed, or says that the history is gone, and then the list is read). News that cannot be taken ends the pause. A neighbour's reading also ends the loss of the store, and tells when a call last failed, so that missing entries are judged by the outage and not by this host's pauses.

--- a/amaranthcrank/router/store_history.py
+++ b/amaranthcrank/router/store_history.py
@@ -40,6 +40,21 @@
             return
         answered_at.append(now)
 
+    def note_answer_to_other(self, failed_ms: int) -> None:
+        """Learn that the store has just answered another host.
+
+        Args:
+          failed_ms: How long ago a call of that host last failed, in
+            milliseconds.
+        """
+        self.note_answer()
+        failed_at = self._now() - failed_ms / 1000
+        self.failed_at = max(self.failed_at, failed_at)
+
+    def failed_ms(self) -> int:
+        """Return how long ago a call last failed, in milliseconds."""
+        return round((self._now() - self.failed_at) * 1000)
+
     def note_failure(self, sent_at: float) -> None:
         """Learn that a call failed.
 
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -114,6 +114,11 @@
         """
         self._turn = turn
         self._pause_s = FIRST_PAUSE_S
+        self._hurried = asyncio.Event()
+
+    def hurry(self) -> None:
+        """End a pause soon: the store answers others."""
+        self._hurried.set()
 
     def reset(self) -> None:
         """Learn that a read succeeded."""
@@ -121,8 +126,15 @@
 
     async def wait(self, scale: float = 1.0) -> None:
         """Wait until the next try; a scale makes the pause longer."""
-        await asyncio.sleep(scale * self._pause_s * (0.5 + random.random()))
-        self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
+        pause_s = scale * self._pause_s * (0.5 + random.random())
+        self._hurried.clear()
+        try:
+            async with asyncio.timeout(pause_s):
+                await self._hurried.wait()
+            # Hosts that hear the same news do not read together.
+            await asyncio.sleep(reading_rota.HURRY_S * random.random())
+        except TimeoutError:
+            self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
         await self._turn()
 
 
@@ -160,8 +172,8 @@
     """Follows all objects of a kind, alone or in turns with neighbours.
 
     Attributes:
-      revision: Up to where the kind is known; None before its list was read
-        and after a call that failed.
+      revision: Up to where the kind is known; None before its list was
+        read, and where it has to be read anew.
       rota: Tells whether it is this host's turn to read.
     """
 
@@ -246,6 +258,11 @@
         self.revision = revision
         return True
 
+    def hurry(self) -> None:
+        """Read soon: a neighbour read what cannot be taken from it."""
+        self.rota.hurry()
+        self._retries.hurry()
+
     async def _read(self) -> bool:
         """Read the list, or wait for changes; tell whether there were any."""
         if self.revision is None:
@@ -287,8 +304,7 @@
         self, error: store.StoreError | store.ConflictError
     ) -> None:
         self._contact.note_failure(str(error))
-        refused = isinstance(error, store.StoreError) and error.refused
-        if refused and self.rota.is_shared:
+        if self.rota.is_shared:
             # Neighbours that are served tell how it goes on from here.
             return
         # A watch may have missed changes before it broke off: the list
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -120,24 +120,25 @@
         changes: typing.Sequence[store.Change],
     ) -> None:
         told = [self._entry_of(change) for change in changes]
-        content: list[typing.Any] = [former, revision, told]
+        failed_ms = self._history.failed_ms()
+        content: list[typing.Any] = [former, revision, told, failed_ms]
         if not self._talk.fits(peers.TARGETS, content):
-            content = [former, revision, None]
+            content = [former, revision, None, failed_ms]
         self._talk.send_nearby(peers.TARGETS, content)
 
     def _hear(self, host_id: str, content: typing.Any) -> None:
         """Take what a neighbour has read just now."""
-        if not isinstance(content, list) or len(content) != 3:
+        if not isinstance(content, list) or len(content) != 4:
             return
-        former, revision, told = content
-        # The store was not away then, even where it does not answer this
-        # host.
-        self._history.note_answer()
+        former, revision, told, failed_ms = content
+        # The store is not away, even where it does not answer this host.
+        self._history.note_answer_to_other(failed_ms)
+        self._contact.note_answer()
         if self._follower.advance(former, revision, told, self._take_told):
             self._follower.rota.note_heard(host_id)
             return
         if revision > (self._follower.revision or 0):
-            self._follower.rota.hurry()
+            self._follower.hurry()
 
     def _take_told(self, told: typing.Sequence[typing.Any]) -> None:
         for target_id, fields in told:
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -32,6 +32,7 @@
 
 class _FeedsTest(unittest.IsolatedAsyncioTestCase):
     HOSTS = HOSTS
+    AWAY_S = 2.0
 
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
@@ -100,6 +101,25 @@
                     targets.expire()
                 await asyncio.sleep(0.02)
 
+    async def _cut(self, host_ids):
+        """Cut hosts off until the returned stack is closed."""
+        error = store.StoreError('no answer in time')
+        stack = contextlib.AsyncExitStack()
+        for host_id in host_ids:
+            stack.enter_context(
+                mock.patch.object(
+                    self.client_by_host[host_id],
+                    '_exchange',
+                    autospec=True,
+                    side_effect=error,
+                )
+            )
+            self.around.task_by_id[host_id].cancel()
+            feed = self.feed_by_host[host_id]
+            self.around.follow(host_id, feed.follow())
+        await asyncio.sleep(self.AWAY_S)
+        return stack
+
 
 class TargetFeedTest(_FeedsTest):
     async def test_one_host_reads(self):
@@ -167,6 +187,31 @@
         self.around.store.remove(names.TARGETS_KIND, 'i-2')
         await self._wait(lambda targets: 'i-2' not in targets.by_id)
 
+    async def test_store_that_is_silent_to_the_reader(self):
+        """Guards against requests to targets that left, after the drain time.
+
+        A reader that alone was cut off from the store took nothing from the
+        next one until it had read the store itself, seconds later.
+        """
+        async with await self._cut(['h-0']):
+            self.around.store.remove(names.TARGETS_KIND, 'i-1')
+            await self._wait(lambda targets: 'i-1' not in targets.by_id)
+
+    async def test_host_that_was_cut_off_from_all(self):
+        """Guards against a pause after failures that outlasts a cut."""
+        patch = mock.patch.object(reading_rota, 'TRYING_HOSTS', 0.05)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.talks['h-5'].cut = True
+        async with await self._cut(['h-5']):
+            self.around.store.remove(names.TARGETS_KIND, 'i-1')
+            await asyncio.sleep(2.0)
+        self.talks['h-5'].cut = False
+        await self._wait(
+            lambda targets: 'i-1' not in targets.by_id,
+            reading_rota.READER_WAIT_S + reading_rota.HURRY_S + 0.5,
+        )
+
     async def test_outage(self):
         self.around.store.fault = platform_store.BUSY
         await asyncio.sleep(2.0)
@@ -179,26 +224,6 @@
     """A few hosts, each of which reads the store for itself."""
 
     HOSTS = 3
-    AWAY_S = 2.0
-
-    async def _cut(self, host_ids):
-        """Cut hosts off until the returned stack is closed."""
-        error = store.StoreError('no answer in time')
-        stack = contextlib.AsyncExitStack()
-        for host_id in host_ids:
-            stack.enter_context(
-                mock.patch.object(
-                    self.client_by_host[host_id],
-                    '_exchange',
-                    autospec=True,
-                    side_effect=error,
-                )
-            )
-            self.around.task_by_id[host_id].cancel()
-            feed = self.feed_by_host[host_id]
-            self.around.follow(host_id, feed.follow())
-        await asyncio.sleep(self.AWAY_S)
-        return stack
 
     async def test_departure_missed_by_a_cut_off_host(self):
         """Guards against requests to targets that left, after the drain time.
