Read the heads of upstreams strictly; end connections after refusals

Now a line or a head that is not whole is a lost answer (OUTCOME_UNKNOWN). - Bytes without end: a thread read 'HTTP/1.1 100 Continue' for ever; each read was in time, the deadline never looked at (the test did not end within 20 s). Endless trailers likewise. Now each line has to come before the deadline. - A stale refusal: an earlier X-Not-Run on a kept connection was taken for the refusal of later work. Upstreams here echo no id, so a connection that carried a refusal is closed. test_refusal_by_the_upstream_keeps_the_connection asserted that refused connections are kept, which is the fault; it is replaced by test_refusal_by_the_upstream_ends_the_connection, which checks the same fields and that the next work meets no earlier refusal. It, test_head_that_is_cut_short and test_bytes_without_end failed before and pass; so do the six answer proofs.

--- a/amaranthcrank/dispatch/upstream_client.py
+++ b/amaranthcrank/dispatch/upstream_client.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import functools
 import json
 import time
 import typing
@@ -13,6 +14,7 @@
 
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
+from amaranthcrank.dispatch import upstream_reader
 from amaranthcrank.intake import parse
 
 CONNECT_TIMEOUT_S = 0.3
@@ -121,6 +123,9 @@
         super().request(*args, **kwargs)
 
     def getresponse(self) -> urllib3.HTTPResponse:
+        self.response_class = functools.partial(
+            upstream_reader.Response, end=time.monotonic() + self.timeout
+        )
         response = super().getresponse()
         self.used_at = time.monotonic()
         return response
@@ -330,7 +335,10 @@
 ) -> UpstreamAnswer | UpstreamFailure:
     refusal = response.headers.get('X-Not-Run', '')
     if refusal:
-        return _read_refusal(response, refusal)
+        # A faulty upstream may write it once more: on a connection that is
+        # kept, that could not be told from the refusal of later work.
+        response.close()
+        return _refusal(response, refusal)
     announced = response.length_remaining or 0
     if method != 'HEAD' and announced > max_bytes:
         response.close()
@@ -369,21 +377,9 @@
         chunks.append(chunk)
 
 
-def _read_refusal(
-    response: urllib3.HTTPResponse, refusal: str
-) -> UpstreamFailure:
+def _refusal(response: urllib3.HTTPResponse, refusal: str) -> UpstreamFailure:
     seconds = response.headers.get('Retry-After', '')[:6]
     is_count = seconds.isascii() and seconds.isdecimal()
-    # The refusal holds whatever becomes of its body, which is read only so
-    # that the connection can be used again.
-    try:
-        end = time.monotonic() + CONTROL_TIMEOUT_S
-        body = _read_body(response, end, READ_BYTES)
-        is_whole = isinstance(body, bytes)
-    except (exceptions.HTTPError, OSError):
-        is_whole = False
-    if not is_whole:
-        response.close()
     return UpstreamFailure(
         codes.UPSTREAM_REFUSED,
         may_have_run=False,
--- a/amaranthcrank/dispatch/upstream_client_test.py
+++ b/amaranthcrank/dispatch/upstream_client_test.py
@@ -66,6 +66,8 @@
 
 def _read_request(reader):
     line = reader.readline().decode()
+    if not line:
+        raise ConnectionResetError('closed by the client')
     header_by_name = {}
     for raw in iter(reader.readline, b'\r\n'):
         name, _, value = raw.decode().partition(':')
@@ -177,12 +179,17 @@
             self.assertTrue(failure.may_have_run)
             self.assertFalse(failure.broken)
 
-    def test_refusal_by_the_upstream_keeps_the_connection(self):
+    def test_refusal_by_the_upstream_ends_the_connection(self):
+        """Guards against 'not run' for work that an upstream ran.
+
+        A faulty upstream wrote an earlier refusal once more on a connection
+        that was kept.
+        """
         shed = (
             b'HTTP/1.1 503 S\r\nX-Not-Run: shed\r\nRetry-After: 2\r\n'
             b'Content-Length: 4\r\n\r\nbusy'
         )
-        upstream = self._script([shed, OK])[1]
+        script, upstream = self._script([shed, shed + OK], [OK])
         failure = self._send(upstream)
         self.assertEqual(codes.UPSTREAM_REFUSED, failure.code)
         self.assertEqual(
@@ -195,6 +202,49 @@
             ),
         )
         self.assertEqual(200, self._send(upstream).status)
+        self.assertEqual(2, len(script.requests))
+
+    def test_head_that_is_cut_short(self):
+        """Guards against an empty success in place of a broken answer.
+
+        An upstream stopped within the head of its answer and closed.
+        """
+        head = OK.removesuffix(b'hi')
+        for length in range(1, len(head)):
+            upstream = self._script([head[:length]])[1]
+            failure = self._send(upstream)
+            self.assertEqual(codes.OUTCOME_UNKNOWN, failure[0], length)
+            self.assertTrue(failure.may_have_run and failure.broken)
+
+    def test_bytes_without_end(self):
+        """Guards against a thread that reads past the deadline, for ever."""
+
+        def endless(first, repeated):
+            def write(sock):
+                with contextlib.suppress(OSError):
+                    sock.sendall(first)
+                    while not done.is_set():
+                        sock.sendall(repeated)
+
+            return write
+
+        done = threading.Event()
+        self.addCleanup(done.set)
+        chunked = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        for first, repeated in (
+            (b'', b'x' * 4096),
+            (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100),
+            (b'HTTP/1.1 200 OK\r\n', b'X-More: y\r\n' * 100),
+            (b'HTTP/1.1 200 OK\r\n\r\n', b'x' * 4096),
+            (chunked + b'0\r\n', b'X-More: y\r\n' * 100),
+            (chunked + b'1;', b'x' * 4096),
+        ):
+            with self.subTest(first=first, repeated=repeated[:20]):
+                upstream = self._script([endless(first, repeated)])[1]
+                start = time.monotonic()
+                failure = self._send(upstream, deadline_s=0.8)
+                self.assertLess(time.monotonic() - start, 1.2)
+                self.assertTrue(failure.may_have_run)
 
     def test_answers_over_the_limit_are_numbered(self):
         announced = b'HTTP/1.1 200 OK\r\nContent-Length: 1048577\r\n\r\n'
