--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -22,12 +22,19 @@
 
     A call that changes something may have been carried out, unless
     `refused` is set.
+
+    Attributes:
+      refused: Whether nothing was done.
+      silent: Whether nothing came from the store for a while before.
     """
 
-    def __init__(self, reason: str, refused: bool = False) -> None:
-        """Give the reason and whether the store said that nothing was done."""
+    def __init__(
+        self, reason: str, refused: bool = False, silent: bool = False
+    ) -> None:
+        """Give the reason."""
         super().__init__(reason)
         self.refused = refused
+        self.silent = silent
 
 
 class HistoryGoneError(Exception):
@@ -242,9 +249,9 @@
         except http_client.ConnectError as error:
             raise StoreError(f'unreachable: {error}', refused=True) from error
         except http_client.ExchangeError as error:
-            raise StoreError(str(error)) from error
+            raise StoreError(str(error), silent=error.silent) from error
         except TimeoutError as error:
-            raise StoreError('no answer in time') from error
+            raise StoreError('no answer in time', silent=True) from error
         return answer
 
 
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -13,13 +13,11 @@
 from amaranthcrank.router import headers as fields
 from amaranthcrank.router import model
 from amaranthcrank.router import sockets
+from amaranthcrank.router import unfinished_answers
 
 # Larger heads are no answers of a target that works.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# All answers together that have not arrived whole: faulty targets send
-# without end, and a host has a few hundred megabytes.
-MAX_UNFINISHED_BYTES = 48 * 1024 * 1024
 # Heads of interim answers, and answers to other requests, that may precede
 # the answer.
 MAX_PRECEDING = 16
@@ -63,37 +61,18 @@
       reset: Whether the connection ended, rather than carrying bytes that
         are no valid answer.
       answered: Whether a part of an answer had arrived.
+      silent: Whether the connection ended since nothing came from the other
+        side any more, not even acknowledgements.
     """
 
-    def __init__(self, reason: str, reset: bool, answered: bool) -> None:
+    def __init__(
+        self, reason: str, reset: bool, answered: bool, silent: bool = False
+    ) -> None:
         """Give the reason and how far the exchange came."""
         super().__init__(reason)
         self.reset = reset
         self.answered = answered
-
-
-class UnfinishedAnswers:
-    """The bytes of answers that have not arrived whole, of all connections.
-
-    Attributes:
-      size: How many there are.
-      peak: The most that there were.
-    """
-
-    def __init__(self) -> None:
-        """Start with none."""
-        self.size = 0
-        self.peak = 0
-
-    def add(self, size: int) -> bool:
-        """Count bytes that arrived; False: there are too many in all."""
-        self.size += size
-        self.peak = max(self.peak, self.size)
-        return self.size <= MAX_UNFINISHED_BYTES
-
-    def remove(self, size: int) -> None:
-        """Count bytes that were handed over or dropped."""
-        self.size -= size
+        self.silent = silent
 
 
 class Connection(asyncio.Protocol):
@@ -103,13 +82,15 @@
       exchanges: How many exchanges were begun here.
     """
 
-    def __init__(self, unfinished: UnfinishedAnswers | None = None) -> None:
+    def __init__(
+        self, unfinished: unfinished_answers.UnfinishedAnswers | None = None
+    ) -> None:
         """Start unconnected.
 
         Args:
           unfinished: Counts with those of other connections.
         """
-        self._unfinished = unfinished or UnfinishedAnswers()
+        self._unfinished = unfinished or unfinished_answers.UnfinishedAnswers()
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
@@ -135,7 +116,8 @@
         """Fail the exchange that waits, if any."""
         self.reusable = False
         if self._waiter is not None and not self._waiter.done():
-            self._fail(f'connection lost: {exc or "closed"}', reset=True)
+            silent = isinstance(exc, TimeoutError)
+            self._fail(f'connection lost: {exc or "closed"}', True, silent)
 
     def eof_received(self) -> bool:
         """Finish an answer that ends with its connection."""
@@ -323,11 +305,13 @@
             # `Connection: close`, or an answer without a length.
             self.reusable = False
 
-    def _fail(self, reason: str, reset: bool) -> None:
+    def _fail(self, reason: str, reset: bool, silent: bool = False) -> None:
         answered = self._head is not None
         self.reusable = False
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(ExchangeError(reason, reset, answered))
+            self._waiter.set_exception(
+                ExchangeError(reason, reset, answered, silent)
+            )
         if self.transport is not None:
             self.transport.abort()
 
@@ -345,7 +329,7 @@
 async def connect(
     address: model.Address,
     timeout_s: float,
-    unfinished: UnfinishedAnswers | None = None,
+    unfinished: unfinished_answers.UnfinishedAnswers | None = None,
 ) -> Connection:
     """Open a connection.
 
@@ -386,7 +370,7 @@
         self._clock = clock
         self._idle_by_address: dict[model.Address, list[Connection]] = {}
         self.opened = 0
-        self.unfinished = UnfinishedAnswers()
+        self.unfinished = unfinished_answers.UnfinishedAnswers()
 
     async def acquire(
         self,
--- a/amaranthcrank/router/http_client_test.py
+++ b/amaranthcrank/router/http_client_test.py
@@ -6,6 +6,7 @@
 
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
+from amaranthcrank.router import unfinished_answers
 
 HEADERS = [(b'host', b'a'), (b'x-request-id', b'one')]
 
@@ -279,5 +280,6 @@
             self.assertIsInstance(result, http_client.ExchangeError)
         self.assertEqual(self.pool.unfinished.size, 0)
         self.assertLess(
-            self.pool.unfinished.peak, 1.1 * http_client.MAX_UNFINISHED_BYTES
+            self.pool.unfinished.peak,
+            1.1 * unfinished_answers.MAX_UNFINISHED_BYTES,
         )
--- a/amaranthcrank/router/shared_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -70,7 +70,8 @@
                 store.ConflictError,
                 store.HistoryGoneError,
             ) as error:
-                contact.note_failure(str(error))
+                silent = isinstance(error, store.StoreError) and error.silent
+                contact.note_failure(str(error), silent)
                 await self._retries.wait()
                 continue
             contact.note_answer()
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -72,12 +72,15 @@
         if self._on_back is not None:
             self._on_back(lost_at)
 
-    def note_failure(self, reason: str) -> None:
-        """Learn that the store did not answer."""
+    def note_failure(self, reason: str, silent: bool) -> None:
+        """Learn that the store did not answer.
+
+        Args:
+          reason: Why.
+          silent: Whether nothing came from it for a while before.
+        """
         if self.lost_at is not None:
             return
-        # What broke off for want of time was silent for a while.
-        silent = 'time' in reason
         silent_s = store_history.SILENCE_S if silent else 0.0
         self.lost_at = clock.now() - silent_s
         self._log.event('store_lost', kind=self._kind, reason=reason)
@@ -303,7 +306,8 @@
     def _note_failure(
         self, error: store.StoreError | store.ConflictError
     ) -> None:
-        self._contact.note_failure(str(error))
+        silent = isinstance(error, store.StoreError) and error.silent
+        self._contact.note_failure(str(error), silent)
         if self.rota.is_shared:
             # Neighbours that are served tell how it goes on from here.
             return
--- a/amaranthcrank/router/store_sync_test.py
+++ b/amaranthcrank/router/store_sync_test.py
@@ -80,7 +80,7 @@
 
     async def test_first_kind_alone_fails(self):
         # The others must not wait for it for ever.
-        self.first.note_failure('unreachable')
+        self.first.note_failure('unreachable', False)
         turn = store_sync.behind(self.first)
         started_at = time.monotonic()
         async with asyncio.timeout(store_sync.LONGEST_TURN_S + 1.0):
@@ -95,6 +95,6 @@
     def test_silence_counts_from_its_beginning(self):
         lost = []
         contact = store_sync.Contact('any', _Log(), lost.append)
-        contact.note_failure('no answer in time')
+        contact.note_failure('no answer in time', True)
         contact.note_answer()
         self.assertGreaterEqual(clock.now() - lost[0], store_history.SILENCE_S)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import http_client
 from soak import callers
 from soak import checks
+from soak import departures
 from soak import world
 
 CALLERS_PER_ROUTER = 3
@@ -99,6 +100,9 @@
         runs = [run for made in site.targets for run in made.runs]
         holds = [hold for made in site.targets for hold in made.holds]
         broken += checks.check(results, runs, holds)
+        broken += departures.late_runs(
+            results, runs, site.notice_by_holder, site.disturbances
+        )
         served = sum(result.status == 200 for result in results)
         return Outcome(tuple(broken), len(results), served, tuple(names))
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -18,10 +18,14 @@
     Attributes:
       request_id: Its id.
       service: The service of the target.
+      holder: The target's id and start.
+      at: When, in monotonic seconds.
     """
 
     request_id: str
     service: str
+    holder: str = ''
+    at: float = 0.0
 
 
 class Target:
@@ -77,7 +81,14 @@
         if self._keyed and not self._holds(key):
             headers.append((names.NOT_RUN, b'1'))
             return http_server.Reply(421, headers, b'')
-        self.runs.append(Run(request_id.decode(), self.service))
+        self.runs.append(
+            Run(
+                request_id.decode(),
+                self.service,
+                self.holder,
+                time.monotonic(),
+            )
+        )
         self._running[key] = self._running.get(key, 0) + 1
         try:
             await asyncio.sleep(self.work_s)
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 import typing
 
 from amaranthcrank.router import model
+from soak import departures
 from soak import relay
 from soak import routers
 from soak import target
@@ -25,6 +26,9 @@
 THAW_S = 0.3
 TERM_WAIT_S = 8.0
 HEARTBEAT_LAPSE_S = 1.5
+# Some targets that leave go on for long.
+LONG_STAY_SHARE = 0.3
+LONG_STAY_S = 8.0
 
 Fault = typing.Callable[[], typing.Awaitable[None]]
 
@@ -35,6 +39,9 @@
     Attributes:
       routers: The routers, each behind a relay of its own to the store.
       targets: Every incarnation that ever ran.
+      disturbances: What was disturbed, and when.
+      notice_by_holder: When each target said that it leaves, or its entry
+        went unannounced; monotonic seconds.
     """
 
     def __init__(
@@ -47,6 +54,8 @@
         """Build on loopback addresses 127.`network`.x.y."""
         self.routers: list[routers.Router] = []
         self.targets: list[target.Target] = []
+        self.disturbances = departures.Disturbances()
+        self.notice_by_holder: dict[str, float] = {}
         self.store = platform_store.PlatformStore()
         self._store_relays: list[relay.Relay] = []
         self._relay_by_target: dict[str, relay.Relay] = {}
@@ -170,7 +179,11 @@
             self._register(made, 'draining')
         else:
             self.store.remove('servers', made.target_id)
+        self.notice_by_holder[made.holder] = time.monotonic()
         await asyncio.sleep(2.0 + 2 * self._chance.random())
+        if self._chance.random() < LONG_STAY_SHARE:
+            self.store.remove('servers', made.target_id)
+            await asyncio.sleep(LONG_STAY_S * self._chance.random())
         # It closes its port, works on for a while and then ends.
         self._relay_by_target[made.target_id].refuse()
         await asyncio.sleep(self._chance.random())
@@ -180,7 +193,8 @@
     async def spoil_target(self) -> None:
         """Let the connections of a target misbehave for a while."""
         made = self._any_target()
-        await self._spoil(self._relay_by_target[made.target_id])
+        with self.disturbances.during(made.holder):
+            await self._spoil(self._relay_by_target[made.target_id])
 
     async def slow_target(self) -> None:
         """Let a target work slowly for a while."""
@@ -203,6 +217,10 @@
 
     async def spoil_store(self) -> None:
         """Let the whole store misbehave for a while."""
+        with self.disturbances.during(departures.STORE):
+            await self._spoil_store()
+
+    async def _spoil_store(self) -> None:
         if self._chance.random() < 0.25:
             self.store.forget_history()
             return
@@ -218,7 +236,9 @@
 
     async def spoil_store_path(self) -> None:
         """Let one router's connections to the store misbehave."""
-        await self._spoil(self._chance.choice(self._store_relays))
+        number = self._chance.randrange(len(self.routers))
+        with self.disturbances.during(self.routers[number].name):
+            await self._spoil(self._store_relays[number])
 
     async def change_manifest(self) -> None:
         """Write some manifests in quick succession."""
@@ -239,24 +259,31 @@
         router = self._running()
         if router is None:
             return
-        router.kill()
-        await asyncio.sleep(self._chance.random() * 2)
-        router.start()
+        with self.disturbances.during(router.name):
+            router.kill()
+            await asyncio.sleep(self._chance.random() * 2)
+            router.start()
 
     async def kill_all_routers(self) -> None:
         """Kill all routers that run, and start them again."""
         killed = [one for one in self.routers if one.is_up]
-        for router in killed:
-            router.kill()
-        await asyncio.sleep(self._chance.random())
-        for router in killed:
-            router.start()
+        with contextlib.ExitStack() as stack:
+            for router in killed:
+                stack.enter_context(self.disturbances.during(router.name))
+                router.kill()
+            await asyncio.sleep(self._chance.random())
+            for router in killed:
+                router.start()
 
     async def restart_router(self) -> None:
         """Ask a router to end, and start it again."""
         router = self._running()
         if router is None:
             return
+        with self.disturbances.during(router.name):
+            await self._restart(router)
+
+    async def _restart(self, router: routers.Router) -> None:
         router.terminate()
         end_at = time.monotonic() + TERM_WAIT_S
         while not router.has_ended() and time.monotonic() < end_at:
@@ -271,10 +298,11 @@
         router = self._running()
         if router is None:
             return
-        router.freeze()
-        await asyncio.sleep(0.2 + 5 * self._chance.random())
-        self._thawed_at = time.monotonic()
-        router.thaw()
+        with self.disturbances.during(router.name):
+            router.freeze()
+            await asyncio.sleep(0.2 + 5 * self._chance.random())
+            self._thawed_at = time.monotonic()
+            router.thaw()
 
     async def reload_router(self) -> None:
         """Change a settings file, with a signal or without."""
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -5,6 +5,10 @@
 from amaranthcrank.router import model
 
 SERVE_PORT = 18381
+# How long a target that leaves may still get requests.
+DRAIN_S = 2.0
+# How long after a disturbance a router must act by the store again.
+SETTLE_S = 3.0
 
 _TEXT = """\
 self.nodeName={name}
@@ -19,9 +23,9 @@
 network.zones.b=north
 platform.heartbeatMs=500
 platform.platform.address={store}
-terms.bounds.drainMs=2000
+terms.bounds.drainMs={drain_ms}
 terms.bounds.graceS=6
-terms.bounds.stableWindowMs=3000
+terms.bounds.stableWindowMs={settle_ms}
 terms.bounds.retryBudgetRatio=0.2
 terms.bounds.budgetWindowS=10
 terms.bounds.budgetMinRetries=60
@@ -54,4 +58,6 @@
     """Return the whole file, with a comment that makes it differ."""
     fields = place._asdict()
     fields['store'] = f'{place.store.ip}:{place.store.port}'
+    fields['drain_ms'] = round(DRAIN_S * 1000)
+    fields['settle_ms'] = round(SETTLE_S * 1000)
     return _TEXT.format(**fields) + f'# {note}\n'
