List two owners after a new start as known red, with a test

Trace: book-8 crashed at 2482.4 and started anew at about 2485.2 under its id; a new controller renewed the grant of the former life at 2485.185, 4 ms before it read the new entry; the next life took it (a renewal names the id, which is the same). 100 ms later the controller took the former life for ended and granted its keys to book-10 without a release: both held them until 2490.6. test_renewal_that_reached_the_next_life fails (no release is sent).

--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -397,6 +397,21 @@
         await self._wait(lambda: len(self.calls.grants_to(1)) > before + 1)
         self.assertIn('i-1', self._owners())
 
+    async def test_renewal_that_reached_the_next_life(self):
+        """Guards against two owners after a target has started anew.
+
+        A renewal that was sent before the new start was known gave the next
+        life the keys; they were given to another without a release.
+        """
+        self._start()
+        await self._wait(self._is_assigned)
+        await self._wait(lambda: len(self.calls.grants_to(1)) > 1)
+        self.targets.put(_entry(1, model.DRAINING, incarnation=2))
+        await self._wait(lambda: self._owners() == {'i-2'})
+        await self._wait(self._is_assigned)
+        paths = {path for _, port, path, _ in self.calls.sent if port == 1}
+        self.assertIn(names.RELEASE_PATH, paths)
+
     async def test_release_bears_the_next_token(self):
         """Guards against a predecessor's grant that arrives after a release.
 
