Vouch only for entries that went while the store was surely there

After an outage living targets could be dropped by all hosts on one host's word, until they wrote their entries again. Now what goes within the time in which lapsed entries return is dropped as lapsed, and nobody is told that it left. When the host itself drops it does not change. The time stands once (directory.RETURN_S), not in two modules. test_what_was_not_kept_may_have_lapsed failed before and passes, with the 34 tests of the touched modules.

--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -32,6 +32,9 @@
 # How an entry went is remembered for so long: no grant lasts longer, and
 # hosts that were cut off from the store ask for it.
 GONE_S = 60.0
+# Targets that live write a lapsed entry again within about two seconds of
+# the store's return; what goes until then may have lapsed.
+RETURN_S = 2.3
 # Why a target was dropped.
 LAPSED = 'lapsed'
 REMOVED = 'removed'
@@ -166,8 +169,8 @@
     Attributes:
       at: When, the event loop's time.
       announced: Whether the target had said that it leaves.
-      lapsed: Whether the entry was missing after a loss of the store, so
-        that this host did not see it go.
+      lapsed: Whether it went just after a loss of the store, so that it may
+        have lapsed in an outage.
     """
 
     at: float
@@ -202,14 +205,20 @@
         self._clock = clock
         self._log = log
         self._keep_missing_until = 0.0
+        self._doubt_until = 0.0
 
     def keep_missing(self, keep_s: float) -> None:
         """Keep entries that are missing from now on for some seconds.
 
         They may have lapsed in an outage of the store; their targets write
         them again. A target that said it leaves is not kept.
+
+        Args:
+          keep_s: For how long; 0 or less: not at all.
         """
-        self._keep_missing_until = self._clock() + keep_s
+        now = self._clock()
+        self._keep_missing_until = now + keep_s
+        self._doubt_until = now + RETURN_S
 
     def missing_holders(self) -> list[str]:
         """Return the targets that are kept though their entry is missing."""
@@ -220,7 +229,7 @@
         ]
 
     def has_departed(self, holder: str) -> bool:
-        """Tell whether this host saw an entry go while it read the store."""
+        """Tell whether this host saw an entry go that had not lapsed."""
         departure = self._departure_by_holder.get(holder)
         return departure is not None and not departure.lapsed
 
@@ -322,12 +331,15 @@
             return
         now = self._clock()
         leaving = target.entry.state == model.DRAINING
-        if now < self._keep_missing_until and not leaving:
-            if target.missing_until is None:
-                target.missing_until = self._keep_missing_until
-                self._log('target_missing', target=target_id)
+        if leaving or now >= self._doubt_until:
+            self._drop(target_id, REMOVED)
+            return
+        if now >= self._keep_missing_until:
+            self._drop(target_id, LAPSED)
             return
-        self._drop(target_id, REMOVED)
+        if target.missing_until is None:
+            target.missing_until = self._keep_missing_until
+            self._log('target_missing', target=target_id)
 
     def _drop(self, target_id: str, reason: str) -> None:
         target = self.by_id.pop(target_id)
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -70,6 +70,14 @@
         self.assertTrue(self.directory.has_departed('i-1/1'))
         self.assertFalse(self.directory.has_departed('i-2/1'))
 
+    def test_what_was_not_kept_may_have_lapsed(self):
+        """Guards against living targets that all hosts drop on one's word."""
+        self.directory.replace_all([entry('i-1'), entry('i-2')])
+        self.directory.keep_missing(-0.3)
+        self.directory.replace_all([])
+        self.assertEqual(self._ids(), [])
+        self.assertFalse(self.directory.has_departed('i-1/1'))
+
     def test_target_that_is_back_has_not_departed(self):
         self.directory.replace_all([entry('i-1')])
         self.directory.remove('i-1')
--- a/amaranthcrank/router/store_absence.py
+++ b/amaranthcrank/router/store_absence.py
@@ -15,8 +15,6 @@
 # Entries lapse after three silent heartbeats, of which one may have been
 # missed before the store went away.
 LAPSE_HEARTBEATS = 1.6
-# Targets that live write their entry again within about two seconds.
-RETURN_S = 2.3
 # Whether the time is over is looked at this much later, at the latest.
 EXPIRY_MARGIN_S = 0.3
 
@@ -63,7 +61,8 @@
         now = clock.now()
         failed_s = now - self._history.failed_at
         # The store may have been back since the last call that failed.
-        keep_s = min(RETURN_S, self._settle_s - EXPIRY_MARGIN_S - failed_s)
+        bound_s = self._settle_s - EXPIRY_MARGIN_S - failed_s
+        keep_s = min(directory.RETURN_S, bound_s)
         self._log(
             'store_absence',
             lost_s=round(now - lost_at, 2),
--- a/amaranthcrank/router/store_absence_test.py
+++ b/amaranthcrank/router/store_absence_test.py
@@ -7,6 +7,7 @@
 import unittest
 
 from amaranthcrank.router import clock
+from amaranthcrank.router import directory
 from amaranthcrank.router import store_absence
 from amaranthcrank.router import store_history
 
@@ -59,7 +60,7 @@
     def test_outage_that_just_ended(self):
         self._fail_and_return(0.2)
         self.assertAlmostEqual(
-            self.targets.keep_s, store_absence.RETURN_S, delta=0.1
+            self.targets.keep_s, directory.RETURN_S, delta=0.1
         )
         self.assertEqual(self.departures.asked, 1)
 
