Release a target that started anew like any former owner

What callers saw: two owners of the same keys for up to 6 s after a target had crashed and started anew under its id. Cause: calls name a target by its id only, so a renewal that is sent before the new start is known reaches the next life, which takes the keys. A new start was taken as proof that nobody held the keys of the former life, so they were granted to another at once. Now the next life, where it listens at the same address, is released with the next owner's token, which also makes it reject renewals that arrive later; what the former life left unanswered ended with it and is not waited for. A next life that does not answer is waited for until the last grant has run out. test_new_start_frees_at_once asserted that keys are free at once although the next life answers no release: that is the fault.

--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -44,7 +44,8 @@
         """
         held_until = self._calls.held_until(former)
         while clock.now() < held_until:
-            if self.has_ended(former):
+            next_life = self._find_next_life(former)
+            if next_life is None and self.has_ended(former):
                 return ''
             address = self._address_by_holder.get(former)
             if address is None:
@@ -64,16 +65,33 @@
                 self._log.event('former_owner_replaced', former=former)
                 return ''
             if result == key_calls.REFUSED:
-                if self._targets.has_crashed_if_refusing(former):
+                if self._targets.has_crashed_if_refusing(next_life or former):
                     self._log.event('former_owner_ended', former=former)
                     return ''
                 await asyncio.sleep(LEAVING_RETRY_S)
                 continue
+            if result == key_calls.RELEASED and next_life is not None:
+                # What the former life had yet to carry out ended with it.
+                return handover
             if result == key_calls.RELEASED and settled:
                 return handover
             await asyncio.sleep(RELEASE_RETRY_S)
         return ''
 
+    def _find_next_life(self, holder: str) -> str | None:
+        """Return the holder at the same address and id after a new start.
+
+        A renewal that was sent before the start was known may have given it
+        the keys of the former life: calls name only the id.
+        """
+        target_id, incarnation = model.split_holder(holder)
+        target = self._targets.by_id.get(target_id)
+        if target is None or target.entry.incarnation <= incarnation:
+            return None
+        if target.entry.address != self._address_by_holder.get(holder):
+            return None
+        return target.entry.holder
+
     def has_ended(self, holder: str) -> bool:
         """Tell whether a target has ended, by what others say since.
 
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -298,23 +298,29 @@
         """
         self.assertLess(await self._leave_and_refuse(None), HOLD_S)
 
-    async def test_new_start_frees_at_once(self):
-        # A target that restarted under its id holds nothing of before.
+    async def test_released_new_start_frees_at_once(self):
+        # What its former life left unanswered ended with it.
         self._start()
         await self._wait(self._is_assigned)
-        self.calls.result_by_port[1, names.RELEASE_PATH] = key_calls.UNANSWERED
+        self.calls.result_by_port[1, names.GRANT_PATH] = key_calls.UNANSWERED
+        before = len(self.calls.grants_to(1))
+        await self._wait(lambda: len(self.calls.grants_to(1)) > before)
         began_at = clock.now()
-        self.targets.put(_entry(1, incarnation=2))
-        await self._wait(
-            lambda: (
-                self._is_assigned()
-                and all(
-                    part.incarnation == 2 or part.target_id == 'i-2'
-                    for part in self.keys.by_service['book'].ranges
-                )
-            )
-        )
-        self.assertLess(clock.now() - began_at, HOLD_S)
+        self.targets.put(_entry(1, model.DRAINING, incarnation=2))
+        await self._wait(self._first_grant_of_moved_keys)
+        self.assertLess(clock.now() - began_at, HOLD_S / 2)
+
+    async def test_silent_new_start_frees_when_its_grant_has_ended(self):
+        # Renewals may have reached it before its start was known.
+        self._start()
+        await self._wait(self._is_assigned)
+        await self._wait(lambda: len(self.calls.grants_to(1)) > 1)
+        self.calls.result_by_port[1] = key_calls.UNANSWERED
+        self.targets.put(_entry(1, model.DRAINING, incarnation=2))
+        last = max(at for at, _ in self.calls.grants_to(1))
+        await self._wait(self._first_grant_of_moved_keys)
+        waited_s = self._first_grant_of_moved_keys() - last
+        self.assertGreaterEqual(waited_s, HOLD_S)
 
     async def test_new_controller_waits_for_its_predecessor(self):
         # It does not know what was granted just before.
--- a/soak/run_test.py
+++ b/soak/run_test.py
@@ -23,6 +23,8 @@
 FAILED = (
     # A reload reached a router before it had a handler, and ended it.
     Case(122, 20.0),
+    # A renewal reached the next life of a target: two owners, seen once.
+    Case(402, 20.0),
 )
 
 
