Date what a host learns after a loss of the store to the loss's beginning

Now both count from the beginning of the loss, or, for what the first list of a new host says, from before anything; entries that are missing or lapsed say nothing about a crash. Price: keys of a target that crashed just as the store was lost move when its grant has run out (up to 6.5 s), not at once. Ruled out: to shorten the quarter; it is right where the notice is read in time, and would still count from the wrong moment. test_leaving_that_was_not_seen, test_leaving_before_the_host_started and the two tests of departures fail without their line of the change each, and pass; 53 tests of the controller, the feed and admission pass.

--- a/amaranthcrank/router/departure_talk_test.py
+++ b/amaranthcrank/router/departure_talk_test.py
@@ -10,6 +10,7 @@
 from standins import neighbours
 
 HOSTS = 3
+LOST_S = 5.0
 KEEP_S = 2.3
 
 
@@ -52,7 +53,7 @@
     async def _return_without(self, host_id, numbers):
         """Let a host find entries missing, and ask for them."""
         targets = self.targets_by_host[host_id]
-        targets.keep_missing(KEEP_S)
+        targets.keep_missing(KEEP_S, LOST_S)
         left = set(range(40)) - set(numbers)
         targets.replace_all(map(_entry, left))
         self.departures_by_host[host_id].ask()
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 import typing
 
 from amaranthcrank.router import model
@@ -58,10 +59,15 @@
       paused_until: No request is sent before; the event loop's time.
       cold_until: When it is warm, the event loop's time.
       missing_until: Until when a lapsed entry is kept, or None.
-      leaving_since: When it was first known to leave, or None.
+      leaving_since: Since when it may have been leaving, or None.
     """
 
-    def __init__(self, entry: model.TargetEntry, now: float) -> None:
+    def __init__(
+        self,
+        entry: model.TargetEntry,
+        now: float,
+        leaving_since: float | None = None,
+    ) -> None:
         """Take the entry of a new target."""
         self.entry = entry
         self.in_flight = 0
@@ -74,8 +80,7 @@
         self.paused_until = 0.0
         self.cold_until = now + entry.cold_s
         self.missing_until: float | None = None
-        leaving = entry.state == model.DRAINING
-        self.leaving_since: float | None = now if leaving else None
+        self.leaving_since = leaving_since
         self._silent = False
         self._resets: collections.deque[tuple[float, bytes]] = (
             collections.deque(maxlen=MAX_RESETS)
@@ -167,7 +172,7 @@
     """How the entry of one incarnation of a target went.
 
     Attributes:
-      at: When, the event loop's time.
+      at: When, or since when it may have been gone, the event loop's time.
       announced: Whether the target had said that it leaves.
       lapsed: Whether it went just after a loss of the store, so that it may
         have lapsed in an outage.
@@ -206,8 +211,9 @@
         self._log = log
         self._keep_missing_until = 0.0
         self._doubt_until = 0.0
+        self._unseen_since = 0.0
 
-    def keep_missing(self, keep_s: float) -> None:
+    def keep_missing(self, keep_s: float, lost_s: float) -> None:
         """Keep entries that are missing from now on for some seconds.
 
         They may have lapsed in an outage of the store; their targets write
@@ -215,10 +221,12 @@
 
         Args:
           keep_s: For how long; 0 or less: not at all.
+          lost_s: For how long this host did not see what changed.
         """
         now = self._clock()
         self._keep_missing_until = now + keep_s
         self._doubt_until = now + RETURN_S
+        self._unseen_since = now - lost_s
 
     def missing_holders(self) -> list[str]:
         """Return the targets that are kept though their entry is missing."""
@@ -296,13 +304,15 @@
         """Tell whether a target that refuses connections has ended.
 
         One that leaves closes its port while it still works on what it has;
-        only one that should serve must have crashed.
+        only one that should serve must have crashed. One whose entry is
+        missing after a loss of the store may have left long ago.
         """
         target = self.find(*model.split_holder(holder))
         if target is not None:
-            return target.entry.state == model.READY
+            is_missing = target.missing_until is not None
+            return target.entry.state == model.READY and not is_missing
         departure = self._departure_by_holder.get(holder)
-        if departure is None or departure.announced:
+        if departure is None or departure.announced or departure.lapsed:
             return False
         age_s = self._clock() - departure.at
         return age_s < self.drain_s - DRAIN_MARGIN_S
@@ -311,20 +321,34 @@
         now = self._clock()
         known = self.by_id.get(entry.target_id)
         if known is None or _is_other(known.entry, entry):
-            self.by_id[entry.target_id] = Target(entry, now)
+            leaving_since = self._leaving_since(entry)
+            self.by_id[entry.target_id] = Target(entry, now, leaving_since)
             self._departure_by_holder.pop(entry.holder, None)
             self._log('target_known', **entry._asdict())
             return
         known.missing_until = None
         if known.entry.state != entry.state:
-            leaving = entry.state == model.DRAINING
-            known.leaving_since = now if leaving else None
+            known.leaving_since = self._leaving_since(entry)
             self._log(
                 'target_state', target=entry.target_id, state=entry.state
             )
         known.entry = entry
         known.cold_until = now + entry.cold_s
 
+    def _leaving_since(self, entry: model.TargetEntry) -> float | None:
+        if entry.state != model.DRAINING:
+            return None
+        return self._earliest()
+
+    def _earliest(self) -> float:
+        """Return since when what is learnt now may have been so."""
+        if not self.loaded:
+            return -math.inf
+        now = self._clock()
+        if now < self._doubt_until:
+            return self._unseen_since
+        return now
+
     def _lose(self, target_id: str) -> None:
         target = self.by_id.get(target_id)
         if target is None:
@@ -345,7 +369,7 @@
         target = self.by_id.pop(target_id)
         leaving = target.entry.state == model.DRAINING
         self._departure_by_holder[target.entry.holder] = Departure(
-            self._clock(), leaving, reason == LAPSED
+            self._earliest(), leaving, reason == LAPSED
         )
         self._log('target_gone', target=target_id, reason=reason)
 
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -4,6 +4,7 @@
 from amaranthcrank.router import model
 
 KEEP_S = 2.3
+LOST_S = 5.0
 
 
 def entry(target_id='i-1', state=model.READY, incarnation=1, port=1):
@@ -38,7 +39,7 @@
     def test_lapsed_entries_are_kept_for_their_return(self):
         # Entries lapse while the store is away; the targets still serve.
         self.directory.replace_all([entry('i-1'), entry('i-2')])
-        self.directory.keep_missing(KEEP_S)
+        self.directory.keep_missing(KEEP_S, LOST_S)
         self.directory.replace_all([])
         self.assertEqual(self._ids(), ['i-1', 'i-2'])
         self.directory.put(entry('i-1'))
@@ -52,7 +53,7 @@
         A missing entry that another host saw go did not lapse.
         """
         self.directory.replace_all([entry('i-1'), entry('i-2')])
-        self.directory.keep_missing(KEEP_S)
+        self.directory.keep_missing(KEEP_S, LOST_S)
         self.directory.replace_all([entry('i-2')])
         self.assertEqual(self.directory.missing_holders(), ['i-1/1'])
         self.directory.note_departed('i-1/1')
@@ -63,7 +64,7 @@
         # What lapsed here may have lapsed at a host that asks, too.
         self.directory.replace_all([entry('i-1'), entry('i-2')])
         self.directory.remove('i-1')
-        self.directory.keep_missing(KEEP_S)
+        self.directory.keep_missing(KEEP_S, LOST_S)
         self.directory.replace_all([])
         self.now += KEEP_S + 0.1
         self.directory.expire()
@@ -73,7 +74,7 @@
     def test_what_was_not_kept_may_have_lapsed(self):
         """Guards against living targets that all hosts drop on one's word."""
         self.directory.replace_all([entry('i-1'), entry('i-2')])
-        self.directory.keep_missing(-0.3)
+        self.directory.keep_missing(-0.3, LOST_S)
         self.directory.replace_all([])
         self.assertEqual(self._ids(), [])
         self.assertFalse(self.directory.has_departed('i-1/1'))
@@ -87,7 +88,7 @@
     def test_leaving_target_is_not_kept(self):
         # Its entry did not lapse: it has left.
         self.directory.replace_all([entry('i-1', model.DRAINING)])
-        self.directory.keep_missing(KEEP_S)
+        self.directory.keep_missing(KEEP_S, LOST_S)
         self.directory.replace_all([])
         self.assertEqual(self._ids(), [])
 
@@ -97,6 +98,51 @@
         self.assertEqual(self.directory.ready('desk'), [])
         self.assertIsNotNone(self.directory.by_id['i-1'].leaving_since)
 
+    def test_leaving_that_was_not_seen(self):
+        """Guards against keyed requests to targets that left long ago.
+
+        An owner that leaves is sent requests for a while, which counts from
+        its notice and not from when a host that lost the store read of it.
+        """
+        self.directory.replace_all([entry('i-1')])
+        self.directory.keep_missing(KEEP_S, LOST_S)
+        self.directory.replace_all(
+            [entry('i-1', model.DRAINING), entry('i-2', model.DRAINING)]
+        )
+        for target in self.directory.by_id.values():
+            self.assertEqual(target.leaving_since, self.now - LOST_S)
+
+    def test_leaving_before_the_host_started(self):
+        """Guards against keyed requests to targets that left long ago."""
+        self.directory.replace_all([entry('i-1', model.DRAINING)])
+        leaving_since = self.directory.by_id['i-1'].leaving_since
+        self.assertLess(leaving_since, self.now - 60.0)
+
+    def test_departure_that_was_not_seen_is_no_crash(self):
+        """Guards against two owners: a target that left works on for long.
+
+        It refuses connections before its work has ended. Only one whose entry
+        has just gone, without a notice, must have crashed if it refuses.
+        """
+        self.directory.replace_all([entry('i-1'), entry('i-2')])
+        self.directory.remove('i-2')
+        self.assertTrue(self.directory.has_crashed_if_refusing('i-2/1'))
+        self.directory.keep_missing(KEEP_S, LOST_S)
+        self.directory.replace_all([])
+        self.assertEqual(self.directory.missing_holders(), ['i-1/1'])
+        self.assertFalse(self.directory.has_crashed_if_refusing('i-1/1'))
+        self.now += KEEP_S + 0.1
+        self.directory.expire()
+        self.assertFalse(self.directory.has_crashed_if_refusing('i-1/1'))
+
+    def test_departure_that_another_host_saw_is_no_crash(self):
+        """Guards against two owners: it may have left long before."""
+        self.directory.replace_all([entry('i-1')])
+        self.directory.keep_missing(KEEP_S, LOST_S)
+        self.directory.replace_all([])
+        self.directory.note_departed('i-1/1')
+        self.assertFalse(self.directory.has_crashed_if_refusing('i-1/1'))
+
     def test_new_incarnation_starts_anew(self):
         # A target that restarted under its id holds nothing of before.
         self.directory.replace_all([entry('i-1')])
--- a/amaranthcrank/router/store_absence.py
+++ b/amaranthcrank/router/store_absence.py
@@ -59,16 +59,17 @@
         if silence_s < self._lapse_s:
             return
         now = clock.now()
+        lost_s = now - lost_at
         failed_s = now - self._history.failed_at
         # The store may have been back since the last call that failed.
         bound_s = self._settle_s - EXPIRY_MARGIN_S - failed_s
         keep_s = min(directory.RETURN_S, bound_s)
         self._log(
             'store_absence',
-            lost_s=round(now - lost_at, 2),
+            lost_s=round(lost_s, 2),
             silence_s=round(silence_s, 2),
             failed_s=round(failed_s, 2),
             keep_s=round(keep_s, 2),
         )
-        self._targets.keep_missing(keep_s)
+        self._targets.keep_missing(keep_s, lost_s)
         self._departures.ask()
--- a/amaranthcrank/router/store_absence_test.py
+++ b/amaranthcrank/router/store_absence_test.py
@@ -20,9 +20,11 @@
 
     def __init__(self):
         self.keep_s = 0.0
+        self.lost_s = 0.0
 
-    def keep_missing(self, keep_s):
+    def keep_missing(self, keep_s, lost_s):
         self.keep_s = keep_s
+        self.lost_s = lost_s
 
 
 class _Departures:
