Give each release of slots a connection of its own

Releases share two control connections, so an earlier answer could be taken for that to a later release of the same slot (two owners while work runs). Now a release opens a connection and closes it. Ruled out: to close the kept connection behind the answer (tried: it is back in the pool by the time that the body has been read); to match by an id (this interface echoes none). Answers to grants need nothing: each bears the upstream's own challenge. test_release_has_its_own_connection failed before and passes. The script of test_control_requests has the release on a connection of its own; what it asserts is unchanged, and it passes before and after.

--- a/amaranthcrank/dispatch/upstream_client.py
+++ b/amaranthcrank/dispatch/upstream_client.py
@@ -210,7 +210,7 @@
 
 def get_grant(upstream: Upstream) -> ControlAnswer | UpstreamFailure:
     """Ask for incarnation, challenge, version, draining and in_flight."""
-    return _control(upstream, 'GET', '/grant', None)
+    return _control(upstream.control, 'GET', '/grant', None)
 
 
 def post_grant(
@@ -227,22 +227,30 @@
         'version': version,
         'slots': [list(each) for each in slots],
     }
-    return _control(upstream, 'POST', '/grant', value)
+    return _control(upstream.control, 'POST', '/grant', value)
 
 
 def post_release(
     upstream: Upstream, version: int, slots: abc.Sequence[tuple[str, int]]
 ) -> ControlAnswer | UpstreamFailure:
-    """Ask the upstream to give up (service, slot) at a version."""
+    """Ask the upstream to give up (service, slot) at a version.
+
+    Each release has a connection of its own. A faulty upstream may write its
+    answer once more, which could not be told from that to a later release.
+    """
     value = {'version': version, 'slots': [list(each) for each in slots]}
-    return _control(upstream, 'POST', '/release', value)
+    kept = upstream.control
+    with contextlib.closing(_Pool(kept.host, kept.port, block=True)) as pool:
+        return _control(pool, 'POST', '/release', value)
 
 
 def post_cancel(
     upstream: Upstream, request_id: str
 ) -> ControlAnswer | UpstreamFailure:
     """Ask the upstream to cancel a request."""
-    return _control(upstream, 'POST', '/cancel', {'request_id': request_id})
+    return _control(
+        upstream.control, 'POST', '/cancel', {'request_id': request_id}
+    )
 
 
 def _work_path(request: model.Request) -> str:
@@ -255,7 +263,7 @@
 
 
 def _control(
-    upstream: Upstream, method: str, path: str, value: typing.Any
+    pool: _Pool, method: str, path: str, value: typing.Any
 ) -> ControlAnswer | UpstreamFailure:
     headers = urllib3.HTTPHeaderDict({'User-Agent': urllib3.util.SKIP_HEADER})
     body = b''
@@ -264,7 +272,7 @@
         body = json.dumps(value, separators=(',', ':')).encode()
     end = time.monotonic() + CONTROL_TIMEOUT_S
     answer = _exchange(
-        upstream.control, method, path, body, headers, end, MAX_CONTROL_BYTES
+        pool, method, path, body, headers, end, MAX_CONTROL_BYTES
     )
     if isinstance(answer, UpstreamFailure):
         return answer
--- a/amaranthcrank/dispatch/upstream_client_test.py
+++ b/amaranthcrank/dispatch/upstream_client_test.py
@@ -76,6 +76,12 @@
     return line.split(' ')[:2], header_by_name, body
 
 
+def _json_answer(value, status=200):
+    body = json.dumps(value).encode()
+    head = f'HTTP/1.1 {status} S\r\nContent-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
 class UpstreamClientTest(unittest.TestCase):
     def setUp(self):
         self.stack = contextlib.ExitStack()
@@ -204,6 +210,21 @@
         self.assertEqual(200, self._send(upstream).status)
         self.assertEqual(2, len(script.requests))
 
+    def test_release_has_its_own_connection(self):
+        """Guards against two owners of a slot.
+
+        An earlier answer to a release, written once more on a connection that
+        was kept, would say that nothing runs on the slot any more.
+        """
+        idle = _json_answer({'slots': [['soaklog', 7, 0]]})
+        busy = _json_answer({'slots': [['soaklog', 7, 1]]})
+        _, upstream = self._script([idle, idle], [busy])
+        slots = [('soaklog', 7)]
+        first = upstream_client.post_release(upstream, 3, slots)
+        self.assertEqual([['soaklog', 7, 0]], first.value['slots'])
+        second = upstream_client.post_release(upstream, 5, slots)
+        self.assertEqual([['soaklog', 7, 1]], second.value['slots'])
+
     def test_head_that_is_cut_short(self):
         """Guards against an empty success in place of a broken answer.
 
@@ -289,16 +310,12 @@
         self.assertEqual(200, answers[0].status)
 
     def test_control_requests(self):
-        def answer(status, value):
-            body = json.dumps(value).encode()
-            head = (
-                f'HTTP/1.1 {status} S\r\nContent-Length: {len(body)}\r\n\r\n'
-            )
-            return head.encode() + body
-
+        challenge = _json_answer({'challenge': 'x'})
+        rejected = _json_answer({'version': 9}, 409)
         script, upstream = self._script(
-            [answer(200, {'challenge': 'x'}), answer(409, {'version': 9})] * 2
-            + [answer(200, [1])]
+            [challenge, rejected],
+            [challenge],
+            [rejected, _json_answer([1])],
         )
         got = upstream_client.get_grant(upstream)
         self.assertEqual((200, {'challenge': 'x'}), got)
