Give the pool of connections a module of its own

http_client.py held the protocol of one connection and the pool of idle ones, 512 lines in all (it grew with the limits on answers and with the first answer of a connection). Now http_client is one connection (362 lines), and connection_pool keeps and lends them. Names and behaviour are unchanged; the tests of answers that come slowly move with the code (connection_pool_test). Ruled out: to split the protocol itself, whose state belongs together. 74 tests of the touched modules and the command line pass.

--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -12,7 +12,7 @@
 from amaranthcrank.platform import names
 from amaranthcrank.platform import settings_file
 from amaranthcrank.platform import store
-from amaranthcrank.router import http_client
+from amaranthcrank.router import connection_pool
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 
@@ -131,7 +131,7 @@
 
 
 async def _read_site(address: model.Address) -> Site:
-    pool = http_client.Pool(asyncio.get_running_loop().time)
+    pool = connection_pool.Pool(asyncio.get_running_loop().time)
     client = store.Client(address, pool)
     try:
         found = await client.get(
--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 from amaranthcrank.router import clock
+from amaranthcrank.router import connection_pool
 from amaranthcrank.router import headers as fields
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
@@ -91,7 +92,7 @@
     def __init__(
         self,
         address: model.Address,
-        pool: http_client.Pool,
+        pool: connection_pool.Pool,
         history: store_history.StoreHistory | None = None,
     ) -> None:
         """Use a pool of connections to the store's address."""
@@ -235,7 +236,7 @@
         timeout_s: float,
     ) -> http_client.Answer:
         try:
-            answer = await http_client.request(
+            answer = await connection_pool.request(
                 self._pool,
                 self._address,
                 method.encode(),
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -8,6 +8,7 @@
 from amaranthcrank.platform import names
 from amaranthcrank.router import admission
 from amaranthcrank.router import call as calls
+from amaranthcrank.router import connection_pool
 from amaranthcrank.router import crash_reports
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
@@ -64,7 +65,7 @@
         self,
         targets: directory.Directory,
         waiting: admission.Admission,
-        pool: http_client.Pool,
+        pool: connection_pool.Pool,
         budget: retry_rules.RetryBudget,
         times: service_times.ServiceTimes,
         crashes: crash_reports.CrashReports,
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -9,6 +9,7 @@
 from amaranthcrank.platform import grants
 from amaranthcrank.platform import names
 from amaranthcrank.router import clock
+from amaranthcrank.router import connection_pool
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
@@ -40,7 +41,7 @@
         `id/incarnation`, by `clock.now`.
     """
 
-    def __init__(self, pool: http_client.Pool, log: event_log.EventLog):
+    def __init__(self, pool: connection_pool.Pool, log: event_log.EventLog):
         """Call over a pool of connections."""
         self.held_until_by_holder: dict[str, float] = {}
         self._unanswered_by_holder: dict[str, list[float]] = {}
@@ -146,7 +147,7 @@
             (names.EXPECTED_TARGET, model.split_holder(holder)[0].encode()),
         ]
         try:
-            answer = await http_client.request(
+            answer = await connection_pool.request(
                 self._pool,
                 address,
                 b'POST',
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -13,6 +13,7 @@
 from amaranthcrank.platform import settings_file
 from amaranthcrank.platform import store
 from amaranthcrank.router import admission
+from amaranthcrank.router import connection_pool
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import crash_reports
 from amaranthcrank.router import departure_talk
@@ -20,7 +21,6 @@
 from amaranthcrank.router import event_log
 from amaranthcrank.router import forwarder
 from amaranthcrank.router import host_reports
-from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import key_controller
@@ -73,7 +73,7 @@
         self.stopping = asyncio.Event()
         self.log = event_log.EventLog(settings.host_id, log_descriptor)
         self.metrics = metrics.Registry()
-        self.pool = http_client.Pool(clock)
+        self.pool = connection_pool.Pool(clock)
         self.store = store.Client(settings.store, self.pool)
         self._build_request_path(clock)
         self._build_control(clock)
--- a/amaranthcrank/router/ticket_feed.py
+++ b/amaranthcrank/router/ticket_feed.py
@@ -14,6 +14,7 @@
 from amaranthcrank.platform import manifest
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.router import connection_pool
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
@@ -52,7 +53,7 @@
         self,
         client: store.Client,
         talk: peers.Peers,
-        pool: http_client.Pool,
+        pool: connection_pool.Pool,
         log: event_log.EventLog,
         on_ticket: typing.Callable[[model.Ticket], None],
         rota: reading_rota.ReadingRota,
@@ -165,7 +166,7 @@
 
     async def _fetch(self, address: model.Address) -> typing.Any:
         host = f'{address.ip}:{address.port}'.encode()
-        answer = await http_client.request(
+        answer = await connection_pool.request(
             self._pool,
             address,
             b'GET',
