Read a target's entry before a grant goes out on a new connection

Trace: book-4 crashed and was back as incarnation 12; host-0 read that at 236.947 s, the controller, which gathers changes for half a second, at 237.217; its renewal arrived at 237.21 (monotonic clocks compared over the first grant, to about 10 ms). Calls name the id only, which is the same. An incarnation ends its connections, so a renewal reaches the next one on a new connection only. Now the entry is read before a grant is sent on a new one; if the target has started anew, it is not sent. In an outage it is sent all the same: owners would lose their keys whenever a connection ends. Ruled out: a higher token at each new connection (a write of the key map each, and no keys in an outage); to read changes without a pause (more calls by every host, and the gap stays). Remains: the time between a target's first listening and its registration. test_grant_for_a_former_incarnation_is_not_sent and test_new_start_is_asked_for_on_new_connections_only fail without the check and pass; 54 tests of the touched modules pass.

--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -146,6 +146,11 @@
             return False
         return self.reusable
 
+    @property
+    def is_new(self) -> bool:
+        """Whether nothing was sent here yet."""
+        return self._exchanges == 0
+
     def abort(self) -> None:
         """Drop the connection at once."""
         self.reusable = False
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -4,6 +4,7 @@
 from its arrival: after the length of the last grant sent, no key is held.
 """
 
+import typing
 import uuid
 
 from amaranthcrank.platform import grants
@@ -33,6 +34,14 @@
 ELSEWHERE = 'elsewhere'
 
 
+# Tells whether a holder's target has started anew under its id.
+StartCheck = typing.Callable[[str], typing.Awaitable[bool]]
+
+
+class _StartedAnewError(Exception):
+    """The target is no longer the incarnation that the grant is for."""
+
+
 class KeyCalls:
     """The calls to targets, and until when each may hold keys.
 
@@ -41,13 +50,26 @@
         `id/incarnation`, by `clock.now`.
     """
 
-    def __init__(self, pool: connection_pool.Pool, log: event_log.EventLog):
-        """Call over a pool of connections."""
+    def __init__(
+        self,
+        pool: connection_pool.Pool,
+        log: event_log.EventLog,
+        has_started_anew: StartCheck,
+    ) -> None:
+        """Call over a pool of connections.
+
+        Args:
+          pool: The connections, shared with requests.
+          log: Takes what is not as expected.
+          has_started_anew: Asked before a grant goes out on a new connection,
+            which may lead to another incarnation than the ones before.
+        """
         self.held_until_by_holder: dict[str, float] = {}
         self._unanswered_by_holder: dict[str, list[float]] = {}
         self._default_until = 0.0
         self._pool = pool
         self._log = log
+        self._has_started_anew = has_started_anew
 
     def start(self, grant_max_s: float) -> None:
         """Assume the longest grants of whoever had the lease before."""
@@ -139,6 +161,13 @@
         timeout_s: float,
     ) -> tuple[str, http_client.Answer | None]:
         request_id = uuid.uuid4().hex.encode()
+
+        async def check_new() -> None:
+            if path != names.GRANT_PATH:
+                return
+            if await self._has_started_anew(holder):
+                raise _StartedAnewError
+
         headers = [
             (names.REQUEST_ID, request_id),
             (b'host', f'{address.ip}:{address.port}'.encode()),
@@ -158,7 +187,11 @@
                 timeout_s,
                 request_id=request_id,
                 is_kept=_may_come_again,
+                check_new=check_new,
             )
+        except _StartedAnewError:
+            self._log.event('grant_not_sent', holder=holder)
+            return ELSEWHERE, None
         except http_client.ConnectError as error:
             return (REFUSED if error.refused else UNANSWERED), None
         except (http_client.ExchangeError, TimeoutError):
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -32,10 +32,14 @@
         self.address = model.Address(*server.sockets[0].getsockname())
         self.pool = connection_pool.Pool(asyncio.get_running_loop().time)
         self.stack.callback(self.pool.close)
-        self.calls = key_calls.KeyCalls(self.pool, mock.Mock())
+        self.has_started_anew = mock.AsyncMock(return_value=False)
+        self.calls = key_calls.KeyCalls(
+            self.pool, mock.Mock(), self.has_started_anew
+        )
         # What precedes the answer to a call, by the call's number on its
         # connection, counted from 1.
         self.stale_by_number = {}
+        self.arrived = 0
 
     async def _serve(self, reader, writer):
         number = 0
@@ -50,6 +54,7 @@
                 )
                 await reader.readexactly(size)
                 number += 1
+                self.arrived += 1
                 path = head.split()[1].decode()
                 answer = RELEASED if path == names.RELEASE_PATH else GRANTED
                 writer.write(self.stale_by_number.get(number, b'') + answer)
@@ -118,6 +123,28 @@
         self.stale_by_number = {1: REFUSAL % 409}
         self.assertEqual(await self._grant(), key_calls.REJECTED)
 
+    async def test_grant_for_a_former_incarnation_is_not_sent(self):
+        """Guards against keys with a token that another incarnation had.
+
+        A renewal over a new connection reached a target that had started
+        anew under its id, before the controller knew of it.
+        """
+        self.assertEqual(await self._grant(), key_calls.GRANTED)
+        self.has_started_anew.return_value = True
+        self.pool.drop(self.address)
+        arrived = self.arrived
+        self.assertEqual(await self._grant(), key_calls.ELSEWHERE)
+        self.assertEqual(self.arrived, arrived)
+        self.assertTrue(self.calls.is_settled(HOLDER))
+        # Keys are taken back from any incarnation.
+        self.assertEqual(await self._release(), key_calls.RELEASED)
+
+    async def test_new_start_is_asked_for_on_new_connections_only(self):
+        # Each question is a call of the store.
+        for _ in range(3):
+            await self._grant()
+        self.has_started_anew.assert_awaited_once_with(HOLDER)
+
     async def test_grants_use_a_connection_again(self):
         for _ in range(3):
             self.assertEqual(await self._grant(), key_calls.GRANTED)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -65,7 +65,7 @@
     """Targets in memory, by port."""
 
     def __init__(self):
-        super().__init__(mock.Mock(), mock.Mock())
+        super().__init__(mock.Mock(), mock.Mock(), mock.AsyncMock())
         self.result_by_port = {}
         self.sent = []
         self.arrived = []
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -27,6 +27,7 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import metrics
 from amaranthcrank.router import model
+from amaranthcrank.router import new_starts
 from amaranthcrank.router import peers
 from amaranthcrank.router import reading_rota
 from amaranthcrank.router import retry_rules
@@ -134,7 +135,11 @@
         self.controller = key_controller.Controller(
             self.store,
             self.lease,
-            key_calls.KeyCalls(self.pool, self.log),
+            key_calls.KeyCalls(
+                self.pool,
+                self.log,
+                new_starts.start_check(self.store, self.log),
+            ),
             self.targets,
             self.keys,
             self.log,
--- a/soak/run_test.py
+++ b/soak/run_test.py
@@ -25,6 +25,8 @@
     Case(122, 20.0),
     # A renewal reached the next life of a target: two owners, seen once.
     Case(402, 20.0),
+    # Another reached it with the token of the former life.
+    Case(504, 20.0),
 )
 
 
