Count the lease of a grant from its sending, not from before connecting

To connect may take 0.4 s, and to read the entry 0.5 s more; the margin is 0.25 s and one per cent of the hold, so the next owner could have the keys while the former still held them (OWNER). Now the end is set anew when the grant is sent, and who waits for it follows grants that were on their way. Until then the grant counts as unanswered, as before, so a release that overtakes it shows nothing. The read of the entry is given 0.2 s in all: with 0.4 s to connect a grant goes out 0.6 s after its sender held the lease, and a successor waits 0.3 s before and 0.35 s after the longest hold of a slow clock. Ruled out: a longer margin (each silent owner's keys would move later), and the end of all grants as it changes (an owner that loses some of its keys is renewed for the others all the time). test_hold_counts_from_the_sending fails without its line and passes, with test_hold_end_follows_a_grant_on_its_way and test_grant_on_its_way_is_not_settled; 39 tests of the calls, the controller and new_starts pass.

--- a/amaranthcrank/router/connection_pool.py
+++ b/amaranthcrank/router/connection_pool.py
@@ -104,7 +104,7 @@
     return True
 
 
-async def _no_check() -> None:
+async def _send_at_once(_: bool) -> None:
     pass
 
 
@@ -120,7 +120,9 @@
     silence_s: float = 0.0,
     request_id: bytes | None = None,
     is_kept: typing.Callable[[http_client.Answer], bool] = _always,
-    check_new: typing.Callable[[], typing.Awaitable[None]] = _no_check,
+    before_send: typing.Callable[[bool], typing.Awaitable[None]] = (
+        _send_at_once
+    ),
 ) -> http_client.Answer:
     """Make one exchange over a pooled connection.
 
@@ -137,8 +139,8 @@
         until nothing came for so long.
       request_id: An answer that bears another id is passed over.
       is_kept: Tells whether the connection is used again after an answer.
-      check_new: Awaited before anything is sent on a new connection; what it
-        raises ends the exchange.
+      before_send: Awaited when there is a connection, and told whether it is
+        a new one; what it raises ends the exchange.
 
     Raises:
       ConnectError: No connection could be made.
@@ -146,12 +148,11 @@
       TimeoutError: There was no whole answer in time.
     """
     connection = await pool.acquire(address, connect_timeout_s)
-    if connection.is_new:
-        try:
-            await check_new()
-        except BaseException:
-            connection.abort()
-            raise
+    try:
+        await before_send(connection.is_new)
+    except BaseException:
+        connection.abort()
+        raise
     async with asyncio.timeout(timeout_s) as limit:
         if silence_s:
             connection.on_part = _extension(limit, silence_s)
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -42,8 +42,8 @@
         Returns:
           The handover that it gave, or ''.
         """
-        held_until = self._calls.held_until(former)
-        while clock.now() < held_until:
+        hold_end = self._calls.hold_end(former)
+        while clock.now() < hold_end():
             next_life = self._find_next_life(former)
             if next_life is None and self.has_ended(former):
                 return ''
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -38,10 +38,25 @@
 StartCheck = typing.Callable[[str], typing.Awaitable[bool]]
 
 
+# Awaited before a call is sent, and told whether the connection is new.
+_BeforeSend = typing.Callable[[bool], typing.Awaitable[None]]
+
+
 class _StartedAnewError(Exception):
     """The target is no longer the incarnation that the grant is for."""
 
 
+class _Grant:
+    """A grant without an answer.
+
+    Attributes:
+      until: When it ends, by `clock.now`.
+    """
+
+    def __init__(self) -> None:
+        self.until = 0.0
+
+
 class KeyCalls:
     """The calls to targets, and until when each may hold keys.
 
@@ -65,7 +80,7 @@
             which may lead to another incarnation than the ones before.
         """
         self.held_until_by_holder: dict[str, float] = {}
-        self._unanswered_by_holder: dict[str, list[float]] = {}
+        self._unanswered_by_holder: dict[str, list[_Grant]] = {}
         self._default_until = 0.0
         self._pool = pool
         self._log = log
@@ -83,11 +98,25 @@
             self._default_until, self.held_until_by_holder.get(holder, 0.0)
         )
 
+    def hold_end(self, holder: str) -> typing.Callable[[], float]:
+        """Return until when a holder may hold what it was granted until now.
+
+        The end moves while a grant is still on its way to be sent; grants
+        that are begun later do not count.
+        """
+        known_until = self.held_until(holder)
+        unanswered = tuple(self._unanswered_by_holder.get(holder, ()))
+
+        def end() -> float:
+            return max([known_until, *(grant.until for grant in unanswered)])
+
+        return end
+
     def is_settled(self, holder: str) -> bool:
         """Tell whether no grant to a holder may still take effect."""
         now = clock.now()
-        ends = self._unanswered_by_holder.get(holder, ())
-        return all(until <= now for until in ends)
+        unanswered = self._unanswered_by_holder.get(holder, ())
+        return all(grant.until <= now for grant in unanswered)
 
     async def grant(
         self,
@@ -110,23 +139,38 @@
           GRANTED, REJECTED (a higher fence was seen), REFUSED (nothing
           listens there), ELSEWHERE or UNANSWERED.
         """
-        until = clock.now() + hold_s * CLOCK_RATE + MARGIN_S
         body = grants.grant_body(key_range, hold_s, handover)
-        self.held_until_by_holder[holder] = max(
-            until, self.held_until_by_holder.get(holder, 0.0)
-        )
+        grant = _Grant()
+        self._note_sent(holder, grant, hold_s)
+
+        async def before_send(is_new: bool) -> None:
+            if is_new and await self._has_started_anew(holder):
+                raise _StartedAnewError
+            # Its lease counts from its arrival, and to connect takes a while.
+            self._note_sent(holder, grant, hold_s)
+
         unanswered = self._unanswered_by_holder.setdefault(holder, [])
-        unanswered.append(until)
+        unanswered.append(grant)
         result, _ = await self._post(
-            holder, address, names.GRANT_PATH, body, GRANT_TIMEOUT_S
+            holder,
+            address,
+            names.GRANT_PATH,
+            body,
+            GRANT_TIMEOUT_S,
+            before_send,
         )
         if result in (GRANTED, REJECTED, REFUSED, ELSEWHERE):
             # It has taken effect or never will.
-            unanswered[:] = [end for end in unanswered if end != until]
+            unanswered.remove(grant)
         now = clock.now()
-        unanswered[:] = [end for end in unanswered if end > now]
+        unanswered[:] = [each for each in unanswered if each.until > now]
         return result
 
+    def _note_sent(self, holder: str, grant: _Grant, hold_s: float) -> None:
+        grant.until = clock.now() + hold_s * CLOCK_RATE + MARGIN_S
+        known_until = self.held_until_by_holder.get(holder, 0.0)
+        self.held_until_by_holder[holder] = max(grant.until, known_until)
+
     async def release(
         self,
         holder: str,
@@ -142,7 +186,12 @@
         """
         body = grants.release_body(first, last, fence)
         result, answer = await self._post(
-            holder, address, names.RELEASE_PATH, body, RELEASE_TIMEOUT_S
+            holder,
+            address,
+            names.RELEASE_PATH,
+            body,
+            RELEASE_TIMEOUT_S,
+            _send_at_once,
         )
         if result != GRANTED or answer is None:
             return result, ''
@@ -159,15 +208,9 @@
         path: str,
         body: bytes,
         timeout_s: float,
+        before_send: _BeforeSend,
     ) -> tuple[str, http_client.Answer | None]:
         request_id = uuid.uuid4().hex.encode()
-
-        async def check_new() -> None:
-            if path != names.GRANT_PATH:
-                return
-            if await self._has_started_anew(holder):
-                raise _StartedAnewError
-
         headers = [
             (names.REQUEST_ID, request_id),
             (b'host', f'{address.ip}:{address.port}'.encode()),
@@ -187,7 +230,7 @@
                 timeout_s,
                 request_id=request_id,
                 is_kept=_may_come_again,
-                check_new=check_new,
+                before_send=before_send,
             )
         except _StartedAnewError:
             self._log.event('grant_not_sent', holder=holder)
@@ -212,6 +255,10 @@
         return UNANSWERED, answer
 
 
+async def _send_at_once(_: bool) -> None:
+    """Keys are taken back from any incarnation."""
+
+
 def _is_success(answer: http_client.Answer) -> bool:
     return answer.status == 200
 
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -10,11 +10,13 @@
 from unittest import mock
 
 from amaranthcrank.platform import names
+from amaranthcrank.router import clock
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
 
 IP = '127.0.0.1'
+HOLD_S = 1.0
 HOLDER = 'i-1/1'
 RANGE = model.KeyRange(0, 99, 'i-1', 1, 1, False, '')
 GRANTED = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
@@ -60,7 +62,7 @@
                 writer.write(self.stale_by_number.get(number, b'') + answer)
 
     async def _grant(self):
-        return await self.calls.grant(HOLDER, self.address, RANGE, 1.0, '')
+        return await self.calls.grant(HOLDER, self.address, RANGE, HOLD_S, '')
 
     async def _release(self):
         result, _ = await self.calls.release(HOLDER, self.address, 0, 99, 2)
@@ -145,6 +147,48 @@
             await self._grant()
         self.has_started_anew.assert_awaited_once_with(HOLDER)
 
+    async def test_hold_counts_from_the_sending(self):
+        """Guards against two owners: a lease counts from its arrival.
+
+        It was counted from before a connection was made.
+        """
+
+        async def wait(_):
+            await asyncio.sleep(0.1)
+            self.sending_at = clock.now()
+            return False
+
+        self.has_started_anew.side_effect = wait
+        await self._grant()
+        held_s = self.calls.held_until(HOLDER) - self.sending_at
+        self.assertGreaterEqual(
+            held_s, HOLD_S * key_calls.CLOCK_RATE + key_calls.MARGIN_S
+        )
+
+    async def test_hold_end_follows_a_grant_on_its_way(self):
+        # Who waits for the end began before the grant was sent.
+        async def wait(_):
+            self.hold_end = self.calls.hold_end(HOLDER)
+            await asyncio.sleep(0.1)
+            return False
+
+        self.has_started_anew.side_effect = wait
+        await self._grant()
+        self.assertEqual(self.hold_end(), self.calls.held_until(HOLDER))
+        await asyncio.sleep(0.05)
+        await self._grant()
+        self.assertLess(self.hold_end(), self.calls.held_until(HOLDER))
+
+    async def test_grant_on_its_way_is_not_settled(self):
+        # A release that overtook it would say that no key is held.
+        async def look(_):
+            self.assertFalse(self.calls.is_settled(HOLDER))
+            return False
+
+        self.has_started_anew.side_effect = look
+        await self._grant()
+        self.assertTrue(self.calls.is_settled(HOLDER))
+
     async def test_grants_use_a_connection_again(self):
         for _ in range(3):
             self.assertEqual(await self._grant(), key_calls.GRANTED)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -72,7 +72,7 @@
         self.way_s_by_path = {}
         self.work_s = 0.0
 
-    async def _post(self, holder, address, path, body, timeout_s):
+    async def _post(self, holder, address, path, body, timeout_s, _):
         self.sent.append((clock.now(), address.port, path, body))
         await asyncio.sleep(self.way_s_by_path.get(path, 0.001))
         self.arrived.append((clock.now(), address.port, path, body))
--- a/amaranthcrank/router/new_starts.py
+++ b/amaranthcrank/router/new_starts.py
@@ -4,6 +4,7 @@
 is known would give the next incarnation keys with the token of the former.
 """
 
+import asyncio
 import typing
 
 from amaranthcrank.platform import entries
@@ -12,7 +13,8 @@
 from amaranthcrank.router import event_log
 from amaranthcrank.router import model
 
-CALL_TIMEOUT_S = 0.5
+# A grant must not go out much later than its sender still held the lease.
+TIMEOUT_S = 0.2
 
 
 def start_check(
@@ -31,14 +33,15 @@
     async def has_started_anew(holder: str) -> bool:
         target_id, incarnation = model.split_holder(holder)
         try:
-            item = await client.get(
-                names.TARGETS_KIND, target_id, CALL_TIMEOUT_S
-            )
+            async with asyncio.timeout(TIMEOUT_S):
+                item = await client.get(
+                    names.TARGETS_KIND, target_id, TIMEOUT_S
+                )
             if item is None:
                 return False
             entry = entries.decode_target(target_id, item)
-        except (store.StoreError, entries.EntryError) as error:
-            log.event('start_unread', holder=holder, error=str(error))
+        except (TimeoutError, store.StoreError, entries.EntryError) as error:
+            log.event('start_unread', holder=holder, error=repr(error))
             return False
         return entry.incarnation > incarnation
 
--- a/amaranthcrank/router/new_starts_test.py
+++ b/amaranthcrank/router/new_starts_test.py
@@ -1,3 +1,5 @@
+import asyncio
+import time
 import unittest
 from unittest import mock
 
@@ -40,6 +42,16 @@
         self.client.get.side_effect = store.StoreError('away')
         self.assertFalse(await self.has_started_anew(HOLDER))
 
+    async def test_store_that_is_silent(self):
+        # A grant that waited for it would go out after the lease.
+        async def wait(*_):
+            await asyncio.sleep(5.0)
+
+        self.client.get.side_effect = wait
+        began_at = time.monotonic()
+        self.assertFalse(await self.has_started_anew(HOLDER))
+        self.assertLess(time.monotonic() - began_at, 0.5)
+
 
 if __name__ == '__main__':
     unittest.main()
