--- a/amaranthcrank/router/faulty_targets_test.py
+++ b/amaranthcrank/router/faulty_targets_test.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import model
 from standins import platform_site
 from standins import platform_target
+from standins import scripted_server
 
 KEYED = ['book', '/healthz', 100, True]
 PLAIN = ['desk', '/healthz', 100, None]
@@ -59,28 +60,14 @@
         """Serve one connection."""
         self.connections += 1
         self._writers.append(writer)
-        number = 0
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
-        ):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                number += 1
-                request_id = _id_of(head)
-                if b'/v1/' in head.split(b'\r\n')[0]:
-                    writer.write(success(request_id))
-                    continue
-                self.ids.append(request_id)
-                writer.write(self.script(request_id, number))
-
-
-def _id_of(head: bytes) -> bytes:
-    for line in head.split(b'\r\n'):
-        name, _, value = line.partition(b': ')
-        if name == b'x-request-id':
-            return value
-    return b''
+        await scripted_server.serve(reader, writer, self._answer)
+
+    def _answer(self, head, number) -> bytes:
+        request_id = scripted_server.header_of(head, b'x-request-id')
+        if b'/v1/' in head.split(b'\r\n')[0]:
+            return success(request_id)
+        self.ids.append(request_id)
+        return self.script(request_id, number)
 
 
 class StaleRefusalTest(unittest.IsolatedAsyncioTestCase):
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -14,6 +14,7 @@
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
+from standins import scripted_server
 
 IP = '127.0.0.1'
 HOLD_S = 1.0
@@ -44,22 +45,13 @@
         self.arrived = 0
 
     async def _serve(self, reader, writer):
-        number = 0
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
-        ):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                size = int(
-                    head.lower().split(b'content-length: ')[1].split()[0]
-                )
-                await reader.readexactly(size)
-                number += 1
-                self.arrived += 1
-                path = head.split()[1].decode()
-                answer = RELEASED if path == names.RELEASE_PATH else GRANTED
-                writer.write(self.stale_by_number.get(number, b'') + answer)
+        await scripted_server.serve(reader, writer, self._answer)
+
+    def _answer(self, head, number):
+        self.arrived += 1
+        path = head.split()[1].decode()
+        answer = RELEASED if path == names.RELEASE_PATH else GRANTED
+        return self.stale_by_number.get(number, b'') + answer
 
     async def _grant(self):
         return await self.calls.grant(HOLDER, self.address, RANGE, HOLD_S, '')
--- /dev/null
+++ b/standins/scripted_server.py
@@ -0,0 +1,42 @@
+"""Serves HTTP requests with bytes that a test scripts."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+END_OF_HEAD = b'\r\n\r\n'
+
+
+async def serve(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    answer: abc.Callable[[bytes, int], bytes],
+) -> None:
+    """Answer the requests of one connection until it ends.
+
+    Args:
+      reader: Where requests come from.
+      writer: Where answers go to.
+      answer: Returns what to write, from a request's head and its number on
+        the connection, counted from 1.
+    """
+    number = 0
+    with (
+        contextlib.closing(writer),
+        contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+    ):
+        while True:
+            head = await reader.readuntil(END_OF_HEAD)
+            size = int(header_of(head, b'content-length') or 0)
+            await reader.readexactly(size)
+            number += 1
+            writer.write(answer(head, number))
+
+
+def header_of(head: bytes, name: bytes) -> bytes:
+    """Return the value of a header of a request's head, or b''."""
+    for line in head.split(b'\r\n'):
+        found, _, value = line.partition(b': ')
+        if found.lower() == name:
+            return value
+    return b''
