Split any long change over datagrams, not only one of a key map

Cause: changes of targets will be told to hosts that lost the store, and are often longer than a datagram. `change_parts` did just that, but only for ranges of keys, named by a service and a revision. Ruled out: a second splitter beside it, and an answer over TCP, which hangs where hosts are cut off from each other. Conclusion: one splitter serves both.

--- a/amaranthcrank/router/change_parts.py
+++ b/amaranthcrank/router/change_parts.py
@@ -1,25 +1,23 @@
-"""Splits a change of a key map over several datagrams, and joins it again."""
+"""Splits a long change over several datagrams, and joins it again."""
 
 import typing
 
-from amaranthcrank.router import model
-
 # A longer change is read from the store.
 MAX_PARTS = 8
 # Changes of which a part may still be on its way.
 MAX_OPEN = 8
 
-Ranges = typing.Sequence[model.KeyRange]
+Part = typing.Sequence[typing.Any]
 
 
 def split(
-    changed: Ranges, fits: typing.Callable[[Ranges], bool]
-) -> tuple[Ranges, ...]:
+    changed: Part, fits: typing.Callable[[Part], bool]
+) -> tuple[Part, ...]:
     """Return parts of a change that each fit into a datagram.
 
     Args:
-      changed: The ranges that changed.
-      fits: Tells whether some ranges fit.
+      changed: What changed, in any order.
+      fits: Tells whether some of it fits.
 
     Returns:
       The parts; none if the change is too long.
@@ -36,16 +34,15 @@
 
     def __init__(self) -> None:
         """Start without parts."""
-        self._parts_by_change: dict[tuple[str, int], dict[int, Ranges]] = {}
+        self._parts_by_change: dict[typing.Hashable, dict[int, Part]] = {}
 
     def add(
-        self, service: str, revision: int, index: int, count: int, part: Ranges
-    ) -> list[model.KeyRange] | None:
+        self, change: typing.Hashable, index: int, count: int, part: Part
+    ) -> list[typing.Any] | None:
         """Take a part.
 
         Args:
-          service: The service.
-          revision: The revision that the change leads to.
+          change: Names the change of which it is a part.
           index: Which part this is, from 0.
           count: How many there are.
           part: The part.
@@ -53,7 +50,6 @@
         Returns:
           The whole change if this was the last part of it to arrive.
         """
-        change = (service, revision)
         parts = self._parts_by_change.setdefault(change, {})
         parts[index] = part
         if len(parts) < count:
@@ -62,7 +58,7 @@
                 del self._parts_by_change[oldest]
             return None
         del self._parts_by_change[change]
-        whole: list[model.KeyRange] = []
+        whole: list[typing.Any] = []
         for one in parts.values():
             whole += one
         return whole
--- a/amaranthcrank/router/change_parts_test.py
+++ b/amaranthcrank/router/change_parts_test.py
@@ -1,4 +1,4 @@
-"""Tests of changes of key maps that are longer than a datagram.
+"""Tests of changes that are longer than a datagram.
 
 The pattern: many small moves of a busy service at once; a change that is not
 told is read from the store by every host.
@@ -32,8 +32,10 @@
         self.assertEqual(len(parts), 4)
         collector = change_parts.PartCollector()
         for index in (3, 0, 2):
-            self.assertIsNone(collector.add('book', 8, index, 4, parts[index]))
-        whole = collector.add('book', 8, 1, 4, parts[1])
+            self.assertIsNone(
+                collector.add(('book', 8), index, 4, parts[index])
+            )
+        whole = collector.add(('book', 8), 1, 4, parts[1])
         self.assertEqual(sorted(whole), changed)
 
     def test_change_that_is_too_long(self):
@@ -43,13 +45,13 @@
     def test_lost_part(self):
         """Guards against half a change that is taken for a whole one."""
         collector = change_parts.PartCollector()
-        self.assertIsNone(collector.add('book', 8, 0, 2, _ranges(1)))
-        self.assertIsNone(collector.add('book', 9, 1, 2, _ranges(2)))
+        self.assertIsNone(collector.add(('book', 8), 0, 2, _ranges(1)))
+        self.assertIsNone(collector.add(('book', 9), 1, 2, _ranges(2)))
 
     def test_lost_parts_do_not_pile_up(self):
         collector = change_parts.PartCollector()
         for revision in range(1000):
-            collector.add('book', revision, 0, 2, _ranges(1))
+            collector.add(('book', revision), 0, 2, _ranges(1))
         self.assertLessEqual(
             len(collector._parts_by_change), change_parts.MAX_OPEN
         )
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -248,11 +248,11 @@
         change = (new.service, former.revision, new.revision)
 
         def content(
-            index: int, count: int, part: change_parts.Ranges
+            index: int, count: int, part: change_parts.Part
         ) -> list[typing.Any]:
             return [*change, index, count, [list(one) for one in part]]
 
-        def fits(part: change_parts.Ranges) -> bool:
+        def fits(part: change_parts.Part) -> bool:
             return self._talk.fits(peers.MOVED, content(0, 1, part))
 
         parts = change_parts.split(changed, fits)
@@ -266,7 +266,7 @@
             return
         service, former_revision, revision, index, count, values = content
         part = [model.KeyRange(*value) for value in values]
-        changed = self._parts.add(service, revision, index, count, part)
+        changed = self._parts.add((service, revision), index, count, part)
         if changed is None:
             return
         if self._keys.change(service, former_revision, revision, changed):
