Let a host that lost the store ask others, wherever they are

What callers saw: a host that alone lost the store went on sending to targets that leave, or had left, for as long as the loss lasted, and did not know of new ones.

So far the return of the store was mended (`departure_talk`), not the time before it. Now: while a host's contact to the store is lost, it asks two others twice a second for the changes after the revision that it knows (`catch_up`). Hosts that read the store remember the latest changes (`change_history`). Entries that go in the seconds after an outage are not passed on, since living targets may have lapsed. What was told counts as no answer of the store, so the return is judged as before, and the list is read then, unless more was told.

Evidence: CutHostTest.test_departure_while_the_store_is_lost and test_many_changes_while_the_store_is_lost failed before, and pass.

`store_sync.Sink` has one callback for each kind of read instead of a third that told neighbours.

--- a/amaranthcrank/cli/explain.py
+++ b/amaranthcrank/cli/explain.py
@@ -22,6 +22,7 @@
         'store_lost',
         'store_regained',
         'store_absence',
+        'changes_told',
         'history_gone',
         'lease_taken',
         'lease_lost',
--- /dev/null
+++ b/amaranthcrank/router/catch_up.py
@@ -0,0 +1,118 @@
+"""Lets a host that lost the store learn from others what changed.
+
+The store may be out of reach for one host and serve the others. Targets that
+come and leave meanwhile are known to those, in any failure domain.
+"""
+
+import asyncio
+import random
+import typing
+
+from amaranthcrank.router import change_history
+from amaranthcrank.router import change_parts
+from amaranthcrank.router import event_log
+from amaranthcrank.router import peers
+from amaranthcrank.router import store_sync
+
+# Well within the time for which a target that leaves may get requests.
+ASK_S = 0.5
+# Others may have lost the store too, or be out of reach.
+ASKED_HOSTS = 2
+
+
+class CatchUp:
+    """Asks other hosts for changes of targets, and tells them of changes.
+
+    Attributes:
+      history: What this host can tell. It must hold only changes that were
+        read while the store was surely there.
+    """
+
+    def __init__(
+        self,
+        talk: peers.Peers,
+        contact: store_sync.Contact,
+        revision: typing.Callable[[], int | None],
+        take: typing.Callable[[int, int, change_parts.Part], bool],
+        log: event_log.EventLog,
+    ) -> None:
+        """Ask while a contact is lost.
+
+        Args:
+          talk: Sends to and hears from the other hosts.
+          contact: Whether the store answers this host.
+          revision: Returns up to where this host knows the targets.
+          take: Takes what another host tells of the changes after one
+            revision and up to another; False: it is of no use.
+          log: Takes what was told.
+        """
+        self.history = change_history.ChangeHistory()
+        self._talk = talk
+        self._contact = contact
+        self._revision = revision
+        self._take = take
+        self._log = log
+        self._parts = change_parts.PartCollector()
+        self._timer: asyncio.TimerHandle | None = None
+        contact.on_lost = self._start
+        talk.handler_by_kind[peers.BEHIND] = self._tell
+        talk.handler_by_kind[peers.CHANGES] = self._hear
+
+    def _start(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(ASK_S * random.random(), self._ask)
+
+    def _ask(self) -> None:
+        self._timer = None
+        if self._contact.lost_at is None:
+            return
+        revision = self._revision()
+        if revision is not None:
+            for host_id in self._talk.sample(ASKED_HOSTS):
+                self._talk.send(host_id, peers.BEHIND, revision)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(ASK_S, self._ask)
+
+    def _tell(self, host_id: str, content: typing.Any) -> None:
+        if not isinstance(content, int) or self._contact.lost_at is not None:
+            return
+        found = self.history.after(content, self._fits)
+        if found is None:
+            return
+        parts = self._split(found)
+        for index, part in enumerate(parts):
+            message = [found.former, found.revision, index, len(parts), part]
+            self._talk.send(host_id, peers.CHANGES, message)
+
+    def _fits(self, changes: change_history.Changes) -> bool:
+        return bool(self._split(changes))
+
+    def _split(
+        self, found: change_history.Changes
+    ) -> tuple[change_parts.Part, ...]:
+        def fits(part: change_parts.Part) -> bool:
+            message = [found.former, found.revision, 0, 0, part]
+            return self._talk.fits(peers.CHANGES, message)
+
+        return change_parts.split(found.changes, fits)
+
+    def _hear(self, host_id: str, content: typing.Any) -> None:
+        if self._contact.lost_at is None or not isinstance(content, list):
+            return
+        former, revision, index, count, part = content
+        known = self._revision()
+        if known is None or revision <= known:
+            return
+        change = (host_id, former, revision)
+        changes = self._parts.add(change, index, count, part)
+        if changes is None:
+            return
+        if self._take(former, revision, changes):
+            self._log.event(
+                'changes_told',
+                by=host_id,
+                revision=revision,
+                targets=len(changes),
+            )
--- /dev/null
+++ b/amaranthcrank/router/change_history.py
@@ -0,0 +1,117 @@
+"""The latest changes of targets' entries, for hosts that missed them."""
+
+import typing
+
+from amaranthcrank.router import model
+
+# Reads that found changes are remembered, so many of them.
+MAX_READS = 60
+
+
+class EntryChange(typing.NamedTuple):
+    """A change of a target's entry.
+
+    Attributes:
+      target_id: The target.
+      entry: What it says of itself, or None where the entry is gone or
+        cannot be used.
+    """
+
+    target_id: str
+    entry: model.TargetEntry | None
+
+
+def decode_change(content: typing.Sequence[typing.Any]) -> EntryChange:
+    """Return a change as another host has sent it."""
+    target_id, values = content
+    if values is None:
+        return EntryChange(target_id, None)
+    entry = model.TargetEntry(*values)
+    address = model.Address(*entry.address)
+    return EntryChange(target_id, entry._replace(address=address))
+
+
+class Changes(typing.NamedTuple):
+    """What changed in a span of revisions.
+
+    Attributes:
+      former: The revision after which the span begins.
+      revision: The last one of the span.
+      changes: The latest change of each target that changed.
+    """
+
+    former: int
+    revision: int
+    changes: tuple[EntryChange, ...]
+
+
+class _Read(typing.NamedTuple):
+    revision: int
+    changes: tuple[EntryChange, ...]
+
+
+class ChangeHistory:
+    """Remembers changes by the revisions between which they were read."""
+
+    def __init__(self) -> None:
+        """Start without knowing any revision."""
+        # None: nothing is known; else the changes after it are.
+        self._since: int | None = None
+        self._revision = 0
+        self._reads: list[_Read] = []
+
+    def start(self, revision: int) -> None:
+        """Learn that the list was read: what changed before is not known."""
+        self._since = revision
+        self._revision = revision
+        self._reads = []
+
+    def note(
+        self,
+        former: int,
+        revision: int,
+        changes: typing.Sequence[EntryChange],
+    ) -> None:
+        """Learn what changed between two revisions."""
+        if self._since is None or former > self._revision:
+            self.start(former)
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        if changes:
+            self._reads.append(_Read(revision, tuple(changes)))
+        if len(self._reads) > MAX_READS:
+            self._since = self._reads.pop(0).revision
+
+    def forget(self) -> None:
+        """Forget all: what was read last must not be passed on."""
+        self._since = None
+        self._reads = []
+
+    def after(
+        self, former: int, fits: typing.Callable[[Changes], bool]
+    ) -> Changes | None:
+        """Return what changed after a revision, or None.
+
+        Args:
+          former: The revision.
+          fits: Tells whether changes are few enough to send; where they are
+            not, the later ones are left out.
+        """
+        if self._since is None or former < self._since:
+            return None
+        reads = [read for read in self._reads if read.revision > former]
+        while reads:
+            found = _merge(former, reads)
+            if fits(found):
+                return found
+            reads = reads[: len(reads) // 2]
+        return None
+
+
+def _merge(former: int, reads: typing.Sequence[_Read]) -> Changes:
+    change_by_id = {}
+    for read in reads:
+        for change in read.changes:
+            change_by_id[change.target_id] = change
+    return Changes(former, reads[-1].revision, tuple(change_by_id.values()))
--- a/amaranthcrank/router/departure_talk.py
+++ b/amaranthcrank/router/departure_talk.py
@@ -41,8 +41,9 @@
         missing = self._targets.missing_holders()
         if not missing:
             return
-        holders = _sample(missing, ASKED_TARGETS)
-        for host_id in _sample(list(self._talk.by_id), ASKED_HOSTS):
+        asked = min(ASKED_TARGETS, len(missing))
+        holders = random.sample(missing, asked)
+        for host_id in self._talk.sample(ASKED_HOSTS):
             self._talk.send(host_id, peers.MISSING, holders)
 
     def _tell(self, host_id: str, content: typing.Any) -> None:
@@ -61,7 +62,3 @@
         for holder in content:
             if isinstance(holder, str):
                 self._targets.note_departed(holder)
-
-
-def _sample(items: list[str], count: int) -> list[str]:
-    return random.sample(items, min(count, len(items)))
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -228,6 +228,11 @@
         self._doubt_until = now + RETURN_S
         self._unseen_since = now - lost_s
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether entries that go now may have lapsed in an outage."""
+        return self._clock() < self._doubt_until
+
     def missing_holders(self) -> list[str]:
         """Return the targets that are kept though their entry is missing."""
         return [
@@ -344,21 +349,19 @@
         """Return since when what is learnt now may have been so."""
         if not self.loaded:
             return -math.inf
-        now = self._clock()
-        if now < self._doubt_until:
+        if self.is_in_doubt:
             return self._unseen_since
-        return now
+        return self._clock()
 
     def _lose(self, target_id: str) -> None:
         target = self.by_id.get(target_id)
         if target is None:
             return
-        now = self._clock()
         leaving = target.entry.state == model.DRAINING
-        if leaving or now >= self._doubt_until:
+        if leaving or not self.is_in_doubt:
             self._drop(target_id, REMOVED)
             return
-        if now >= self._keep_missing_until:
+        if self._clock() >= self._keep_missing_until:
             self._drop(target_id, LAPSED)
             return
         if target.missing_until is None:
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import typing
 
 import cbor2
@@ -31,6 +32,8 @@
 TARGETS = 14
 MISSING = 15
 DEPARTED = 16
+BEHIND = 17
+CHANGES = 18
 
 Handler = typing.Callable[[str, typing.Any], None]
 
@@ -108,6 +111,10 @@
             for peer in self.by_id.values()
         )
 
+    def sample(self, count: int) -> list[str]:
+        """Return some of the other hosts, by chance."""
+        return random.sample(list(self.by_id), min(count, len(self.by_id)))
+
     def fits(self, kind: int, content: typing.Any) -> bool:
         """Tell whether a message is short enough for a datagram."""
         return len(self._encode(kind, content)) <= MAX_DATAGRAM_BYTES
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -39,6 +39,7 @@
 
     Attributes:
       lost_at: Since when it does not, by `clock.now`, or None.
+      on_lost: Called when it no longer answers.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self._kind = kind
         self._log = log
         self._on_back = on_back
+        self.on_lost: typing.Callable[[], None] | None = None
 
     def note_answer(self) -> None:
         """Learn that the store answered."""
@@ -84,6 +86,8 @@
         silent_s = store_history.SILENCE_S if silent else 0.0
         self.lost_at = clock.now() - silent_s
         self._log.event('store_lost', kind=self._kind, reason=reason)
+        if self.on_lost is not None:
+            self.on_lost()
 
 
 def behind(first: Contact) -> Turn:
@@ -158,16 +162,15 @@
     """Takes what a follower reads.
 
     Attributes:
-      take_list: Takes all objects, at first and whenever history was lost.
-      take_changes: Takes the changes after that.
-      tell: Tells neighbours what was read: from which revision, None for
-        the list, up to which, and the changes between.
+      take_list: Takes all objects, at first and whenever history was lost,
+        and the revision up to which they are known.
+      take_changes: Takes the changes after that: from which revision, up to
+        which, and what changed between.
     """
 
-    take_list: typing.Callable[[dict[str, typing.Any]], None]
-    take_changes: typing.Callable[[typing.Sequence[store.Change]], None]
-    tell: typing.Callable[
-        [int | None, int, typing.Sequence[store.Change]], None
+    take_list: typing.Callable[[dict[str, typing.Any], int], None]
+    take_changes: typing.Callable[
+        [int, int, typing.Sequence[store.Change]], None
     ]
 
 
@@ -176,7 +179,7 @@
 
     Attributes:
       revision: Up to where the kind is known; None before its list was
-        read, and where it has to be read anew.
+        read, and where the store has forgotten what changed since.
       rota: Tells whether it is this host's turn to read.
     """
 
@@ -214,6 +217,7 @@
         self._pause = pause
         self._retries = Retries(turn)
         self._is_new = True
+        self._must_list = True
 
     async def follow(self) -> None:
         """Follow the kind, for ever."""
@@ -240,24 +244,22 @@
         self,
         former: int | None,
         revision: int,
-        told: typing.Any,
-        take: typing.Callable[[typing.Any], None],
+        take: typing.Callable[[], None] | None,
     ) -> bool:
-        """Take what a neighbour has read; False: it cannot be made use of.
+        """Take what another host has read; False: it is of no use.
 
         Args:
-          former: From where the neighbour read, None for a list.
+          former: From where that host read, None for a list.
           revision: Up to where.
-          told: What it read, None if it was too long to send.
-          take: Takes what it read.
+          take: Takes what it read; None if that was too long to send.
         """
         if self.revision is None or revision < self.revision:
             return False
         if revision == self.revision:
             return True
-        if former is None or former > self.revision or told is None:
+        if former is None or former > self.revision or take is None:
             return False
-        take(told)
+        take()
         self.revision = revision
         return True
 
@@ -268,7 +270,7 @@
 
     async def _read(self) -> bool:
         """Read the list, or wait for changes; tell whether there were any."""
-        if self.revision is None:
+        if self.revision is None or self._must_list:
             await self._read_list()
             return False
         former = self.revision
@@ -279,20 +281,20 @@
         if self.revision is not None and revision < self.revision:
             # A neighbour has told of these, and of more, meanwhile.
             return False
-        self._sink.take_changes(changes)
+        self._sink.take_changes(former, revision, changes)
         self.revision = revision
-        if self.rota.is_shared:
-            self._sink.tell(former, revision, changes)
         return bool(changes)
 
     async def _read_list(self) -> None:
         listing = await self._client.list_all(self._kind, CALL_TIMEOUT_S)
         self._contact.note_answer()
-        self._sink.take_list(listing.item_by_name)
-        self.revision = listing.revision
+        self._must_list = False
         self._is_new = True
-        if self.rota.is_shared:
-            self._sink.tell(None, listing.revision, ())
+        if self.revision is not None and listing.revision < self.revision:
+            # Another host has told of what changed since.
+            return
+        self._sink.take_list(listing.item_by_name, listing.revision)
+        self.revision = listing.revision
 
     def _watch_s(self) -> float:
         is_new = self._is_new
@@ -313,4 +315,4 @@
             return
         # A watch may have missed changes before it broke off: the list
         # tells.
-        self.revision = None
+        self._must_list = True
--- a/amaranthcrank/router/store_sync_test.py
+++ b/amaranthcrank/router/store_sync_test.py
@@ -50,8 +50,7 @@
             self.client,
             kind,
             store_sync.Sink(
-                lambda items: self.listed.append(kind),
-                lambda changes: None,
+                lambda *read: self.listed.append(kind),
                 lambda *read: None,
             ),
             contact,
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -1,15 +1,19 @@
-"""Follows what the targets say of themselves, and tells neighbours of it.
+"""Follows what the targets say of themselves, and tells other hosts of it.
 
 In a failure domain of many hosts one reads from the store and passes the
 changes on by datagram. A host that missed one, or to which a change was too
-long to send, reads itself.
+long to send, reads itself. A host that lost the store asks others, wherever
+they are.
 """
 
+import functools
 import typing
 
 from amaranthcrank.platform import entries
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.router import catch_up
+from amaranthcrank.router import change_history
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
 from amaranthcrank.router import model
@@ -26,8 +30,6 @@
 GATHER_HOSTS = 30
 GATHER_DRAIN_SHARE = 0.4
 
-_Entry = tuple[str, model.TargetEntry | None]
-
 
 class TargetFeed:
     """Brings the targets' entries to the directory."""
@@ -63,13 +65,20 @@
         self._follower = store_sync.Follower(
             client,
             names.TARGETS_KIND,
-            store_sync.Sink(self._take_list, self._take_changes, self._tell),
+            store_sync.Sink(self._take_list, self._take_changes),
             self._contact,
             log,
             rota,
             store_sync.gather(self._gather_s),
             turn,
         )
+        self._catch_up = catch_up.CatchUp(
+            talk,
+            self._contact,
+            lambda: self._follower.revision,
+            self._advance,
+            log,
+        )
         talk.handler_by_kind[peers.TARGETS] = self._hear
 
     async def follow(self) -> None:
@@ -83,28 +92,57 @@
         wanted_s = GATHER_S * max(1.0, hosts / GATHER_HOSTS)
         return min(wanted_s, GATHER_DRAIN_SHARE * self._targets.drain_s)
 
-    def _take_list(self, item_by_name: dict[str, typing.Any]) -> None:
+    def _take_list(
+        self, item_by_name: dict[str, typing.Any], revision: int
+    ) -> None:
         found = []
         for name, item in item_by_name.items():
             entry = self._decode(name, item)
             if entry is not None:
                 found.append(entry)
         self._targets.replace_all(found)
+        self._catch_up.history.start(revision)
+        if self._follower.rota.is_shared:
+            self._tell(None, revision, ())
+
+    def _take_changes(
+        self,
+        former: int,
+        revision: int,
+        changes: typing.Sequence[store.Change],
+    ) -> None:
+        decoded = [self._decode_change(change) for change in changes]
+        self._apply(former, revision, decoded)
+        if self._follower.rota.is_shared:
+            self._tell(former, revision, decoded)
 
-    def _take_changes(self, changes: typing.Sequence[store.Change]) -> None:
+    def _apply(
+        self,
+        former: int,
+        revision: int,
+        changes: typing.Sequence[change_history.EntryChange],
+    ) -> None:
         for change in changes:
-            self._put(*self._entry_of(change))
+            self._put(change)
+        if self._targets.is_in_doubt:
+            # Entries of living targets may have lapsed.
+            self._catch_up.history.forget()
+            return
+        self._catch_up.history.note(former, revision, changes)
 
-    def _put(self, target_id: str, entry: model.TargetEntry | None) -> None:
-        if entry is None:
-            self._targets.remove(target_id)
+    def _put(self, change: change_history.EntryChange) -> None:
+        if change.entry is None:
+            self._targets.remove(change.target_id)
             return
-        self._targets.put(entry)
+        self._targets.put(change.entry)
 
-    def _entry_of(self, change: store.Change) -> _Entry:
-        if change.deleted:
-            return change.name, None
-        return change.name, self._decode(change.name, change.item)
+    def _decode_change(
+        self, change: store.Change
+    ) -> change_history.EntryChange:
+        entry = None
+        if not change.deleted:
+            entry = self._decode(change.name, change.item)
+        return change_history.EntryChange(change.name, entry)
 
     def _decode(self, name: str, item: typing.Any) -> model.TargetEntry | None:
         try:
@@ -117,11 +155,11 @@
         self,
         former: int | None,
         revision: int,
-        changes: typing.Sequence[store.Change],
+        changes: typing.Sequence[change_history.EntryChange],
     ) -> None:
-        told = [self._entry_of(change) for change in changes]
+        """Tell the failure domain what was read just now."""
         failed_ms = self._history.failed_ms()
-        content: list[typing.Any] = [former, revision, told, failed_ms]
+        content: list[typing.Any] = [former, revision, changes, failed_ms]
         if not self._talk.fits(peers.TARGETS, content):
             content = [former, revision, None, failed_ms]
         self._talk.send_nearby(peers.TARGETS, content)
@@ -134,21 +172,20 @@
         # The store is not away, even where it does not answer this host.
         self._history.note_answer_to_other(failed_ms)
         self._contact.note_answer()
-        if self._follower.advance(former, revision, told, self._take_told):
+        if self._advance(former, revision, told):
             self._follower.rota.note_heard(host_id)
             return
         if revision > (self._follower.revision or 0):
             self._follower.hurry()
 
-    def _take_told(self, told: typing.Sequence[typing.Any]) -> None:
-        for target_id, fields in told:
-            entry = None
-            if fields is not None:
-                entry = _entry_from(fields)
-            self._put(target_id, entry)
-
-
-def _entry_from(fields: typing.Sequence[typing.Any]) -> model.TargetEntry:
-    """Return an entry as a neighbour has sent it."""
-    entry = model.TargetEntry(*fields)
-    return entry._replace(address=model.Address(*entry.address))
+    def _advance(
+        self,
+        former: int | None,
+        revision: int,
+        told: typing.Sequence[typing.Any] | None,
+    ) -> bool:
+        take = None
+        if told is not None:
+            changes = [change_history.decode_change(each) for each in told]
+            take = functools.partial(self._apply, former, revision, changes)
+        return self._follower.advance(former, revision, take)
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -12,6 +12,7 @@
 
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.router import catch_up
 from amaranthcrank.router import departure_talk
 from amaranthcrank.router import directory
 from amaranthcrank.router import model
@@ -241,6 +242,46 @@
             store_sync.LONGEST_PAUSE_S * 1.5 + 0.5,
         )
 
+    async def test_departure_while_the_store_is_lost(self):
+        """Guards against new work for targets that leave, for a whole cut.
+
+        A host that alone could not reach the store went on sending to them
+        until it was back, though the others knew.
+        """
+        async with await self._cut(['h-2']):
+            self._put(1, model.DRAINING)
+            await self._wait(
+                lambda targets: targets.by_id['i-1'].leaving_since is not None,
+                DRAIN_S / 2,
+            )
+            self._put(2)
+            self.around.store.remove(names.TARGETS_KIND, 'i-1')
+            await self._wait(lambda targets: list(targets.by_id) == ['i-2'])
+
+    async def test_many_changes_while_the_store_is_lost(self):
+        """Guards against changes that are too long for one datagram."""
+        async with await self._cut(['h-2']):
+            for number in range(2, 40):
+                self._put(number)
+                await asyncio.sleep(0.03)
+            await self._wait(lambda targets: len(targets.by_id) == 39, 5.0)
+
+    async def test_entry_that_lapsed_is_not_passed_on(self):
+        """Guards against living targets that get nothing after an outage.
+
+        Hosts that have the store back know that entries are missing, and not
+        whether their targets left.
+        """
+        async with await self._cut(['h-2']):
+            async with await self._cut(['h-0', 'h-1']):
+                self.around.store.remove(names.TARGETS_KIND, 'i-1')
+            await asyncio.sleep(2 * catch_up.ASK_S)
+            self.assertIn('i-1', self.targets_by_host['h-2'].by_id)
+            self._put(1)
+            self._put(2)
+            await asyncio.sleep(2 * catch_up.ASK_S)
+            self.assertIn('i-1', self.targets_by_host['h-2'].by_id)
+
     async def test_entry_that_lapsed_in_an_outage(self):
         """Guards against living targets that get nothing after an outage."""
         async with await self._cut(self.targets_by_host):
--- a/amaranthcrank/router/ticket_feed.py
+++ b/amaranthcrank/router/ticket_feed.py
@@ -76,7 +76,7 @@
         self._follower = store_sync.Follower(
             client,
             names.TICKET_KIND,
-            store_sync.Sink(self._take_list, self._take_changes, self._tell),
+            store_sync.Sink(self._take_list, self._take_changes),
             self.contact,
             log,
             rota,
@@ -107,12 +107,20 @@
         headers = [(b'content-type', b'application/cbor')]
         return http_server.Reply(200, headers, self._packed)
 
-    def _take_list(self, item_by_name: dict[str, typing.Any]) -> None:
+    def _take_list(
+        self, item_by_name: dict[str, typing.Any], revision: int
+    ) -> None:
         item = item_by_name.get(names.TICKET_NAME)
         if item is not None:
             self._take(item.get('spec'))
+        self._tell()
 
-    def _take_changes(self, changes: typing.Sequence[store.Change]) -> None:
+    def _take_changes(
+        self,
+        former: int,
+        revision: int,
+        changes: typing.Sequence[store.Change],
+    ) -> None:
         for change in changes:
             if change.name != names.TICKET_NAME:
                 continue
@@ -120,14 +128,12 @@
                 self._log.event('ticket_removed', name=change.name)
                 continue
             self._take(change.item.get('spec'))
+        self._tell()
 
-    def _tell(
-        self,
-        former: int | None,
-        revision: int,
-        changes: typing.Sequence[store.Change],
-    ) -> None:
-        self._talk.send_nearby(peers.TICKET, self._number)
+    def _tell(self) -> None:
+        """Tell the failure domain what was read just now."""
+        if self._follower.rota.is_shared:
+            self._talk.send_nearby(peers.TICKET, self._number)
 
     def _hear(self, host_id: str, content: typing.Any) -> None:
         """Learn which ticket a neighbour has read just now."""
