Let a host that lost the store take a newer ticket from others

What callers saw: a host that alone lost the store routed by the ticket of before the loss until it was back, though other hosts had a newer one.

Cause: the same as with targets that leave, one host's view of the store taken for everyone's. Now such a host asks others for a newer ticket than its own, as it asks for changes of targets (`asker` serves both), and takes it over TCP as neighbours do. A number that is told of old confirms nothing: it does not count as an answer of the store, and nobody is taken for a reader by it. Ruled out: sending the ticket unasked (each change would cross the link between regions once a host).

Evidence: LostStoreTest.test_ticket_while_the_store_is_lost failed before (no ticket within 3 s of each change) and passes; 12 tests of ticket_feed and catch_up pass. The tests of ticket_feed give each host a client of its own, so that the store can refuse one; their assertions are as before.

--- a/amaranthcrank/router/catch_up.py
+++ b/amaranthcrank/router/catch_up.py
@@ -4,21 +4,15 @@
 come and leave meanwhile are known to those, in any failure domain.
 """
 
-import asyncio
-import random
 import typing
 
+from amaranthcrank.router import asker
 from amaranthcrank.router import change_history
 from amaranthcrank.router import change_parts
 from amaranthcrank.router import event_log
 from amaranthcrank.router import peers
 from amaranthcrank.router import store_sync
 
-# Well within the time for which a target that leaves may get requests.
-ASK_S = 0.5
-# Others may have lost the store too, or be out of reach.
-ASKED_HOSTS = 2
-
 
 class CatchUp:
     """Asks other hosts for changes of targets, and tells them of changes.
@@ -49,32 +43,14 @@
         self.history = change_history.ChangeHistory()
         self._talk = talk
         self._contact = contact
+        self._asker = asker.Asker(talk, contact, peers.BEHIND, revision)
         self._revision = revision
         self._take = take
         self._log = log
         self._parts = change_parts.PartCollector()
-        self._timer: asyncio.TimerHandle | None = None
-        contact.on_lost = self._start
         talk.handler_by_kind[peers.BEHIND] = self._tell
         talk.handler_by_kind[peers.CHANGES] = self._hear
 
-    def _start(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(ASK_S * random.random(), self._ask)
-
-    def _ask(self) -> None:
-        self._timer = None
-        if self._contact.lost_at is None:
-            return
-        revision = self._revision()
-        if revision is not None:
-            for host_id in self._talk.sample(ASKED_HOSTS):
-                self._talk.send(host_id, peers.BEHIND, revision)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(ASK_S, self._ask)
-
     def _tell(self, host_id: str, content: typing.Any) -> None:
         if not isinstance(content, int) or self._contact.lost_at is not None:
             return
--- a/amaranthcrank/router/catch_up_test.py
+++ b/amaranthcrank/router/catch_up_test.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from amaranthcrank.router import asker
 from amaranthcrank.router import catch_up
 from amaranthcrank.router import change_history
 from amaranthcrank.router import model
@@ -60,7 +61,7 @@
 
     async def _lose(self, host):
         host.contact.note_failure('no answer in time', silent=True)
-        await asyncio.sleep(catch_up.ASK_S + 0.05)
+        await asyncio.sleep(asker.ASK_S + 0.05)
 
     async def test_host_that_lost_the_store(self):
         for host in self.hosts[1:]:
@@ -72,9 +73,9 @@
         """Guards against a host that asks only once."""
         await self._lose(self.hosts[0])
         self.hosts[1].read(REVISION, 12, [1])
-        await asyncio.sleep(catch_up.ASK_S + 0.05)
+        await asyncio.sleep(asker.ASK_S + 0.05)
         self.hosts[2].read(REVISION, 14, [1, 2])
-        await asyncio.sleep(catch_up.ASK_S + 0.05)
+        await asyncio.sleep(asker.ASK_S + 0.05)
         self.assertEqual(len(self.hosts[0].told), 2)
         self.assertEqual(self.hosts[0].revision, 14)
 
@@ -83,7 +84,7 @@
         await self._lose(self.hosts[0])
         self.hosts[0].contact.note_answer()
         self.hosts[1].read(12, 14, [2])
-        await asyncio.sleep(2 * catch_up.ASK_S)
+        await asyncio.sleep(2 * asker.ASK_S)
         self.assertEqual(len(self.hosts[0].told), 1)
 
     async def test_hosts_that_all_lost_the_store(self):
@@ -106,7 +107,7 @@
             numbers = range(100 * number, 100 * number + 100)
             self.hosts[1].read(revision, revision + 1, numbers)
         await self._lose(self.hosts[0])
-        async with asyncio.timeout(6 * catch_up.ASK_S):
+        async with asyncio.timeout(6 * asker.ASK_S):
             while len(self.hosts[0].told) < 800:
                 await asyncio.sleep(0.05)
         self.assertEqual(self.hosts[0].revision, REVISION + 8)
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -34,6 +34,8 @@
 DEPARTED = 16
 BEHIND = 17
 CHANGES = 18
+TICKET_AFTER = 19
+NEWER_TICKET = 20
 
 Handler = typing.Callable[[str, typing.Any], None]
 
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -12,7 +12,7 @@
 
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
-from amaranthcrank.router import catch_up
+from amaranthcrank.router import asker
 from amaranthcrank.router import departure_talk
 from amaranthcrank.router import directory
 from amaranthcrank.router import model
@@ -275,11 +275,11 @@
         async with await self._cut(['h-2']):
             async with await self._cut(['h-0', 'h-1']):
                 self.around.store.remove(names.TARGETS_KIND, 'i-1')
-            await asyncio.sleep(2 * catch_up.ASK_S)
+            await asyncio.sleep(2 * asker.ASK_S)
             self.assertIn('i-1', self.targets_by_host['h-2'].by_id)
             self._put(1)
             self._put(2)
-            await asyncio.sleep(2 * catch_up.ASK_S)
+            await asyncio.sleep(2 * asker.ASK_S)
             self.assertIn('i-1', self.targets_by_host['h-2'].by_id)
 
     async def test_entry_that_lapsed_in_an_outage(self):
--- a/amaranthcrank/router/ticket_feed.py
+++ b/amaranthcrank/router/ticket_feed.py
@@ -2,7 +2,8 @@
 
 A ticket of many routes that each of many hosts reads from the store fills
 the link between regions. In a failure domain of many hosts one reads it and
-tells its number to the others, which take the ticket from that host.
+tells its number to the others, which take the ticket from that host. A host
+that lost the store asks others for a newer ticket, wherever they are.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from amaranthcrank.platform import manifest
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.router import asker
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
@@ -90,7 +92,12 @@
         # The ticket as neighbours take it, once one has asked for it.
         self._packed = b''
         self._taking: asyncio.Task[None] | None = None
+        self._asker = asker.Asker(
+            talk, self.contact, peers.TICKET_AFTER, lambda: self._number
+        )
         talk.handler_by_kind[peers.TICKET] = self._hear
+        talk.handler_by_kind[peers.TICKET_AFTER] = self._tell_newer
+        talk.handler_by_kind[peers.NEWER_TICKET] = self._hear_newer
 
     async def follow(self) -> None:
         """Follow the ticket, for ever."""
@@ -142,22 +149,48 @@
         if content == self._number:
             self._confirm(host_id)
             return
-        self._wanted = content
-        if self._taking is None or self._taking.done():
-            loop = asyncio.get_running_loop()
-            self._taking = loop.create_task(self._take_from(host_id))
+        self._want(content, self._take_read(host_id))
+
+    def _tell_newer(self, host_id: str, content: typing.Any) -> None:
+        """Answer a host that lost the store."""
+        if not isinstance(content, int) or self.contact.lost_at is not None:
+            return
+        if content < self._number:
+            self._talk.send(host_id, peers.NEWER_TICKET, self._number)
+
+    def _hear_newer(self, host_id: str, content: typing.Any) -> None:
+        """Learn which ticket another host has, of old or just now."""
+        if isinstance(content, int) and content > self._number:
+            self._want(content, self._take_from(host_id))
+
+    def _want(
+        self,
+        number: int,
+        taking: typing.Coroutine[typing.Any, typing.Any, typing.Any],
+    ) -> None:
+        """Take a ticket, unless one is being taken: that goes on to it."""
+        self._wanted = max(number, self._wanted)
+        if self._taking is not None and not self._taking.done():
+            taking.close()
+            return
+        self._taking = asyncio.get_running_loop().create_task(taking)
 
     def _confirm(self, host_id: str) -> None:
         self._follower.rota.note_heard(host_id)
         if self._number >= 0:
             self.contact.note_answer()
 
-    async def _take_from(self, host_id: str) -> None:
-        """Take the ticket from a neighbour; otherwise the store is read."""
+    async def _take_read(self, host_id: str) -> None:
+        """Take what a neighbour has read just now."""
+        if await self._take_from(host_id):
+            self._confirm(host_id)
+
+    async def _take_from(self, host_id: str) -> bool:
+        """Take the ticket from a host; otherwise the store is read."""
         while self._number < self._wanted:
             peer = self._talk.by_id.get(host_id)
             if peer is None:
-                return
+                return False
             known = self._number
             try:
                 self._take(await self._fetch(peer.address))
@@ -167,8 +200,8 @@
                 )
             if self._number == known:
                 self._follower.rota.hurry()
-                return
-        self._confirm(host_id)
+                return False
+        return True
 
     async def _fetch(self, address: model.Address) -> typing.Any:
         host = f'{address.ip}:{address.port}'.encode()
--- a/amaranthcrank/router/ticket_feed_test.py
+++ b/amaranthcrank/router/ticket_feed_test.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import contextlib
+import copy
 import unittest
 from unittest import mock
 
 from amaranthcrank.platform import names
+from amaranthcrank.platform import store
+from amaranthcrank.router import asker
 from amaranthcrank.router import http_server
 from amaranthcrank.router import reading_rota
 from amaranthcrank.router import store_sync
@@ -22,7 +25,9 @@
 FOLLOW_S = 3.0
 
 
-class TicketFeedTest(unittest.IsolatedAsyncioTestCase):
+class _FeedsTest(unittest.IsolatedAsyncioTestCase):
+    HOSTS = HOSTS
+
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
@@ -33,7 +38,9 @@
         self._put(1)
         self.number_by_id = {}
         self.server_by_id = {}
-        for number in range(HOSTS):
+        self.client_by_id = {}
+        self.feed_by_id = {}
+        for number in range(self.HOSTS):
             await self._start(f'h-{number}')
 
     def _put(self, version):
@@ -55,20 +62,27 @@
         def note(ticket):
             self.number_by_id[host_id] = ticket.number
 
+        # One of its own, so that the store can refuse a single host.
+        client = copy.copy(self.client)
+        self.client_by_id[host_id] = client
         feed = ticket_feed.TicketFeed(
-            self.client,
+            client,
             talk,
             self.around.pool,
             mock.Mock(),
             note,
             talk.rota(),
         )
+        self.feed_by_id[host_id] = feed
         server = http_server.Server(feed.answer)
         await server.listen(talk.own.address)
         self.stack.callback(server.close)
         self.server_by_id[host_id] = server
         self.around.follow(host_id, feed.follow())
 
+    def _calls(self):
+        return sum(client.calls for client in self.client_by_id.values())
+
     async def _settle(self):
         await self._wait_for(1, self.talks)
         await asyncio.sleep(2 * reading_rota.READER_WAIT_S)
@@ -81,14 +95,16 @@
             ):
                 await asyncio.sleep(0.02)
 
+
+class TicketFeedTest(_FeedsTest):
     async def test_one_host_reads(self):
         """Guards against a link that carries the ticket once a host."""
         await self._settle()
-        before = self.client.calls
+        before = self._calls()
         for version in range(2, 6):
             self._put(version)
             await self._wait_for(version, self.talks, 0.5)
-        self.assertLess(self.client.calls - before, HOSTS)
+        self.assertLess(self._calls() - before, HOSTS)
 
     async def test_reader_ends(self):
         await self._settle()
@@ -116,9 +132,9 @@
         await self._settle()
         self.around.store.fault = platform_store.BUSY
         await asyncio.sleep(4.0)
-        before = self.client.calls
+        before = self._calls()
         await asyncio.sleep(3.0)
-        tries = self.client.calls - before
+        tries = self._calls() - before
         # Each by itself would try every 0.8 s.
         self.assertLess(tries, HOSTS * 3.0 / store_sync.LONGEST_PAUSE_S)
         self.around.store.fault = ''
@@ -126,5 +142,29 @@
         await self._wait_for(2, self.talks)
 
 
+class LostStoreTest(_FeedsTest):
+    """A few hosts, each of which reads the store for itself."""
+
+    HOSTS = 3
+
+    async def test_ticket_while_the_store_is_lost(self):
+        """Guards against an old ticket at a host that the store refuses."""
+        await self._settle()
+        error = store.StoreError('refused with 503', refused=True)
+        with mock.patch.object(
+            self.client_by_id['h-2'],
+            '_exchange',
+            autospec=True,
+            side_effect=error,
+        ):
+            self.around.task_by_id['h-2'].cancel()
+            self.around.follow('h-2', self.feed_by_id['h-2'].follow())
+            await asyncio.sleep(asker.ASK_S)
+            for version in (2, 3):
+                self._put(version)
+                await self._wait_for(version, self.talks)
+            self.assertIsNotNone(self.feed_by_id['h-2'].contact.lost_at)
+
+
 if __name__ == '__main__':
     unittest.main()
