Ask the store before an owner that refuses counts as crashed

All connections fell silent at 4.6 s, owners said at 4.7 s that they leave and closed their ports two seconds later, and the controller found its watch dead at 7.6 s only. Between, at 7.3 s, a refused release was taken for a crash, as the entry that the controller knew was still ready; the owner held its keys until 7.8 s. Now: a refusal counts only if the store, asked after it, says that the target is ready (`entry_reads`, which was `new_starts`). What cannot be read is not taken for a crash; then the last grant runs out. Ruled out: a shorter keep-alive (two lost packets would end every connection); a release that was believed though it was an earlier one (the log names `former_owner_ended`, reason refusal); an early start of the new owner (its token is higher, its grant was sent after).

Three tests of key_controller failed before: test_leaving_target_whose_notice_was_not_heard, test_target_that_left_unheard_may_hold_its_keys and test_refusing_target_whose_entry_cannot_be_read. 62 tests of these modules pass. An owner that crashes still loses its keys at once, at the price of one read.

--- a/amaranthcrank/router/new_starts_test.py
+++ b/amaranthcrank/router/entry_reads_test.py
@@ -4,32 +4,31 @@
 from unittest import mock
 
 from amaranthcrank.platform import store
+from amaranthcrank.router import entry_reads
 from amaranthcrank.router import model
-from amaranthcrank.router import new_starts
 from standins import platform_target
 
 HOLDER = 'i-1/5'
 
 
+def _entry(incarnation, state=model.READY):
+    address = model.Address('127.0.0.1', 1)
+    return platform_target.entry('book', address, 'a', incarnation, state)
+
+
 class StartCheckTest(unittest.IsolatedAsyncioTestCase):
     """Guards against grants to an incarnation that they are not for."""
 
     def setUp(self):
         self.client = mock.AsyncMock()
-        self.has_started_anew = new_starts.start_check(
-            self.client, mock.Mock()
-        )
-
-    def _entry(self, incarnation):
-        address = model.Address('127.0.0.1', 1)
-        return platform_target.entry(
-            'book', address, 'a', incarnation, model.READY
+        self.has_started_anew = entry_reads.start_check(
+            entry_reads.reader(self.client, mock.Mock())
         )
 
     async def test_entries(self):
         for item, expected in (
-            (self._entry(5), False),
-            (self._entry(6), True),
+            (_entry(5), False),
+            (_entry(6), True),
             (None, False),
             ({'spec': 'bytes of another writer'}, False),
         ):
@@ -53,5 +52,31 @@
         self.assertLess(time.monotonic() - began_at, 0.5)
 
 
+class ReadyCheckTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against owners that leave and are taken for crashed."""
+
+    def setUp(self):
+        self.client = mock.AsyncMock()
+        self.is_ready = entry_reads.ready_check(
+            entry_reads.reader(self.client, mock.Mock())
+        )
+
+    async def test_entries(self):
+        for item, expected in (
+            (_entry(5), True),
+            (_entry(5, model.DRAINING), False),
+            (_entry(6), False),
+            (None, False),
+            ({'spec': 'bytes of another writer'}, False),
+        ):
+            with self.subTest(item=item):
+                self.client.get.return_value = item
+                self.assertIs(await self.is_ready(HOLDER), expected)
+
+    async def test_store_that_is_away(self):
+        self.client.get.side_effect = store.StoreError('away')
+        self.assertFalse(await self.is_ready(HOLDER))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -4,6 +4,7 @@
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
+from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
@@ -21,6 +22,7 @@
         calls: key_calls.KeyCalls,
         targets: directory.Directory,
         address_by_holder: dict[str, model.Address],
+        is_ready: entry_reads.Check,
         log: event_log.EventLog,
     ) -> None:
         """Work on what the controller knows.
@@ -29,11 +31,13 @@
           calls: Releases keys, and knows until when grants last.
           targets: Tells what became of a target.
           address_by_holder: Where each holder listens; the controller's.
+          is_ready: Tells whether a target should be serving, by the store.
           log: Takes what decided.
         """
         self._calls = calls
         self._targets = targets
         self._address_by_holder = address_by_holder
+        self._is_ready = is_ready
         self._log = log
 
     async def free(self, former: str, key_range: model.KeyRange) -> str:
@@ -65,7 +69,7 @@
                 self._log.event('former_owner_replaced', former=former)
                 return ''
             if result == key_calls.REFUSED:
-                if self._targets.has_crashed_if_refusing(next_life or former):
+                if await self._has_crashed(next_life or former):
                     self._log.event('former_owner_ended', former=former)
                     return ''
                 await asyncio.sleep(LEAVING_RETRY_S)
@@ -78,6 +82,19 @@
             await asyncio.sleep(RELEASE_RETRY_S)
         return ''
 
+    async def _has_crashed(self, holder: str) -> bool:
+        """Tell whether a target that refuses connections has ended.
+
+        That it should be serving must be known of just now: one that leaves
+        closes its port while it still works, and the news of its leaving may
+        not have reached this host.
+        """
+        if not self._targets.has_crashed_if_refusing(holder):
+            return False
+        if self._targets.find(*model.split_holder(holder)) is None:
+            return True
+        return await self._is_ready(holder)
+
     def _find_next_life(self, holder: str) -> str | None:
         """Return the holder at the same address and id after a new start.
 
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -11,6 +11,7 @@
 from amaranthcrank.platform import names
 from amaranthcrank.router import clock
 from amaranthcrank.router import connection_pool
+from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
@@ -34,10 +35,6 @@
 ELSEWHERE = 'elsewhere'
 
 
-# Tells whether a holder's target has started anew under its id.
-StartCheck = typing.Callable[[str], typing.Awaitable[bool]]
-
-
 # Awaited before a call is sent, and told whether the connection is new.
 _BeforeSend = typing.Callable[[bool], typing.Awaitable[None]]
 
@@ -69,7 +66,7 @@
         self,
         pool: connection_pool.Pool,
         log: event_log.EventLog,
-        has_started_anew: StartCheck,
+        has_started_anew: entry_reads.Check,
     ) -> None:
         """Call over a pool of connections.
 
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -14,6 +14,7 @@
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import directory
+from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import former_owners
 from amaranthcrank.router import key_calls
@@ -75,7 +76,11 @@
         ] = {}
         self._address_by_holder: dict[str, model.Address] = {}
         self._formers = former_owners.FormerOwners(
-            calls, targets, self._address_by_holder, log
+            calls,
+            targets,
+            self._address_by_holder,
+            entry_reads.ready_check(entry_reads.reader(client, log)),
+            log,
         )
         self._refused = refused_holders.RefusedHolders()
         self._renewals = key_renewals.KeyRenewals(
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -32,10 +32,15 @@
 
 
 class _Store:
-    """Objects in memory; can be away."""
+    """Objects in memory; can be away.
+
+    Attributes:
+      entry_by_id: What it holds of targets.
+    """
 
     def __init__(self):
         self.item_by_name = {}
+        self.entry_by_id = {}
         self.away = False
         self.revision = 1
 
@@ -47,6 +52,19 @@
         self._check()
         return store.Listing(dict(self.item_by_name), self.revision)
 
+    async def get(self, kind, name, timeout_s):
+        self._check()
+        entry = self.entry_by_id.get(name)
+        if entry is None:
+            return None
+        return platform_target.entry(
+            entry.service,
+            entry.address,
+            entry.failure_domain,
+            entry.incarnation,
+            entry.state,
+        )
+
     async def create(self, kind, name, spec, timeout_s):
         return await self.replace(kind, name, 0, spec, timeout_s)
 
@@ -131,6 +149,8 @@
         self.targets.replace_all([_entry(1), _entry(2)])
         self.keys = key_table.KeyTable()
         self.store = _Store()
+        for entry in (_entry(1), _entry(2)):
+            self.store.entry_by_id[entry.target_id] = entry
         self.calls = _Calls()
         self.lease = _Lease()
         self.task = None
@@ -284,6 +304,31 @@
         waited_s = await self._leave_and_refuse(_entry(1, model.DRAINING))
         self.assertGreaterEqual(waited_s, HOLD_S)
 
+    async def test_leaving_target_whose_notice_was_not_heard(self):
+        """Guards against two owners while the store's news are silent.
+
+        What the controller believed was seconds old: the owner had said that
+        it leaves, and had closed its port.
+        """
+        self.store.entry_by_id['i-1'] = _entry(1, model.DRAINING)
+        waited_s = await self._leave_and_refuse(_entry(1))
+        self.assertGreaterEqual(waited_s, HOLD_S)
+
+    async def test_target_that_left_unheard_may_hold_its_keys(self):
+        """Guards against two owners while the store's news are silent."""
+        del self.store.entry_by_id['i-1']
+        waited_s = await self._leave_and_refuse(_entry(1))
+        self.assertGreaterEqual(waited_s, HOLD_S)
+
+    async def test_refusing_target_whose_entry_cannot_be_read(self):
+        """Guards against two owners while the store does not answer."""
+        error = store.StoreError('no answer in time')
+        with mock.patch.object(
+            self.store, 'get', autospec=True, side_effect=error
+        ):
+            waited_s = await self._leave_and_refuse(_entry(1))
+        self.assertGreaterEqual(waited_s, HOLD_S)
+
     async def test_target_that_left_unreported_may_hold_its_keys(self):
         """Guards against two owners where a leaving was not announced."""
         with mock.patch.object(self.targets, 'drain_s', 0.0):
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -18,6 +18,7 @@
 from amaranthcrank.router import crash_reports
 from amaranthcrank.router import departure_talk
 from amaranthcrank.router import directory
+from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import forwarder
 from amaranthcrank.router import host_reports
@@ -27,7 +28,6 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import metrics
 from amaranthcrank.router import model
-from amaranthcrank.router import new_starts
 from amaranthcrank.router import peers
 from amaranthcrank.router import reading_rota
 from amaranthcrank.router import retry_rules
@@ -138,7 +138,9 @@
             key_calls.KeyCalls(
                 self.pool,
                 self.log,
-                new_starts.start_check(self.store, self.log),
+                entry_reads.start_check(
+                    entry_reads.reader(self.store, self.log)
+                ),
             ),
             self.targets,
             self.keys,
