Date what is learnt after any loss of the store to its beginning

What callers would see: keyed requests at owners whose notice is older than the host thinks, and an owner that left unannounced taken for one that crashed if it refuses (two owners).

Cause: only losses in which entries may lapse (1.4 s without any answer to the host) dated what followed to their beginning. But one connection can be silent for three seconds before that shows, while the others answer: then the loss counted as short, and what the host read, or was told, was taken for new. Now: each loss that a contact notices dates what comes until the next read to its beginning (`note_unseen`, `note_current`), whether or not entries are kept. Ruled out: dating by the store's revisions (they bear no time); dating all that comes within two seconds after the return (needless requests refused).

--- a/amaranthcrank/router/asker.py
+++ b/amaranthcrank/router/asker.py
@@ -36,9 +36,9 @@
         self._kind = kind
         self._question = question
         self._timer: asyncio.TimerHandle | None = None
-        contact.on_lost = self._start
+        contact.on_lost.append(self._start)
 
-    def _start(self) -> None:
+    def _start(self, _: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
         loop = asyncio.get_running_loop()
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -212,6 +212,20 @@
         self._keep_missing_until = 0.0
         self._doubt_until = 0.0
         self._unseen_since = 0.0
+        self._is_current = True
+
+    def note_unseen(self, lost_s: float) -> None:
+        """Learn that changes may have gone unseen; what comes dates to then.
+
+        Args:
+          lost_s: For how long this host has not seen what changed.
+        """
+        self._unseen_since = self._clock() - lost_s
+        self._is_current = False
+
+    def note_current(self) -> None:
+        """Learn that all changes until now are known."""
+        self._is_current = True
 
     def keep_missing(self, keep_s: float, lost_s: float) -> None:
         """Keep entries that are missing from now on for some seconds.
@@ -349,7 +363,7 @@
         """Return since when what is learnt now may have been so."""
         if not self.loaded:
             return -math.inf
-        if self.is_in_doubt:
+        if self.is_in_doubt or not self._is_current:
             return self._unseen_since
         return self._clock()
 
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -112,6 +112,33 @@
         for target in self.directory.by_id.values():
             self.assertEqual(target.leaving_since, self.now - LOST_S)
 
+    def test_leaving_that_was_heard_of_late(self):
+        """Guards against keyed requests to targets that left long ago.
+
+        A silent connection is noticed after seconds, and entries lapse only
+        in a longer loss: none is kept, but what is learnt then is old.
+        """
+        self.directory.replace_all([entry('i-1'), entry('i-2')])
+        self.directory.note_unseen(LOST_S)
+        self.directory.put(entry('i-1', model.DRAINING))
+        self.directory.note_current()
+        self.directory.put(entry('i-2', model.DRAINING))
+        since_by_id = {
+            target_id: target.leaving_since
+            for target_id, target in self.directory.by_id.items()
+        }
+        self.assertEqual(
+            since_by_id, {'i-1': self.now - LOST_S, 'i-2': self.now}
+        )
+
+    def test_departure_that_was_heard_of_late_is_no_crash(self):
+        """Guards against two owners: it left before a silence ended."""
+        self.directory.replace_all([entry('i-1')])
+        self.directory.note_unseen(LOST_S)
+        self.directory.remove('i-1')
+        self.directory.note_current()
+        self.assertFalse(self.directory.has_crashed_if_refusing('i-1/1'))
+
     def test_leaving_before_the_host_started(self):
         """Guards against keyed requests to targets that left long ago."""
         self.directory.replace_all([entry('i-1', model.DRAINING)])
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -39,7 +39,7 @@
 
     Attributes:
       lost_at: Since when it does not, by `clock.now`, or None.
-      on_lost: Called when it no longer answers.
+      on_lost: Called when it no longer answers, with the time since when.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
         self._kind = kind
         self._log = log
         self._on_back = on_back
-        self.on_lost: typing.Callable[[], None] | None = None
+        self.on_lost: list[typing.Callable[[float], None]] = []
 
     def note_answer(self) -> None:
         """Learn that the store answered."""
@@ -86,8 +86,8 @@
         silent_s = store_history.SILENCE_S if silent else 0.0
         self.lost_at = clock.now() - silent_s
         self._log.event('store_lost', kind=self._kind, reason=reason)
-        if self.on_lost is not None:
-            self.on_lost()
+        for listener in self.on_lost:
+            listener(self.lost_at)
 
 
 def behind(first: Contact) -> Turn:
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -14,6 +14,7 @@
 from amaranthcrank.platform import store
 from amaranthcrank.router import catch_up
 from amaranthcrank.router import change_history
+from amaranthcrank.router import clock
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
 from amaranthcrank.router import model
@@ -72,6 +73,7 @@
             store_sync.gather(self._gather_s),
             turn,
         )
+        self._contact.on_lost.append(self._note_lost)
         self._catch_up = catch_up.CatchUp(
             talk,
             self._contact,
@@ -92,6 +94,9 @@
         wanted_s = GATHER_S * max(1.0, hosts / GATHER_HOSTS)
         return min(wanted_s, GATHER_DRAIN_SHARE * self._targets.drain_s)
 
+    def _note_lost(self, lost_at: float) -> None:
+        self._targets.note_unseen(clock.now() - lost_at)
+
     def _take_list(
         self, item_by_name: dict[str, typing.Any], revision: int
     ) -> None:
@@ -101,6 +106,7 @@
             if entry is not None:
                 found.append(entry)
         self._targets.replace_all(found)
+        self._targets.note_current()
         self._catch_up.history.start(revision)
         if self._follower.rota.is_shared:
             self._tell(None, revision, ())
@@ -113,6 +119,7 @@
     ) -> None:
         decoded = [self._decode_change(change) for change in changes]
         self._apply(former, revision, decoded)
+        self._targets.note_current()
         if self._follower.rota.is_shared:
             self._tell(former, revision, decoded)
 
@@ -173,6 +180,7 @@
         self._history.note_answer_to_other(failed_ms)
         self._contact.note_answer()
         if self._advance(former, revision, told):
+            self._targets.note_current()
             self._follower.rota.note_heard(host_id)
             return
         if revision > (self._follower.revision or 0):
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -249,11 +249,15 @@
         until it was back, though the others knew.
         """
         async with await self._cut(['h-2']):
+            noticed_at = asyncio.get_running_loop().time()
             self._put(1, model.DRAINING)
             await self._wait(
                 lambda targets: targets.by_id['i-1'].leaving_since is not None,
                 DRAIN_S / 2,
             )
+            # What is told is as old as the loss at most.
+            target = self.targets_by_host['h-2'].by_id['i-1']
+            self.assertLess(target.leaving_since, noticed_at)
             self._put(2)
             self.around.store.remove(names.TARGETS_KIND, 'i-1')
             await self._wait(lambda targets: list(targets.by_id) == ['i-2'])
