--- a/amaranthcrank/router/admission.py
+++ b/amaranthcrank/router/admission.py
@@ -7,6 +7,7 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import service_times
 from amaranthcrank.router import target_choice
+from amaranthcrank.router import target_state
 from amaranthcrank.router import wait_order
 
 # Waiting requests of one service; more are refused at once.
@@ -54,7 +55,7 @@
         self.key = key
         self.excluded = excluded
         self.since = since
-        self.future: asyncio.Future[directory.Target] = (
+        self.future: asyncio.Future[target_state.Target] = (
             asyncio.get_running_loop().create_future()
         )
 
@@ -116,7 +117,7 @@
         standing: wait_order.Standing,
         key: int | None,
         excluded: frozenset[str],
-    ) -> directory.Target:
+    ) -> target_state.Target:
         """Wait for a target; `release` gives it back.
 
         Args:
@@ -143,7 +144,7 @@
             return waiter.future.result()
         return await self._wait(service, waiter, leave_at)
 
-    def release(self, target: directory.Target) -> None:
+    def release(self, target: target_state.Target) -> None:
         """Give back a target that a request was assigned to."""
         target.in_flight -= 1
         self.serve(target.entry.service)
@@ -192,7 +193,7 @@
 
     async def _wait(
         self, service: str, waiter: Waiter, leave_at: float
-    ) -> directory.Target:
+    ) -> target_state.Target:
         try:
             async with asyncio.timeout_at(leave_at):
                 return await asyncio.shield(waiter.future)
@@ -296,7 +297,7 @@
 
     def _choose(
         self, serving: _Round, waiter: Waiter
-    ) -> directory.Target | None:
+    ) -> target_state.Target | None:
         if waiter.key is not None:
             return self._owner(serving, waiter)
         now = serving.now
@@ -328,7 +329,7 @@
         return None
 
     def _near_usable(
-        self, targets: list[directory.Target], distance: int, now: float
+        self, targets: list[target_state.Target], distance: int, now: float
     ) -> bool:
         """Tell whether a nearer target may fall free."""
         for target in targets:
@@ -337,7 +338,7 @@
                     return True
         return False
 
-    def owner(self, service: str, key: int) -> directory.Target | None:
+    def owner(self, service: str, key: int) -> target_state.Target | None:
         """Return the target that holds a key, or None."""
         key_range = self._keys.find(service, key)
         if key_range is None or key_range.moving:
@@ -365,7 +366,7 @@
 
     def _owner(
         self, serving: _Round, waiter: Waiter
-    ) -> directory.Target | None:
+    ) -> target_state.Target | None:
         """Return the owner of a waiter's key if it has room."""
         assert waiter.key is not None
         now = serving.now
@@ -390,14 +391,14 @@
             target.pace.take_turn(now, interval_s, self._random)
         return target
 
-    def _distance(self, target: directory.Target) -> int:
+    def _distance(self, target: target_state.Target) -> int:
         return target_choice.distance(self._reach, target.entry.failure_domain)
 
     def _usual_s(self, service: str) -> float:
         return self._times.of_service(service)
 
 
-def _is_assigned(future: asyncio.Future[directory.Target]) -> bool:
+def _is_assigned(future: asyncio.Future[target_state.Target]) -> bool:
     if not future.done() or future.cancelled():
         return False
     return future.exception() is None
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -177,35 +177,3 @@
         self.directory.put(entry('i-1', incarnation=2))
         self.assertIsNone(self.directory.find('i-1', 1))
         self.assertEqual(self.directory.find('i-1', 2).paused_until, 0.0)
-
-    def test_pause_grows_and_ends_with_a_success(self):
-        target = directory.Target(entry(), self.now)
-        target.note_unreachable(self.now)
-        first = target.paused_until - self.now
-        target.note_unreachable(self.now)
-        self.assertGreater(target.paused_until - self.now, first)
-        target.note_success(0.1, 0.1, self.now)
-        self.assertEqual(target.paused_until, 0.0)
-
-    def test_full_target_has_not_crashed(self):
-        # Full targets reset connections: a popular request must not be held
-        # back for that.
-        target = directory.Target(entry(), self.now)
-        target.note_reset(b'one', self.now)
-        self.now += directory.CRASH_WINDOW_S + 0.1
-        self.assertEqual(target.take_resets(self.now), [])
-
-    def test_crash_is_told_by_a_refusal_after_a_reset(self):
-        target = directory.Target(entry(), self.now)
-        target.note_reset(b'one', self.now)
-        self.assertEqual(target.take_resets(self.now + 0.3), [b'one'])
-        self.assertEqual(target.take_resets(self.now + 0.3), [])
-
-    def test_slow_target_is_told_from_slow_routes(self):
-        # Two routes with unlike work: a target is slow only relative to
-        # what is usual for the route.
-        target = directory.Target(entry(), self.now)
-        for _ in range(30):
-            target.note_success(0.4, 0.4, self.now)
-            target.note_success(0.1, 0.1, self.now)
-        self.assertAlmostEqual(target.slowness, 1.0)
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -19,6 +19,7 @@
 from amaranthcrank.router import retry_rules
 from amaranthcrank.router import route_table
 from amaranthcrank.router import service_times
+from amaranthcrank.router import target_state
 from amaranthcrank.router import wait_order
 
 CONNECT_TIMEOUT_S = 0.25
@@ -216,7 +217,7 @@
 
     async def _acquire(
         self, call: calls.Call, excluded: frozenset[str]
-    ) -> directory.Target:
+    ) -> target_state.Target:
         standing = wait_order.Standing(
             call.route.rank, call.goal_at, call.deadline_at
         )
@@ -245,7 +246,7 @@
         return self._budget.try_spend(call.service, now)
 
     async def _send(
-        self, call: calls.Call, target: directory.Target
+        self, call: calls.Call, target: target_state.Target
     ) -> Attempt:
         """Send a request to a target and judge what comes back."""
         loop = asyncio.get_running_loop()
@@ -357,7 +358,7 @@
     def _judge(
         self,
         call: calls.Call,
-        target: directory.Target,
+        target: target_state.Target,
         answer: http_client.Answer,
         elapsed_s: float,
     ) -> Attempt:
@@ -389,7 +390,7 @@
         return Attempt(retry_rules.MAYBE_RUN, answer, '')
 
     def _note_crash(
-        self, fingerprint: bytes, target: directory.Target
+        self, fingerprint: bytes, target: target_state.Target
     ) -> None:
         target_id = target.entry.target_id
         self._crashes.note_crash(fingerprint, target_id)
@@ -399,7 +400,7 @@
     def _learn_not_run(
         self,
         call: calls.Call,
-        target: directory.Target,
+        target: target_state.Target,
         answer: http_client.Answer,
         now: float,
     ) -> None:
--- a/amaranthcrank/router/host_reports_test.py
+++ b/amaranthcrank/router/host_reports_test.py
@@ -4,12 +4,12 @@
 import types
 import unittest
 
-from amaranthcrank.router import directory
 from amaranthcrank.router import host_reports
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import owner_board
 from amaranthcrank.router import peers
+from amaranthcrank.router import target_state
 
 
 def _range(first, last, fence, moving=False, former_ids=''):
@@ -147,7 +147,7 @@
             0.0,
             1,
         )
-        target = directory.Target(entry, 0.0)
+        target = target_state.Target(entry, 0.0)
         target.in_flight = in_flight
         reports._targets.by_id['i-1'] = target
         return target
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -25,6 +25,7 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import refused_holders
+from amaranthcrank.router import target_state
 
 STEP_S = 0.1
 # Load is looked at this often; more often it would follow chance.
@@ -265,7 +266,7 @@
             return
         self.services_in_demand -= {service}
 
-    def _slowness(self, target: directory.Target) -> float:
+    def _slowness(self, target: target_state.Target) -> float:
         """Return how slow a target is, in steps.
 
         Small differences are chance, and would change the plan all the time.
--- a/amaranthcrank/router/pacing_test.py
+++ b/amaranthcrank/router/pacing_test.py
@@ -4,11 +4,11 @@
 import random
 import unittest
 
-from amaranthcrank.router import directory
 from amaranthcrank.router import host_reports
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
 from amaranthcrank.router import target_choice
+from amaranthcrank.router import target_state
 
 SLOTS = 3
 SERVICE_S = 0.4
@@ -25,7 +25,7 @@
         0.0,
         1,
     )
-    return directory.Target(entry, 0.0)
+    return target_state.Target(entry, 0.0)
 
 
 class PaceTest(unittest.TestCase):
--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -5,8 +5,8 @@
 
 import typing
 
-from amaranthcrank.router import directory
 from amaranthcrank.router import pacing
+from amaranthcrank.router import target_state
 
 # One fault in two requests weighs like this many service times.
 FAULT_SERVICE_TIMES = 8.0
@@ -48,7 +48,7 @@
     return 2
 
 
-def has_room(target: directory.Target, now: float, hosts: int) -> bool:
+def has_room(target: target_state.Target, now: float, hosts: int) -> bool:
     """Tell whether a target may get a further request of this host.
 
     Args:
@@ -65,7 +65,7 @@
 
 
 def owner_interval_s(
-    target: directory.Target, usual_s: float, waiting: int
+    target: target_state.Target, usual_s: float, waiting: int
 ) -> float:
     """Return this host's mean time between sends to an owner in demand.
 
@@ -82,7 +82,7 @@
     )
 
 
-def is_contested(target: directory.Target, hosts: int) -> bool:
+def is_contested(target: target_state.Target, hosts: int) -> bool:
     """Tell whether hosts should take turns at an owner.
 
     Args:
@@ -95,7 +95,7 @@
 
 
 def owner_has_room(
-    target: directory.Target,
+    target: target_state.Target,
     now: float,
     rank: int,
     interval_s: float,
@@ -147,7 +147,9 @@
     return max(1, -(-slots * 3 // (2 * hosts)))
 
 
-def expected_s(target: directory.Target, usual_s: float, now: float) -> float:
+def expected_s(
+    target: target_state.Target, usual_s: float, now: float
+) -> float:
     """Return the expected cost of a send in seconds.
 
     Args:
@@ -157,7 +159,7 @@
     """
     service_s = usual_s * target.slowness
     if target.is_cold(now):
-        service_s *= directory.COLD_FACTOR
+        service_s *= target_state.COLD_FACTOR
     waiting = target.in_flight + target.elsewhere + 1
     cost = service_s * max(1.0, waiting / target.entry.slots)
     # Among idle targets the emptier one is less likely to fill up.
@@ -167,12 +169,12 @@
 
 
 def choose(
-    targets: typing.Iterable[directory.Target],
+    targets: typing.Iterable[target_state.Target],
     usual_s: float,
     now: float,
     hosts: int,
     random: typing.Callable[[], float],
-) -> directory.Target | None:
+) -> target_state.Target | None:
     """Choose the target with the least expected cost, or None.
 
     Args:
--- a/tools/model_owners.py
+++ b/tools/model_owners.py
@@ -13,10 +13,10 @@
 
 import typer
 
-from amaranthcrank.router import directory
 from amaranthcrank.router import host_reports
 from amaranthcrank.router import model
 from amaranthcrank.router import target_choice
+from amaranthcrank.router import target_state
 from amaranthcrank.router import wait_order
 
 STEP_S = 0.02
@@ -108,7 +108,7 @@
         self.on_time: collections.Counter[int] = collections.Counter()
         self.total: collections.Counter[int] = collections.Counter()
 
-    def _target(self, owner: int) -> directory.Target:
+    def _target(self, owner: int) -> target_state.Target:
         entry = model.TargetEntry(
             f'i-{owner}',
             'book',
@@ -119,7 +119,7 @@
             0.0,
             1,
         )
-        return directory.Target(entry, 0.0)
+        return target_state.Target(entry, 0.0)
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
