--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -5,10 +5,10 @@
 
 from amaranthcrank.router import admission
 from amaranthcrank.router import directory
-from amaranthcrank.router import forwarder
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
+from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
@@ -274,7 +274,7 @@
         for drain_s in (2.0, 3.0):
             used_s = drain_s * target_feed.GATHER_DRAIN_SHARE
             used_s += drain_s * admission.LEAVING_SHARE
-            used_s += forwarder.CONNECT_TIMEOUT_S
+            used_s += sender.CONNECT_TIMEOUT_S
             self.assertLessEqual(used_s + BUSY_LINK_S, drain_s)
 
     async def test_owner_that_left_gets_nothing(self):
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -8,9 +8,7 @@
 from amaranthcrank.platform import names
 from amaranthcrank.router import admission
 from amaranthcrank.router import call as calls
-from amaranthcrank.router import connection_pool
 from amaranthcrank.router import crash_reports
-from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
@@ -18,22 +16,13 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import retry_rules
 from amaranthcrank.router import route_table
+from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
 from amaranthcrank.router import target_state
 from amaranthcrank.router import wait_order
 
-CONNECT_TIMEOUT_S = 0.25
-# A target answers at the deadline that it was handed; its answer is awaited
-# this much longer than that.
-ANSWER_SLACK_S = 0.06
-# Work that may not repeat is not sent over a connection that was idle for
-# longer: the target may have closed it, and the send could not be repeated.
-UNSAFE_IDLE_S = 2.0
-SAFE_IDLE_S = 4.0
 # A keyed request that its owner disowns waits this long for news of its keys.
 DISOWNED_PAUSE_S = 0.05
-# Work that may not repeat goes on for this long after its caller left.
-ABANDONED_S = 10.0
 # When the caller of a request that crashes targets may ask again.
 HELD_BACK_S = 30.0
 CRASHES = 'the request crashes targets'
@@ -41,20 +30,6 @@
 FAILED_WAIT_S = 0.2
 
 
-class Attempt(typing.NamedTuple):
-    """The result of one send.
-
-    Attributes:
-      knowledge: What is known of the request, one of `retry_rules`.
-      answer: The target's answer, or None.
-      reason: Why it failed; '' for an answer to pass on.
-    """
-
-    knowledge: str
-    answer: http_client.Answer | None
-    reason: str
-
-
 class Forwarder:
     """Serves the requests of callers.
 
@@ -64,9 +39,8 @@
 
     def __init__(
         self,
-        targets: directory.Directory,
         waiting: admission.Admission,
-        pool: connection_pool.Pool,
+        sending: sender.Sender,
         budget: retry_rules.RetryBudget,
         times: service_times.ServiceTimes,
         crashes: crash_reports.CrashReports,
@@ -76,12 +50,8 @@
         """Serve by the given beliefs."""
         self.table: route_table.RouteTable | None = None
         self.note_key: typing.Callable[[str, int, float], None] | None = None
-        self.note_disowned: typing.Callable[[str], None] | None = None
-        self.note_crash: typing.Callable[[bytes, str], None] | None = None
-        self.note_cleared: typing.Callable[[bytes], None] | None = None
-        self._targets = targets
         self._admission = waiting
-        self._pool = pool
+        self._sender = sending
         self._budget = budget
         self._times = times
         self._crashes = crashes
@@ -89,7 +59,6 @@
         self._metrics = counters
         self._splitter = route_table.Splitter()
         self._longest_s_by_route: dict[str, float] = {}
-        self._abandoned: set[asyncio.Task[typing.Any]] = set()
 
     async def handle(self, request: http_server.Request) -> http_server.Reply:
         """Answer one request."""
@@ -185,7 +154,7 @@
 
     async def _attempt(
         self, call: calls.Call, progress: calls.Progress
-    ) -> Attempt:
+    ) -> sender.Attempt:
         """Wait for a target and send to it.
 
         Raises:
@@ -197,7 +166,7 @@
         sent_at = loop.time()
         in_flight = target.in_flight
         try:
-            attempt = await self._send(call, target)
+            attempt = await self._sender.send(call, target)
         finally:
             self._admission.release(target)
         progress.note(attempt.knowledge, attempt.answer)
@@ -226,7 +195,10 @@
         )
 
     def _may_go_on(
-        self, call: calls.Call, attempt: Attempt, progress: calls.Progress
+        self,
+        call: calls.Call,
+        attempt: sender.Attempt,
+        progress: calls.Progress,
     ) -> bool:
         now = asyncio.get_running_loop().time()
         if now >= call.deadline_at:
@@ -245,172 +217,6 @@
             return True
         return self._budget.try_spend(call.service, now)
 
-    async def _send(
-        self, call: calls.Call, target: target_state.Target
-    ) -> Attempt:
-        """Send a request to a target and judge what comes back."""
-        loop = asyncio.get_running_loop()
-        idle_s = SAFE_IDLE_S if call.route.repeatable else UNSAFE_IDLE_S
-        try:
-            connection = await self._pool.acquire(
-                target.entry.address, CONNECT_TIMEOUT_S, idle_s
-            )
-        except http_client.ConnectError as error:
-            target.note_unreachable(loop.time(), not error.refused)
-            for fingerprint in target.take_resets(loop.time()):
-                self._note_crash(fingerprint, target)
-            self._pool.drop(target.entry.address)
-            return Attempt(
-                retry_rules.NOT_SENT, None, f'connecting failed: {error}'
-            )
-        sent_at = loop.time()
-        left_s = call.deadline_at - sent_at
-        if left_s <= 0.001:
-            self._pool.release(target.entry.address, connection)
-            return Attempt(retry_rules.NOT_SENT, None, 'deadline passed')
-        exchange = connection.exchange(
-            call.request.method,
-            call.request.path,
-            calls.request_headers(call, target.entry.target_id, left_s),
-            call.request.body,
-            call.request_id,
-        )
-        try:
-            answer = await self._wait(call, connection, exchange, left_s)
-        except http_client.ExchangeError as error:
-            if error.reset and not error.answered:
-                target.note_unreachable(loop.time())
-                target.note_reset(call.fingerprint, loop.time())
-                # Its other connections are likely to be as dead.
-                self._pool.drop(target.entry.address)
-            else:
-                target.note_failure(loop.time())
-            return Attempt(retry_rules.MAYBE_RUN, None, str(error))
-        except TimeoutError:
-            target.note_failure(loop.time())
-            return Attempt(
-                retry_rules.MAYBE_RUN, None, 'no answer before the deadline'
-            )
-        elapsed_s = loop.time() - sent_at
-        if not calls.is_refusal(answer):
-            self._pool.release(target.entry.address, connection)
-            return self._judge(call, target, answer, elapsed_s)
-        # A faulty target may write its refusal once more: where the same
-        # request comes again, that could not be told from a new one.
-        connection.abort()
-        if answer.is_first or calls.bears_id(call.request_id, answer):
-            self._learn_not_run(call, target, answer, loop.time())
-            return Attempt(
-                retry_rules.NOT_RUN, None, f'not run ({answer.status})'
-            )
-        target.note_failure(loop.time())
-        return Attempt(
-            retry_rules.MAYBE_RUN, None, 'the refusal bears another id'
-        )
-
-    async def _wait(
-        self,
-        call: calls.Call,
-        connection: http_client.Connection,
-        exchange: typing.Coroutine[typing.Any, typing.Any, typing.Any],
-        left_s: float,
-    ) -> http_client.Answer:
-        """Wait for an answer.
-
-        Work that may be repeated is cut off when its caller leaves; other
-        work is left to end, as breaking it off would leave its effect
-        unknown.
-        """
-        if call.route.repeatable:
-            async with asyncio.timeout(left_s + ANSWER_SLACK_S):
-                return await exchange
-        task = asyncio.get_running_loop().create_task(exchange)
-        done = False
-        try:
-            async with asyncio.timeout(left_s + ANSWER_SLACK_S):
-                answer = await asyncio.shield(task)
-            done = True
-            return answer
-        finally:
-            if not done and not task.done():
-                self._abandon(task, connection)
-
-    def _abandon(
-        self,
-        task: asyncio.Task[http_client.Answer],
-        connection: http_client.Connection,
-    ) -> None:
-        """Let work end that nobody waits for any more."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(ABANDONED_S, connection.abort)
-        self._abandoned.add(task)
-
-        def finish(done: asyncio.Task[http_client.Answer]) -> None:
-            timer.cancel()
-            self._abandoned.discard(done)
-            connection.abort()
-            if not done.cancelled():
-                # Read, or it would be reported as never retrieved.
-                done.exception()
-
-        task.add_done_callback(finish)
-
-    def _judge(
-        self,
-        call: calls.Call,
-        target: target_state.Target,
-        answer: http_client.Answer,
-        elapsed_s: float,
-    ) -> Attempt:
-        """Tell whether an answer of a run may be passed on, and learn."""
-        now = asyncio.get_running_loop().time()
-        spoiled = calls.find_fault(call.request_id, answer)
-        if spoiled:
-            target.note_failure(now)
-            return Attempt(retry_rules.MAYBE_RUN, None, spoiled)
-        if answer.status < 500:
-            usual_s = self._times.of_route(call.route.name)
-            target.note_success(elapsed_s, usual_s, now)
-            cleared = self._crashes.clear(call.fingerprint)
-            if cleared and self.note_cleared is not None:
-                self.note_cleared(call.fingerprint)
-            self._times.note(call.service, call.route.name, elapsed_s)
-            return Attempt(retry_rules.MAYBE_RUN, answer, '')
-        target.note_failure(now)
-        if call.route.repeatable and answer.status != 504:
-            return Attempt(
-                retry_rules.MAYBE_RUN, answer, f'failed ({answer.status})'
-            )
-        if not retry_rules.passes_unchanged(
-            answer.status, call.route.repeatable
-        ):
-            return Attempt(
-                retry_rules.MAYBE_RUN, None, f'answered {answer.status}'
-            )
-        return Attempt(retry_rules.MAYBE_RUN, answer, '')
-
-    def _note_crash(
-        self, fingerprint: bytes, target: target_state.Target
-    ) -> None:
-        target_id = target.entry.target_id
-        self._crashes.note_crash(fingerprint, target_id)
-        if self.note_crash is not None:
-            self.note_crash(fingerprint, target_id)
-
-    def _learn_not_run(
-        self,
-        call: calls.Call,
-        target: target_state.Target,
-        answer: http_client.Answer,
-        now: float,
-    ) -> None:
-        if call.key is None or answer.status != 421:
-            target.note_full(now)
-            return
-        target.note_disowned(now)
-        if self.note_disowned is not None:
-            self.note_disowned(target.entry.target_id)
-
     def _pass_on(
         self,
         call: calls.Call,
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -32,6 +32,7 @@
 from amaranthcrank.router import reading_rota
 from amaranthcrank.router import retry_rules
 from amaranthcrank.router import route_table
+from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
 from amaranthcrank.router import shared_feed
 from amaranthcrank.router import store_absence
@@ -104,10 +105,10 @@
             clock,
             random.random,
         )
+        self.sender = sender.Sender(self.pool, self.times, self.crashes)
         self.forwarder = forwarder.Forwarder(
-            self.targets,
             self.admission,
-            self.pool,
+            self.sender,
             self.budget,
             self.times,
             self.crashes,
@@ -209,9 +210,9 @@
 
     def _connect(self) -> None:
         self.forwarder.note_key = self.reports.note_key
-        self.forwarder.note_disowned = self.reports.note_disowned
-        self.forwarder.note_crash = self.reports.tell_crash
-        self.forwarder.note_cleared = self.reports.tell_cleared
+        self.sender.note_disowned = self.reports.note_disowned
+        self.sender.note_crash = self.reports.tell_crash
+        self.sender.note_cleared = self.reports.tell_cleared
         self.controller.on_settled = self.reports.tell_settled
         self.controller.on_written = self.reports.tell_moved
 
--- a/soak/run_test.py
+++ b/soak/run_test.py
@@ -27,6 +27,8 @@
     Case(402, 20.0),
     # Another reached it with the token of the former life.
     Case(504, 20.0),
+    # An owner left unheard, refused and was taken for crashed: two owners.
+    Case(702, 20.0),
 )
 
 
