Wait longer for the entry of an owner that refuses than before a grant

Cause: the reading of an entry took 0.2 s at most, which a grant needs, as its sender may lose the lease meanwhile. On a store that is slow (its answers take 0.2 s and more) an owner that crashed would then keep its keys until its last grant has run out, up to six seconds. Ruled out: no bound (the refusal is looked at again after half a second). Evidence: key_controller_test.test_crash_while_the_store_is_slow fails with the former bound and passes with one second; 33 tests of entry_reads and key_controller pass.

--- a/amaranthcrank/router/entry_reads.py
+++ b/amaranthcrank/router/entry_reads.py
@@ -14,7 +14,9 @@
 from amaranthcrank.router import model
 
 # A grant must not go out much later than its sender still held the lease.
-TIMEOUT_S = 0.2
+BEFORE_GRANT_S = 0.2
+# An owner that refuses keeps its keys meanwhile, so a slow store is awaited.
+AFTER_REFUSAL_S = 1.0
 
 # Takes the id of a target. Returns None where there is no entry, or where it
 # cannot be read.
@@ -23,19 +25,22 @@
 Check = typing.Callable[[str], typing.Awaitable[bool]]
 
 
-def reader(client: store.Client, log: event_log.EventLog) -> ReadEntry:
+def reader(
+    client: store.Client, log: event_log.EventLog, timeout_s: float
+) -> ReadEntry:
     """Return a function that reads a target's entry.
 
     Args:
       client: The store's client.
       log: Takes entries that could not be read.
+      timeout_s: How long reading may take.
     """
 
     async def read(target_id: str) -> model.TargetEntry | None:
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 item = await client.get(
-                    names.TARGETS_KIND, target_id, TIMEOUT_S
+                    names.TARGETS_KIND, target_id, timeout_s
                 )
             if item is None:
                 return None
--- a/amaranthcrank/router/entry_reads_test.py
+++ b/amaranthcrank/router/entry_reads_test.py
@@ -9,6 +9,7 @@
 from standins import platform_target
 
 HOLDER = 'i-1/5'
+TIMEOUT_S = entry_reads.BEFORE_GRANT_S
 
 
 def _entry(incarnation, state=model.READY):
@@ -22,7 +23,7 @@
     def setUp(self):
         self.client = mock.AsyncMock()
         self.has_started_anew = entry_reads.start_check(
-            entry_reads.reader(self.client, mock.Mock())
+            entry_reads.reader(self.client, mock.Mock(), TIMEOUT_S)
         )
 
     async def test_entries(self):
@@ -58,7 +59,7 @@
     def setUp(self):
         self.client = mock.AsyncMock()
         self.is_ready = entry_reads.ready_check(
-            entry_reads.reader(self.client, mock.Mock())
+            entry_reads.reader(self.client, mock.Mock(), TIMEOUT_S)
         )
 
     async def test_entries(self):
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -80,7 +80,9 @@
             calls,
             targets,
             self._address_by_holder,
-            entry_reads.ready_check(entry_reads.reader(client, log)),
+            entry_reads.ready_check(
+                entry_reads.reader(client, log, entry_reads.AFTER_REFUSAL_S)
+            ),
             log,
         )
         self._refused = refused_holders.RefusedHolders()
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -8,6 +8,7 @@
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import directory
+from amaranthcrank.router import entry_reads
 from amaranthcrank.router import http_client
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import key_controller
@@ -320,6 +321,18 @@
         waited_s = await self._leave_and_refuse(_entry(1))
         self.assertGreaterEqual(waited_s, HOLD_S)
 
+    async def test_crash_while_the_store_is_slow(self):
+        """Guards against keys without owner as the store answers late."""
+        read = self.store.get
+
+        async def read_late(kind, name, timeout_s):
+            await asyncio.sleep(2 * entry_reads.BEFORE_GRANT_S)
+            return await read(kind, name, timeout_s)
+
+        with mock.patch.object(self.store, 'get', read_late):
+            waited_s = await self._leave_and_refuse(_entry(1))
+        self.assertLess(waited_s, HOLD_S)
+
     async def test_refusing_target_whose_entry_cannot_be_read(self):
         """Guards against two owners while the store does not answer."""
         error = store.StoreError('no answer in time')
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -140,7 +140,9 @@
                 self.pool,
                 self.log,
                 entry_reads.start_check(
-                    entry_reads.reader(self.store, self.log)
+                    entry_reads.reader(
+                        self.store, self.log, entry_reads.BEFORE_GRANT_S
+                    )
                 ),
             ),
             self.targets,
