Split the command line: tickets, shared options and printing

Commands of tickets, the options that commands share, and the printing of results and failures are modules now; `site_commands` uses the same exit statuses instead of its own. Ruled out: one module a command, as most are three lines long.

--- a/amaranthcrank/cli/main_test.py
+++ b/amaranthcrank/cli/main_test.py
@@ -8,6 +8,8 @@
 
 from amaranthcrank.cli import filing
 from amaranthcrank.cli import main
+from amaranthcrank.cli import operator_client
+from amaranthcrank.cli import printing
 from amaranthcrank.core import codes
 from amaranthcrank.core import model
 from amaranthcrank.publish import status
@@ -146,7 +148,7 @@
     def test_lagging_host_is_told(self):
         self.fake.host_tickets['p1'] = 0
         result = self.file_first('--output', 'json')
-        self.assertEqual(result.exit_code, main.EXIT_NOT_IN_FORCE)
+        self.assertEqual(result.exit_code, printing.EXIT_NOT_IN_FORCE)
         body = json.loads(result.stdout)
         self.assertEqual(body['lagging'], ['p1'])
         self.assertFalse(body['in_force'])
@@ -164,11 +166,11 @@
         self.file_first()
         text = json.dumps({'expected': 1, 'touches': {'lost_hosts': ['b2']}})
         result = self.run_command('ticket', 'file', '-', text=text)
-        self.assertEqual(result.exit_code, main.EXIT_REFUSED)
+        self.assertEqual(result.exit_code, printing.EXIT_REFUSED)
         self.assertIn('500 TICKET_CONFLICT expected', result.stderr)
         # The ticket of the other operator comes between check and filing.
         found = tickets.Document('a', 'u', 1, {'lost_hosts': ['b2']})
-        client = main.operator_client.make_client((self.fake.url,), KEY)
+        client = operator_client.make_client((self.fake.url,), KEY)
         filed = filing.file_document(client, found)
         self.assertEqual((filed.number, filed.unknown), (0, False))
         self.assertEqual(filed.answer.body['current']['number'], 2)
@@ -180,7 +182,7 @@
         text = json.dumps({'touches': touches})
         for command in ('check', 'file'):
             result = self.run_command('ticket', command, '-', text=text)
-            self.assertEqual(result.exit_code, main.EXIT_BAD_INPUT)
+            self.assertEqual(result.exit_code, printing.EXIT_BAD_INPUT)
             self.assertIn(
                 '507 TICKET_OUT_OF_BOUNDS services/soaklog/slots: 0',
                 result.stderr,
@@ -188,7 +190,7 @@
         result = self.run_command(
             '--output', 'json', 'ticket', 'check', '-', text='[]'
         )
-        self.assertEqual(result.exit_code, main.EXIT_BAD_INPUT)
+        self.assertEqual(result.exit_code, printing.EXIT_BAD_INPUT)
         numbers = [
             each['number'] for each in json.loads(result.stderr)['problems']
         ]
@@ -208,7 +210,7 @@
         # The last active target of a cell, a pinned one, an unknown one.
         for target, number in (('s1', 516), ('s3', 515), ('s9', 528)):
             result = self.run_command('drain', target)
-            self.assertEqual(result.exit_code, main.EXIT_BAD_INPUT)
+            self.assertEqual(result.exit_code, printing.EXIT_BAD_INPUT)
             self.assertIn(str(number), result.stderr)
         result = self.run_command('drain', '--drop-pins', 's3')
         self.assertEqual(result.exit_code, 0, result.output)
@@ -228,13 +230,13 @@
         )
         self.assertEqual(json.loads(result.output)['s1']['limit'], 3)
         result = self.run_command('queues', hosts='http://127.0.0.1:9')
-        self.assertEqual(result.exit_code, main.EXIT_UNREACHABLE)
+        self.assertEqual(result.exit_code, printing.EXIT_UNREACHABLE)
         self.assertIn('No host answers.', result.stderr)
 
     def test_unknown_outcome(self):
         self.file_first()
         document = tickets.Document('a', 'u', 1, {'lost_hosts': ['b2']})
-        answer = main.operator_client.Answer(0, {}, ('x',), True)
+        answer = operator_client.Answer(0, {}, ('x',), True)
         with mock.patch.object(
             filing.operator_client,
             'call',
@@ -246,7 +248,7 @@
 
     def test_key_is_refused(self):
         result = self.run_command('status', key='wrong')
-        self.assertEqual(result.exit_code, main.EXIT_REFUSED)
+        self.assertEqual(result.exit_code, printing.EXIT_REFUSED)
         self.assertIn('540 OPERATOR_UNAUTHORIZED', result.stderr)
 
     def test_status_and_owner(self):
@@ -271,7 +273,7 @@
                 ('drain', 's1'),
             ):
                 result = self.run_command(*command)
-                self.assertEqual(result.exit_code, main.EXIT_REFUSED)
+                self.assertEqual(result.exit_code, printing.EXIT_REFUSED)
                 self.assertIsInstance(result.exception, SystemExit)
 
     def test_usage_and_codes(self):
@@ -285,7 +287,9 @@
             ('ticket', 'file', '-', '--wait', '-1'),
         ):
             result = self.run_command(*arguments)
-            self.assertEqual(result.exit_code, main.EXIT_BAD_INPUT, arguments)
+            self.assertEqual(
+                result.exit_code, printing.EXIT_BAD_INPUT, arguments
+            )
         result = self.run_command('codes', '500')
         self.assertIn('TICKET_CONFLICT', result.output)
 
@@ -294,7 +298,7 @@
         result = self.run_command(
             'ticket', 'file', '-', '--author', '', text=text
         )
-        self.assertEqual(result.exit_code, main.EXIT_BAD_INPUT)
+        self.assertEqual(result.exit_code, printing.EXIT_BAD_INPUT)
         self.assertIn('506 TICKET_BAD_NAME author', result.stderr)
 
     def test_force_of_an_older_ticket(self):
--- /dev/null
+++ b/amaranthcrank/cli/printing.py
@@ -0,0 +1,119 @@
+"""Prints what commands found, and ends those that failed."""
+
+from collections import abc
+import json
+import typing
+
+import typer
+
+from amaranthcrank.cli import command_options
+from amaranthcrank.cli import filing
+from amaranthcrank.cli import operator_client
+from amaranthcrank.core import codes
+from amaranthcrank.publish import status as status_documents
+
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNREACHABLE = 3
+EXIT_NOT_IN_FORCE = 4
+
+BAD_FORM = 'The answer of the host has an unexpected form.'
+EXITS = (
+    'Exit status: 0 done, 1 refused by the system, 2 usage or bad input, '
+    '3 no host reachable or outcome unknown, 4 filed but not in force '
+    'everywhere within the wait.'
+)
+
+
+def get(options: command_options.Options, path: str) -> dict[str, typing.Any]:
+    """Return what a host answers; a failure ends the command."""
+    client = operator_client.make_client(options.urls, options.key)
+    answer = operator_client.call(client, 'GET', path)
+    if answer.status != 200:
+        fail_with_answer(options, answer)
+    return answer.body
+
+
+def show(
+    options: command_options.Options,
+    body: dict[str, typing.Any],
+    to_text: abc.Callable[[dict[str, typing.Any]], str],
+) -> None:
+    """Print a document, as JSON or as the text that is made of it."""
+    if options.output == command_options.JSON:
+        typer.echo(json.dumps(body, sort_keys=True))
+        return
+    try:
+        text = to_text(body)
+    except (AttributeError, KeyError, OverflowError, TypeError):
+        fail_with(options, EXIT_REFUSED, BAD_FORM, {}, ())
+    typer.echo(text)
+
+
+def fail(
+    options: command_options.Options,
+    status: int,
+    problems: abc.Iterable[codes.Problem],
+) -> typing.NoReturn:
+    """Print problems and leave with a status."""
+    body = status_documents.problems_document(problems)
+    fail_with(options, status, '', body, ())
+
+
+def fail_with_answer(
+    options: command_options.Options, answer: operator_client.Answer
+) -> typing.NoReturn:
+    """Print why no host did what was asked, and leave."""
+    if not answer.status:
+        fail_with(
+            options,
+            EXIT_UNREACHABLE,
+            'No host answers.',
+            {},
+            answer.failures,
+        )
+    message = ''
+    if not filing.problems_of(answer.body):
+        message = f'The host answered with status {answer.status}.'
+    fail_with(options, EXIT_REFUSED, message, answer.body, ())
+
+
+def fail_with(
+    options: command_options.Options,
+    status: int,
+    message: str,
+    body: dict[str, typing.Any],
+    failures: tuple[str, ...],
+) -> typing.NoReturn:
+    """Print what went wrong on standard error and leave."""
+    problems = filing.problems_of(body)
+    current = body.get('current')
+    if options.output == command_options.JSON:
+        shown = {
+            'message': message,
+            'problems': problems,
+            'failures': failures,
+        }
+        if isinstance(current, dict):
+            shown['current'] = current
+        typer.echo(json.dumps(shown, sort_keys=True), err=True)
+        raise typer.Exit(status)
+    if message:
+        typer.echo(message, err=True)
+    for each in problems:
+        typer.echo(
+            f'{each.get("number")} {each.get("name")} '
+            f'{each.get("place")}: {each.get("detail")}',
+            err=True,
+        )
+    if isinstance(current, dict):
+        touched = ' '.join(map(str, current.get('touches', ())))
+        typer.echo(
+            f'Current is ticket {current.get("number")} by '
+            f'{current.get("author")}; it touched {touched}. '
+            'Read it with `ticket show`.',
+            err=True,
+        )
+    for line in failures:
+        typer.echo(line, err=True)
+    raise typer.Exit(status)
--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -7,6 +7,7 @@
 import typer
 
 from amaranthcrank.cli import explain as explaining
+from amaranthcrank.cli import printing
 from amaranthcrank.platform import entries
 from amaranthcrank.platform import manifest
 from amaranthcrank.platform import names
@@ -17,8 +18,6 @@
 from amaranthcrank.router import model
 
 EXIT_NOT_FOUND = 1
-EXIT_BAD_INPUT = 2
-EXIT_UNREACHABLE = 3
 TIMEOUT_S = 2.0
 
 app = typer.Typer(
@@ -125,9 +124,9 @@
     try:
         return asyncio.run(_read_site(settings_file.parse_address(address)))
     except ValueError as error:
-        _fail(EXIT_BAD_INPUT, str(error))
+        _fail(printing.EXIT_BAD_INPUT, str(error))
     except (store.StoreError, manifest.ManifestError) as error:
-        _fail(EXIT_UNREACHABLE, f'cannot read the store: {error}')
+        _fail(printing.EXIT_UNREACHABLE, f'cannot read the store: {error}')
 
 
 async def _read_site(address: model.Address) -> Site:
--- /dev/null
+++ b/amaranthcrank/cli/ticket_commands.py
@@ -0,0 +1,296 @@
+"""Commands that check, file and read change tickets."""
+
+import json
+import sys
+import typing
+import uuid
+
+import typer
+
+from amaranthcrank.cli import command_options
+from amaranthcrank.cli import filing
+from amaranthcrank.cli import operator_client
+from amaranthcrank.cli import printing
+from amaranthcrank.core import codes
+from amaranthcrank.core import model
+from amaranthcrank.publish import status as status_documents
+from amaranthcrank.record import tickets
+
+CURRENT = 'current'
+NO_TICKET = tickets.Ticket(0, '', '', 0, (), model.EMPTY_STATE)
+
+app = typer.Typer(
+    help='Check, file and read change tickets.',
+    epilog=printing.EXITS,
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+
+FileArgument = typing.Annotated[
+    str,
+    typer.Argument(help='A document as JSON; - reads standard input.'),
+]
+
+
+@app.command('check', epilog=printing.EXITS)
+def check_ticket(
+    context: typer.Context,
+    file: FileArgument,
+    host: command_options.HostOption = None,
+    output: command_options.OutputOption = None,
+) -> None:
+    """Check a document against the current state, without filing it."""
+    options = command_options.merge(context, host, output)
+    document, current = _read_checked(options, file)
+    changes = tickets.diff(
+        current.state, tickets.fold(current.state, document.touches)
+    )
+    printing.show(
+        options,
+        {'current': current.number, 'changes': changes},
+        lambda body: '\n'.join(
+            (f'No problems. Against ticket {current.number}:', *changes)
+        ),
+    )
+
+
+@app.command('file', epilog=printing.EXITS)
+def file_ticket(
+    context: typer.Context,
+    file: FileArgument,
+    author: command_options.AuthorOption = '',
+    wait: command_options.WaitOption = command_options.DEFAULT_WAIT_S,
+    host: command_options.HostOption = None,
+    output: command_options.OutputOption = None,
+) -> None:
+    """File a document and wait until it is in force everywhere."""
+    options = command_options.merge(context, host, output)
+    document, current = _read_checked(options, file)
+    document = _complete(options, document, author)
+    _file(options, document, current, wait)
+
+
+@app.command('show', epilog=printing.EXITS)
+def show_ticket(
+    context: typer.Context,
+    number: typing.Annotated[
+        str, typer.Argument(help='A ticket number, or current.')
+    ] = CURRENT,
+    host: command_options.HostOption = None,
+    output: command_options.OutputOption = None,
+) -> None:
+    """Show a ticket with the complete state after it."""
+    options = command_options.merge(context, host, output)
+    ticket = _get_ticket(options, number)
+    printing.show(
+        options,
+        ticket._asdict(),
+        lambda body: json.dumps(body, indent=2, sort_keys=True),
+    )
+
+
+@app.command('list', epilog=printing.EXITS)
+def list_tickets(
+    context: typer.Context,
+    host: command_options.HostOption = None,
+    output: command_options.OutputOption = None,
+) -> None:
+    """List the tickets, the newest last."""
+    options = command_options.merge(context, host, output)
+
+    def to_text(body: dict[str, typing.Any]) -> str:
+        rows = [
+            (
+                each['number'],
+                each['author'],
+                status_documents.time_text(each['filed_at_ms']),
+                ' '.join(each['touches']),
+            )
+            for each in body['tickets']
+        ]
+        return status_documents.table(
+            ('NUMBER', 'AUTHOR', 'FILED_AT', 'TOUCHES'), rows
+        )
+
+    printing.show(options, printing.get(options, '/tickets'), to_text)
+
+
+@app.command('diff', epilog=printing.EXITS)
+def diff_tickets(
+    context: typer.Context,
+    old: typing.Annotated[
+        str, typer.Argument(help='A ticket number (0 is empty) or current.')
+    ],
+    new: typing.Annotated[
+        str,
+        typer.Argument(help='The same, or a document as JSON.'),
+    ],
+    host: command_options.HostOption = None,
+    output: command_options.OutputOption = None,
+) -> None:
+    """Show what changes from one ticket to another, or by a document."""
+    options = command_options.merge(context, host, output)
+    old_state = _get_ticket(options, old).state
+    if new == CURRENT or new.isdecimal():
+        new_state = _get_ticket(options, new).state
+    else:
+        document, current = _read_checked(options, new)
+        new_state = tickets.fold(current.state, document.touches)
+    changes = tickets.diff(old_state, new_state)
+    printing.show(
+        options,
+        {'changes': changes},
+        lambda body: '\n'.join(changes or ('No changes.',)),
+    )
+
+
+def file_target_state(
+    options: command_options.Options,
+    target: str,
+    target_state: str,
+    author: str,
+    wait_s: float,
+    drop_pins: bool,
+) -> None:
+    """File the ticket that gives a target another state."""
+    current = _get_ticket(options, CURRENT)
+    touches = tickets.touches_for_target_state(
+        current.state, target, target_state, drop_pins
+    )
+    if touches is None:
+        problem = codes.Problem(codes.TICKET_UNKNOWN_TARGET, target, '')
+        printing.fail(options, printing.EXIT_BAD_INPUT, (problem,))
+    if tickets.fold(current.state, touches) == current.state:
+        printing.show(
+            options,
+            {'number': current.number, 'filed': False},
+            lambda body: (
+                f'{target} is {target_state} already; nothing was filed.'
+            ),
+        )
+        return
+    document = tickets.Document(author, '', current.number, touches)
+    document = _complete(options, document, author)
+    problems = tickets.check_document(document, current.state, current.number)
+    if problems:
+        printing.fail(options, printing.EXIT_BAD_INPUT, problems)
+    _file(options, document, current, wait_s)
+
+
+def _file(
+    options: command_options.Options,
+    document: tickets.Document,
+    current: tickets.Ticket,
+    wait_s: float,
+) -> None:
+    client = operator_client.make_client(options.urls, options.key)
+    filed = filing.file_document(client, document)
+    if filed.unknown:
+        printing.fail_with(
+            options,
+            printing.EXIT_UNREACHABLE,
+            f'It is not known whether ticket {current.number + 1} was '
+            f'filed; look for uid {document.uid} in `ticket list`.',
+            filed.answer.body,
+            filed.answer.failures,
+        )
+    if not filed.number:
+        printing.fail_with_answer(options, filed.answer)
+    changes = tickets.diff(
+        current.state, tickets.fold(current.state, document.touches)
+    )
+    if options.output == command_options.TEXT:
+        for line in (f'Filed ticket {filed.number}.', *changes):
+            typer.echo(line)
+    force = filing.wait_in_force(client, filed.number, wait_s)
+    printing.show(
+        options,
+        {
+            'number': filed.number,
+            'filed': True,
+            'changes': changes,
+            'in_force': force.everywhere,
+            'lagging': force.lagging,
+            'detail': force.detail,
+        },
+        lambda body: _force_text(force, wait_s),
+    )
+    if not force.everywhere:
+        raise typer.Exit(printing.EXIT_NOT_IN_FORCE)
+
+
+def _force_text(force: filing.Force, wait_s: float) -> str:
+    if force.everywhere:
+        return 'It is in force everywhere.'
+    lines = [f'It is not in force everywhere after {wait_s:g} s.']
+    if force.lagging:
+        lines.append(f'Lagging: {", ".join(force.lagging)}.')
+    if force.detail:
+        lines.append(force.detail)
+    return '\n'.join(lines)
+
+
+def _read_checked(
+    options: command_options.Options, file: str
+) -> tuple[tickets.Document, tickets.Ticket]:
+    """Read a document and check it against the current ticket."""
+    data = _read_file(file)
+    document, problems = tickets.parse_document(data, ('touches',))
+    if document is None:
+        printing.fail(options, printing.EXIT_BAD_INPUT, problems)
+    current = _get_ticket(options, CURRENT)
+    if document.expected is None:
+        document = document._replace(expected=current.number)
+    problems = tickets.check_document(document, current.state, current.number)
+    if problems:
+        status = printing.EXIT_BAD_INPUT
+        if all(each.code is codes.TICKET_CONFLICT for each in problems):
+            status = printing.EXIT_REFUSED
+        printing.fail(options, status, problems)
+    return document, current
+
+
+def _complete(
+    options: command_options.Options, document: tickets.Document, author: str
+) -> tickets.Document:
+    """Add author and uid to a document that lacks them."""
+    made = document._replace(
+        author=author or document.author,
+        uid=document.uid or uuid.uuid4().hex,
+    )
+    data = json.dumps(made._asdict()).encode('ascii')
+    _, problems = tickets.parse_document(data)
+    if problems:
+        printing.fail(options, printing.EXIT_BAD_INPUT, problems)
+    return made
+
+
+def _read_file(file: str) -> bytes:
+    try:
+        if file == '-':
+            return sys.stdin.buffer.read(tickets.MAX_TICKET_BYTES + 1)
+        with open(file, 'rb') as source:
+            return source.read(tickets.MAX_TICKET_BYTES + 1)
+    except OSError as error:
+        raise typer.BadParameter(f'{file}: {error.strerror}') from None
+
+
+def _get_ticket(
+    options: command_options.Options, number: str
+) -> tickets.Ticket:
+    if number != CURRENT and not number.isdecimal():
+        raise typer.BadParameter(f'{number!r} is not a number or current')
+    if number != CURRENT and int(number) == 0:
+        return NO_TICKET
+    client = operator_client.make_client(options.urls, options.key)
+    answer = operator_client.call(client, 'GET', f'/tickets/{number}')
+    numbers = [each.get('number') for each in filing.problems_of(answer.body)]
+    if number == CURRENT and numbers == [codes.TICKET_NOT_FOUND.number]:
+        return NO_TICKET
+    if answer.status != 200:
+        printing.fail_with_answer(options, answer)
+    body = answer.body
+    try:
+        return tickets.decode(json.dumps(body).encode('ascii'))
+    except ValueError as error:
+        printing.fail_with(options, printing.EXIT_REFUSED, str(error), {}, ())
