--- a/soak/run.py
+++ b/soak/run.py
@@ -43,6 +43,65 @@
     faults: tuple[str, ...]
 
 
+class Scene(typing.NamedTuple):
+    """A site that serves its callers.
+
+    Attributes:
+      site: Its parts, and what can go wrong with them.
+      results: What the callers got so far.
+      tasks: What runs beside: the callers, and who watches the routers.
+    """
+
+    site: world.World
+    results: list[callers.Result]
+    tasks: tuple[asyncio.Task[None], ...]
+
+
+async def start(
+    stack: contextlib.AsyncExitStack,
+    seed: int,
+    router_count: int,
+    target_count: int,
+    folder: pathlib.Path | None = None,
+) -> Scene:
+    """Start a site and its callers, and wait until it serves.
+
+    Args:
+      stack: Ends everything.
+      seed: Decides what the site and its callers do by chance.
+      router_count: How many routers run.
+      target_count: How many targets run.
+      folder: Where logs and settings are kept; a temporary one if None.
+    """
+    if folder is None:
+        folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+    # Not by the seed alone: two runs of one seed may go side by side.
+    network = FIRST_NETWORK + (seed + os.getpid()) % NETWORKS
+    site = world.World(stack, random.Random(seed), network, folder)
+    await site.start(router_count, target_count)
+    results: list[callers.Result] = []
+    tasks = [
+        asyncio.create_task(
+            callers.keep_calling(
+                f'{router.name}-{number}',
+                router.name,
+                router.serve,
+                random.Random(f'{seed}-{router.name}-{number}'),
+                results,
+            )
+        )
+        for router in site.routers
+        for number in range(CALLERS_PER_ROUTER)
+    ]
+    tasks.append(asyncio.create_task(_watch(site)))
+    for task in tasks:
+        stack.callback(task.cancel)
+    await asyncio.sleep(WARM_UP_S)
+    return Scene(site, results, tuple(tasks))
+
+
 async def play(
     seed: int,
     seconds: float,
@@ -59,41 +118,16 @@
       target_count: How many targets run.
       folder: Where logs and settings are kept; a temporary one if None.
     """
-    chance = random.Random(seed)
     async with contextlib.AsyncExitStack() as stack:
-        if folder is None:
-            folder = pathlib.Path(
-                stack.enter_context(tempfile.TemporaryDirectory())
-            )
-        # Not by the seed alone: two runs of one seed may go side by side.
-        network = FIRST_NETWORK + (seed + os.getpid()) % NETWORKS
-        site = world.World(stack, chance, network, folder)
-        await site.start(router_count, target_count)
-        results: list[callers.Result] = []
-        tasks = [
-            asyncio.create_task(
-                callers.keep_calling(
-                    f'{router.name}-{number}',
-                    router.name,
-                    router.serve,
-                    random.Random(f'{seed}-{router.name}-{number}'),
-                    results,
-                )
-            )
-            for router in site.routers
-            for number in range(CALLERS_PER_ROUTER)
-        ]
-        tasks.append(asyncio.create_task(_watch(site)))
-        for task in tasks:
-            stack.callback(task.cancel)
-        await asyncio.sleep(WARM_UP_S)
-        names = await _strike(site, chance, seconds)
+        scene = await start(stack, seed, router_count, target_count, folder)
+        site, results, tasks = scene
+        names = await _strike(site, seconds)
         await asyncio.sleep(RECOVERY_S)
         calm_since = asyncio.get_running_loop().time()
         site.write_manifest()
         await asyncio.sleep(CALM_S)
         broken = [*_own_exits(site), *_ended(tasks)]
-        broken += await _check_ticket(site, chance, results)
+        broken += await _check_ticket(site, results)
         share = checks.served_share(results, calm_since)
         if share < MIN_CALM_SHARE:
             broken.append(f'only {share:.2f} served after the recovery')
@@ -114,19 +148,17 @@
             router.check()
 
 
-async def _strike(
-    site: world.World, chance: random.Random, seconds: float
-) -> list[str]:
+async def _strike(site: world.World, seconds: float) -> list[str]:
     """Begin faults for a while, often several at once, and await them."""
     loop = asyncio.get_running_loop()
     end_at = loop.time() + seconds
     names = []
     running = []
     while loop.time() < end_at:
-        fault = chance.choice(site.faults())
+        fault = site.chance.choice(site.faults())
         names.append(fault.__name__)
         running.append(asyncio.ensure_future(fault()))
-        await asyncio.sleep(chance.expovariate(1 / MEAN_GAP_S))
+        await asyncio.sleep(site.chance.expovariate(1 / MEAN_GAP_S))
     await asyncio.gather(*running)
     return names
 
@@ -146,9 +178,7 @@
 
 
 async def _check_ticket(
-    site: world.World,
-    chance: random.Random,
-    results: list[callers.Result],
+    site: world.World, results: list[callers.Result]
 ) -> list[str]:
     """Ask every router on the route that only the newest manifest has."""
     kind = callers.Kind(b'GET', site.newest_prefix, True, False)
@@ -160,7 +190,7 @@
             broken.append(f'{router.name} is not reached: {error}')
             continue
         result = await callers.call(
-            connection, router.name, f'newest-{router.name}', kind, chance
+            connection, router.name, f'newest-{router.name}', kind, site.chance
         )
         connection.abort()
         results.append(result)
--- a/soak/world.py
+++ b/soak/world.py
@@ -39,6 +39,8 @@
     Attributes:
       routers: The routers, each behind a relay of its own to the store.
       targets: Every incarnation that ever ran.
+      chance: Decides what happens by chance.
+      store_relays: What is between each router and the store.
       disturbances: What was disturbed, and when.
       notice_by_holder: When each target said that it leaves, or its entry
         went unannounced; monotonic seconds.
@@ -57,11 +59,11 @@
         self.disturbances = departures.Disturbances()
         self.notice_by_holder: dict[str, float] = {}
         self.store = platform_store.PlatformStore()
-        self._store_relays: list[relay.Relay] = []
+        self.store_relays: list[relay.Relay] = []
         self._relay_by_target: dict[str, relay.Relay] = {}
         self._target_by_id: dict[str, target.Target] = {}
         self._stack = stack
-        self._chance = chance
+        self.chance = chance
         self._network = network
         self._folder = folder
         self._store_address = model.Address(f'127.{network}.1.1', 18384)
@@ -86,7 +88,7 @@
         store_relay = relay.Relay(relay_address, self._store_address)
         await store_relay.listen()
         self._stack.callback(store_relay.close)
-        self._store_relays.append(store_relay)
+        self.store_relays.append(store_relay)
         router = routers.Router(
             f'host-{number}',
             f'127.{self._network}.3.{number + 1}',
@@ -140,9 +142,10 @@
         self._relay_by_target[target_id] = target_relay
         self._target_by_id[target_id] = made
         self.targets.append(made)
-        self._register(made, 'ready')
+        self.register(made, 'ready')
 
-    def _register(self, made: target.Target, state: str) -> None:
+    def register(self, made: target.Target, state: str) -> None:
+        """Write a target's entry to the store."""
         address = self._relay_by_target[made.target_id].address
         entry = platform_target.entry(
             made.service,
@@ -154,7 +157,7 @@
         self.store.put('servers', made.target_id, entry)
 
     def _any_target(self) -> target.Target:
-        return self._chance.choice(list(self._target_by_id.values()))
+        return self.chance.choice(list(self._target_by_id.values()))
 
     async def crash_target(self) -> None:
         """Let a target crash and start again under its id."""
@@ -163,8 +166,8 @@
             return
         made.crash()
         self._relay_by_target[made.target_id].refuse()
-        await asyncio.sleep(HEARTBEAT_LAPSE_S * self._chance.random() * 2)
-        if self._chance.random() < 0.5:
+        await asyncio.sleep(HEARTBEAT_LAPSE_S * self.chance.random() * 2)
+        if self.chance.random() < 0.5:
             self.store.remove('servers', made.target_id)
             await asyncio.sleep(0.5)
         await self.add_target(made.service, made.target_id)
@@ -175,18 +178,18 @@
         await self.add_target(made.service)
         if self._target_by_id.pop(made.target_id, None) is None:
             return
-        if self._chance.random() < 0.7:
-            self._register(made, 'draining')
+        if self.chance.random() < 0.7:
+            self.register(made, 'draining')
         else:
             self.store.remove('servers', made.target_id)
         self.notice_by_holder[made.holder] = time.monotonic()
-        await asyncio.sleep(2.0 + 2 * self._chance.random())
-        if self._chance.random() < LONG_STAY_SHARE:
+        await asyncio.sleep(2.0 + 2 * self.chance.random())
+        if self.chance.random() < LONG_STAY_SHARE:
             self.store.remove('servers', made.target_id)
-            await asyncio.sleep(LONG_STAY_S * self._chance.random())
+            await asyncio.sleep(LONG_STAY_S * self.chance.random())
         # It closes its port, works on for a while and then ends.
         self._relay_by_target[made.target_id].refuse()
-        await asyncio.sleep(self._chance.random())
+        await asyncio.sleep(self.chance.random())
         made.crash()
         self.store.remove('servers', made.target_id)
 
@@ -200,14 +203,14 @@
         """Let a target work slowly for a while."""
         made = self._any_target()
         made.work_s = 0.4
-        await asyncio.sleep(1 + 2 * self._chance.random())
+        await asyncio.sleep(1 + 2 * self.chance.random())
         made.work_s = 0.02
 
     async def _spoil(self, one: relay.Relay) -> None:
-        one.fault = self._chance.choice(relay.KINDS)
+        one.fault = self.chance.choice(relay.KINDS)
         if one.fault == relay.RESET:
             one.cut()
-        await asyncio.sleep(0.3 + 4 * self._chance.random())
+        await asyncio.sleep(0.3 + 4 * self.chance.random())
         if one.fault in (relay.SILENT, relay.ONE_WAY):
             # What was held up is lost: nothing of it arrives late.
             one.cut()
@@ -221,30 +224,30 @@
             await self._spoil_store()
 
     async def _spoil_store(self) -> None:
-        if self._chance.random() < 0.25:
+        if self.chance.random() < 0.25:
             self.store.forget_history()
             return
-        self.store.fault = self._chance.choice(
+        self.store.fault = self.chance.choice(
             (
                 platform_store.BUSY,
                 platform_store.SILENT,
                 platform_store.LOSES_ANSWERS,
             )
         )
-        await asyncio.sleep(0.5 + 5 * self._chance.random())
+        await asyncio.sleep(0.5 + 5 * self.chance.random())
         self.store.fault = ''
 
     async def spoil_store_path(self) -> None:
         """Let one router's connections to the store misbehave."""
-        number = self._chance.randrange(len(self.routers))
+        number = self.chance.randrange(len(self.routers))
         with self.disturbances.during(self.routers[number].name):
-            await self._spoil(self._store_relays[number])
+            await self._spoil(self.store_relays[number])
 
     async def change_manifest(self) -> None:
         """Write some manifests in quick succession."""
-        for _ in range(self._chance.randrange(1, 5)):
+        for _ in range(self.chance.randrange(1, 5)):
             self.write_manifest()
-            await asyncio.sleep(0.2 * self._chance.random())
+            await asyncio.sleep(0.2 * self.chance.random())
 
     # Routers.
 
@@ -252,7 +255,7 @@
         running = [
             one for one in self.routers if one.is_up and not one.is_frozen
         ]
-        return self._chance.choice(running) if running else None
+        return self.chance.choice(running) if running else None
 
     async def kill_router(self) -> None:
         """Kill a router and start it again."""
@@ -261,7 +264,7 @@
             return
         with self.disturbances.during(router.name):
             router.kill()
-            await asyncio.sleep(self._chance.random() * 2)
+            await asyncio.sleep(self.chance.random() * 2)
             router.start()
 
     async def kill_all_routers(self) -> None:
@@ -271,7 +274,7 @@
             for router in killed:
                 stack.enter_context(self.disturbances.during(router.name))
                 router.kill()
-            await asyncio.sleep(self._chance.random())
+            await asyncio.sleep(self.chance.random())
             for router in killed:
                 router.start()
 
@@ -300,7 +303,7 @@
             return
         with self.disturbances.during(router.name):
             router.freeze()
-            await asyncio.sleep(0.2 + 5 * self._chance.random())
+            await asyncio.sleep(0.2 + 5 * self.chance.random())
             self._thawed_at = time.monotonic()
             router.thaw()
 
@@ -309,8 +312,8 @@
         router = self._running()
         if router is None:
             return
-        router.write_settings(str(self._chance.random()))
-        if self._chance.random() < 0.5:
+        router.write_settings(str(self.chance.random()))
+        if self.chance.random() < 0.5:
             router.reload()
 
     def faults(self) -> tuple[Fault, ...]:
