Give the set-up of the tests of process failures a module of its own

They are `proofs/fleet_case` now; the tests, their names, bounds, seeds and assertions are as before.

--- a/proofs/process_failures_test.py
+++ b/proofs/process_failures_test.py
@@ -7,36 +7,24 @@
 from collections import abc
 from concurrent import futures
 import contextlib
-import itertools
-import json
 import signal
-import sys
 import threading
 import time
 import typing
 import unittest
 
-import urllib3
-
 from amaranthcrank.core import codes
-from amaranthcrank.core import hashing
 from amaranthcrank.core import model
 from amaranthcrank.record import keeper
-from amaranthcrank.record import tickets
+from proofs import fleet_case
 from standins import caller
-from standins import checks
 from standins import fleet as fleet_module
 from standins import relay
 
-SERVICE = 'soaklog'
 NORTH = fleet_module.Domain('htd-north', 'hetauda', 2, 2)
 BALAJU = fleet_module.Domain('ktm-balaju', 'kathmandu', 3, 3)
-SLOTS = 32
-KEYS = 200
-CRASH_HEADER = 'X-Crash'
-# From the target: a key is served again within 2 s of a loss, a change is in
-# force within 15 s, and a leaving upstream gets no work after a few seconds.
-SERVED_AGAIN_S = 2.0
+# From the target: a change is in force within 15 s, and a leaving upstream
+# gets no work after a few seconds.
 IN_FORCE_S = 15.0
 DRAINED_S = 3.0
 FREEZE_S = 3.0
@@ -46,393 +34,13 @@
 # The entry host waits a quarter of a second for a late answer.
 ANSWER_SLACK_MS = 500
 HEALED_S = 5.0
-LIMIT_S = 20.0
 # The shortest time in which a slot is moved without a release.
 MOVE_S = (
     model.STANDING_LEASE_S + model.GRANT_LEASE_S + model.CLOCK_RATE_MARGIN_S
 )
-RATE_PER_S = 60.0
-LOAD_DEADLINE_MS = 3000
-LOAD_THREADS = 24
-
-
-class FleetTest(unittest.TestCase):
-    """A set-up for the tests of a class, each of which leaves it whole.
-
-    Attributes:
-      domains: The failure domains.
-      fleet: The set-up.
-      seconds_by_name: What the tests measured.
-      results: What became of the requests of a test.
-    """
-
-    domains: tuple[fleet_module.Domain, ...] = ()
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        if not cls.domains:
-            raise unittest.SkipTest('a base class')
-        cls.seconds_by_name: dict[str, float] = {}
-        cls.numbers = itertools.count(1)
-        cls.pool = cls.enterClassContext(
-            urllib3.PoolManager(retries=False, timeout=20, maxsize=32)
-        )
-        cls.fleet = cls.enterClassContext(cls.open_fleet())
-        cls.file({**fleet_module.first_touches(cls.fleet)}, cls.hosts()[0])
-        cls.await_whole()
-
-    @classmethod
-    def open_fleet(cls) -> contextlib.AbstractContextManager:
-        return fleet_module.running(
-            cls.domains,
-            (SERVICE,),
-            SLOTS,
-            ('--crash-header', CRASH_HEADER),
-        )
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        if cls.domains:
-            print(json.dumps(cls.seconds_by_name), file=sys.stderr)
-
-    def setUp(self) -> None:
-        self.results: list[caller.CallResult] = []
-        self.await_whole()
-        # Until the ledgers of new hosts or slots have begun, work that may
-        # not repeat is answered `unknown`.
-        self.await_condition(self.serves_changes)
 
-    # The set-up.
-
-    @classmethod
-    def hosts(cls, cell: str = '') -> list[str]:
-        found = []
-        for daemon in cls.fleet.daemon_by_host.values():
-            if cell in ('', daemon.domain):
-                found.append(daemon.host)
-        return sorted(found)
-
-    @classmethod
-    def callers(cls, hosts: abc.Iterable[str]) -> list[str]:
-        return [cls.fleet.daemon_by_host[each].callers for each in hosts]
-
-    @classmethod
-    def record(cls, cell: str) -> model.CellRecord:
-        return keeper.read_record(cls.fleet.client, cell).ok
-
-    @classmethod
-    def slots_by_target(cls, cell: str) -> dict[str, list[int]]:
-        slots_by_target: dict[str, list[int]] = {}
-        for slot, each in cls.record(cell).assignment_by_slot.items():
-            slots_by_target.setdefault(each.target, []).append(slot.slot)
-        return slots_by_target
-
-    @classmethod
-    def owner(cls, cell: str) -> tuple[str, list[int]]:
-        """Choose the target with most slots, and those."""
-        slots_by_target = cls.slots_by_target(cell)
-        target = max(
-            sorted(slots_by_target),
-            key=lambda each: len(slots_by_target[each]),
-        )
-        return target, slots_by_target[target]
-
-    @staticmethod
-    def await_condition(
-        condition: abc.Callable[[], bool], limit_s: float = LIMIT_S
-    ) -> None:
-        fleet_module.wait_until(condition, limit_s)
-
-    @classmethod
-    def await_whole(cls) -> None:
-        """Wait until every process is back and every slot has an owner."""
-        try:
-            cls.await_condition(cls.is_whole)
-        except TimeoutError:
-            hosts = cls.hosts()
-            seen = [fleet_module.status_of(cls.fleet, each) for each in hosts]
-            shown = [
-                (each['host'], each['ready'], each['lagging'], each['cells'])
-                for each in seen
-            ]
-            raise AssertionError(json.dumps(shown[0])) from None
-
-    @classmethod
-    def is_whole(cls) -> bool:
-        for host in cls.hosts():
-            document = fleet_module.status_of(cls.fleet, host)
-            if not document['ready'] or document['lagging']:
-                return False
-            if not all(
-                cls.is_whole_cell(document, each) for each in cls.domains
-            ):
-                return False
-        return True
-
-    @classmethod
-    def is_whole_cell(
-        cls, document: dict[str, typing.Any], domain: fleet_module.Domain
-    ) -> bool:
-        cell = document['cells'].get(domain.name)
-        if cell is None or cell['effective'] != cell['version']:
-            return False
-        states = {each['state'] for each in cell['targets'].values()}
-        owned = sum(each['slots'] for each in cell['targets'].values())
-        serving = [each for each in cell['hosts'].values() if each['ready']]
-        return (
-            states == {'active'}
-            and owned == SLOTS // len(cls.domains)
-            and len(serving) == domain.hosts
-        )
-
-    def upstream(self, target: str) -> typing.Any:
-        return self.fleet.upstream_by_target[target]
-
-    def domain_of(self, host: str) -> fleet_module.Domain:
-        name = self.fleet.daemon_by_host[host].domain
-        return next(each for each in self.domains if each.name == name)
-
-    def start_upstream(self, target: str) -> None:
-        section = self.fleet.section_by_target[target]
-        fleet_module.start_upstream(
-            self.fleet,
-            target,
-            section['service'],
-            section['cell'],
-            self.upstream(target).address,
-        )
 
-    def set_upstreams(self, **settings: float) -> None:
-        for process in self.fleet.upstream_by_target.values():
-            self.post(f'http://{process.address}/settings', settings)
-
-    def set_fault(self, **setting: typing.Any) -> None:
-        self.post(f'http://{self.fleet.store.address}/faults', setting)
-
-    def post(self, url: str, content: typing.Any) -> None:
-        answer = self.pool.request(
-            'POST', url, body=json.dumps(content).encode()
-        )
-        self.assertEqual(200, answer.status, answer.data)
-
-    # Tickets.
-
-    @classmethod
-    def newest(cls) -> tickets.Ticket | None:
-        return keeper.read_newest_ticket(cls.fleet.client).ok
-
-    @classmethod
-    def try_to_file(
-        cls, touches: dict[str, typing.Any], host: str, expected: int, uid: str
-    ) -> tuple[int, dict[str, typing.Any]]:
-        document = {
-            'author': 'test',
-            'uid': uid,
-            'expected': expected,
-            'touches': touches,
-        }
-        answer = cls.pool.request(
-            'POST',
-            f'http://{cls.fleet.daemon_by_host[host].operators}/tickets',
-            body=json.dumps(document).encode(),
-            headers={'Authorization': f'Bearer {fleet_module.OPERATOR_KEY}'},
-        )
-        return answer.status, json.loads(answer.data)
-
-    @classmethod
-    def file(cls, touches: dict[str, typing.Any], host: str) -> int:
-        newest = cls.newest()
-        expected = newest.number if newest else 0
-        uid = f'uid-{next(cls.numbers)}'
-        status, answer = cls.try_to_file(touches, host, expected, uid)
-        if status != 201:
-            raise AssertionError(f'{status} {answer}')
-        return answer['number']
-
-    @staticmethod
-    def floors(bulk: float) -> dict[str, typing.Any]:
-        return {'ranks': {'normal': {'floor': 0.15}, 'bulk': {'floor': bulk}}}
-
-    def target_in_state(self, target: str, state: str) -> dict:
-        service = json.loads(
-            json.dumps(self.newest().state['services'][SERVICE])
-        )
-        service['targets'][target]['state'] = state
-        return {'services': {SERVICE: service}}
-
-    def in_force(self, number: int) -> bool:
-        for host in self.hosts():
-            document = fleet_module.status_of(self.fleet, host)
-            if document['ticket'] < number:
-                return False
-        return True
-
-    # Requests.
-
-    @classmethod
-    def key_of(cls, slot: int) -> str:
-        for number in range(KEYS):
-            key = f'key-{number}'
-            if hashing.slot_of(SERVICE, key, SLOTS) == slot:
-                return key
-        raise AssertionError(f'no key has slot {slot}')
-
-    @classmethod
-    def one_call(
-        cls, slot: int, method: str, deadline_ms: int = 5000
-    ) -> caller.PlannedCall:
-        number = next(cls.numbers)
-        return caller.PlannedCall(
-            number,
-            f'single-{number:08}',
-            SERVICE,
-            cls.key_of(slot),
-            model.RANKS[number % len(model.RANKS)],
-            method == 'GET',
-            method,
-            deadline_ms,
-            b'',
-            number,
-        )
-
-    @classmethod
-    def send_each(
-        cls,
-        slots: abc.Sequence[int],
-        hosts: abc.Sequence[str],
-        method: str = 'GET',
-        deadline_ms: int = 5000,
-    ) -> tuple[caller.CallResult, ...]:
-        """Send one request for each slot, all at once."""
-        calls = [cls.one_call(each, method, deadline_ms) for each in slots]
-        return caller.send_calls(cls.callers(hosts), calls, threads=len(calls))
-
-    @classmethod
-    def serves_changes(cls) -> bool:
-        results = cls.send_each(range(SLOTS), cls.hosts(), 'POST')
-        return all(each.outcome == codes.SERVED for each in results)
-
-    def await_served_again(
-        self,
-        name: str,
-        slots: abc.Sequence[int],
-        hosts: abc.Sequence[str],
-        lost_at: float,
-        bound_s: float = SERVED_AGAIN_S,
-    ) -> float:
-        """Check that each slot is served soon after a loss.
-
-        A request that arrives during the loss waits inside the system, so
-        its answer tells when the slot is served again.
-
-        Returns:
-          The time from the loss to the last answer.
-        """
-        results = self.send_each(slots, hosts)
-        self.results.extend(results)
-        for result in results:
-            self.assertEqual(codes.SERVED, result.outcome, result)
-        seconds = time.monotonic() - lost_at
-        self.note(name, seconds)
-        self.assertLessEqual(seconds, bound_s, name)
-        return seconds
-
-    def note(self, name: str, seconds: float) -> None:
-        self.seconds_by_name[name] = round(seconds, 3)
-
-    @contextlib.contextmanager
-    def load(
-        self,
-        seed: int,
-        hosts: abc.Sequence[str] | None = None,
-        seconds: float = 5.0,
-        rate_per_s: float = RATE_PER_S,
-    ) -> abc.Iterator[None]:
-        """Send requests of all ranks during a block and some time after.
-
-        A request without an answer is sent to two hosts, with the same id.
-        """
-        calls = caller.plan_calls(
-            seed,
-            int(seconds * rate_per_s),
-            (SERVICE,),
-            KEYS,
-            deadline_ms=LOAD_DEADLINE_MS,
-        )
-        # The plan of a seed is the same in each test that uses it.
-        prefix = next(self.numbers)
-        calls = [
-            each._replace(id_suffix=f'{prefix}-{each.id_suffix}')
-            for each in calls
-        ]
-        before = len(self.runs())
-        with futures.ThreadPoolExecutor(1) as executor:
-            sending = executor.submit(
-                caller.send_calls,
-                self.callers(hosts or self.hosts()),
-                calls,
-                threads=LOAD_THREADS,
-                attempts=2,
-                rate_per_s=rate_per_s,
-            )
-            self.await_condition(lambda: len(self.runs()) > before + 20)
-            yield
-            results = sending.result()
-        self.results.extend(results)
-        shown: dict[str, int] = {}
-        for result in results:
-            name = f'{result.outcome or result.error[:20]}/{result.code}'
-            shown[name] = shown.get(name, 0) + 1
-        print(self.id().rpartition('.')[2], shown, file=sys.stderr)
-
-    def runs(self) -> list[dict[str, typing.Any]]:
-        return fleet_module.recorded(self.fleet)['ran']
-
-    # Checks.
-
-    def account(self, unanswered: bool = False) -> None:
-        """Compare what callers were told with what upstreams recorded.
-
-        Args:
-          unanswered: Whether a host was lost, so that a caller may have
-            found a broken connection instead of an answer.
-        """
-        recorded = fleet_module.recorded(self.fleet)
-        ran_ids = {each['request_id'] for each in recorded['ran']}
-        for result in self.results:
-            ran = result.request_id in ran_ids
-            self.assertIsNot(False, result.own_answer, result)
-            if result.outcome == codes.SERVED:
-                self.assertTrue(ran, f'acknowledged but lost: {result}')
-            elif result.outcome == codes.NOT_RUN:
-                self.assertFalse(ran, f'refused but ran: {result}')
-            elif result.outcome != codes.UNKNOWN:
-                self.assertTrue(unanswered, result)
-        self.assertEqual({}, checks.repeated_runs(recorded['ran']))
-        self.assertEqual([], checks.two_owners(recorded['holds']))
-        self.assertEqual([], runs_after_loss(recorded['ran']))
-
-    def served_ratio(self) -> float:
-        served = [e for e in self.results if e.outcome == codes.SERVED]
-        return len(served) / len(self.results)
-
-
-def runs_after_loss(
-    ran: abc.Iterable[dict[str, typing.Any]],
-) -> list[dict[str, typing.Any]]:
-    """Find runs of a slot after a run under a higher fence."""
-    fence_by_slot: dict[tuple[str, int], int] = {}
-    found = []
-    for run in sorted(ran, key=lambda each: each['at_ms']):
-        slot = run['service'], run['slot']
-        highest = max(fence_by_slot.get(slot, 0), run['fence'])
-        if run['fence'] < highest:
-            found.append(run)
-        fence_by_slot[slot] = highest
-    return found
-
-
-class UpstreamLossTest(FleetTest):
+class UpstreamLossTest(fleet_case.FleetTest):
     domains = (BALAJU, NORTH)
 
     def test_upstream_killed(self) -> None:
@@ -470,7 +78,7 @@
         for run in self.runs():
             if run['target'] != target or run['at_ms'] < resumed_ms:
                 continue
-            slot = model.SlotId(SERVICE, run['slot'])
+            slot = model.SlotId(fleet_case.SERVICE, run['slot'])
             held = record.assignment_by_slot[slot]
             self.assertEqual((target, run['fence']), held[:2], run)
         self.account()
@@ -491,7 +99,7 @@
         self.account()
 
 
-class EntryHostLossTest(FleetTest):
+class EntryHostLossTest(fleet_case.FleetTest):
     domains = (BALAJU, NORTH)
 
     def others(self, host: str) -> list[str]:
@@ -509,7 +117,7 @@
         before = {each['request_id'] for each in self.runs()}
         calls = [
             self.one_call(each, 'POST', deadline_ms)._replace(entry=0)
-            for each in range(0, SLOTS, 2)
+            for each in range(0, fleet_case.SLOTS, 2)
         ]
         sending = executor.submit(
             caller.send_calls,
@@ -586,7 +194,9 @@
         host = self.hosts(BALAJU.name)[1]
         popen = self.fleet.daemon_by_host[host].popen
         self.set_upstreams(service_ms=500)
-        calls = caller.plan_calls(23, 12, (SERVICE,), KEYS, deadline_ms=10000)
+        calls = caller.plan_calls(
+            23, 12, (fleet_case.SERVICE,), fleet_case.KEYS, deadline_ms=10000
+        )
         try:
             with futures.ThreadPoolExecutor(1) as executor:
                 sending = executor.submit(
@@ -599,7 +209,7 @@
                 begun_at = time.monotonic()
                 popen.send_signal(signal.SIGTERM)
                 self.results += sending.result()
-            self.assertEqual(0, popen.wait(LIMIT_S))
+            self.assertEqual(0, popen.wait(fleet_case.LIMIT_S))
             self.note('entry host terminated', time.monotonic() - begun_at)
         finally:
             self.set_upstreams(service_ms=5)
@@ -625,7 +235,7 @@
         return count
 
 
-class StoreLossTest(FleetTest):
+class StoreLossTest(fleet_case.FleetTest):
     domains = (BALAJU, NORTH)
 
     def test_outage_hanging(self) -> None:
@@ -667,7 +277,7 @@
                 )
                 while time.monotonic() < ends_at:
                     self.results += self.send_each(
-                        range(SLOTS), others, 'POST'
+                        range(fleet_case.SLOTS), others, 'POST'
                     )
             finally:
                 self.set_fault(outage=None)
@@ -758,12 +368,12 @@
         self, barrier: threading.Barrier, host: str, newest: int, turn: int
     ) -> tuple[int, dict[str, typing.Any]]:
         bulk = 0.05 + 0.01 * self.hosts().index(host)
-        barrier.wait(LIMIT_S)
+        barrier.wait(fleet_case.LIMIT_S)
         uid = f'both-{turn}-{host}'
         return self.try_to_file(self.floors(bulk), host, newest, uid)
 
 
-class TargetTest(FleetTest):
+class TargetTest(fleet_case.FleetTest):
     domains = (BALAJU, NORTH)
 
     def test_target_drained(self) -> None:
@@ -806,7 +416,7 @@
             for each in self.fleet.upstream_by_target
             if BALAJU.name in each
         ]
-        others = [each for each in range(SLOTS) if each != slots[0]]
+        others = [each for each in range(fleet_case.SLOTS) if each != slots[0]]
         crashed: list[str] = []
         told = []
         with self.load(42, seconds=7.0):
@@ -848,12 +458,12 @@
         answer = self.pool.request(
             'POST',
             f'http://{self.fleet.daemon_by_host[host].callers}'
-            f'/v1/{SERVICE}/{self.key_of(slot)}',
+            f'/v1/{fleet_case.SERVICE}/{self.key_of(slot)}',
             body=b'the same each time',
             headers={
                 'X-Request-Id': request_id,
                 'X-Request-Deadline-Ms': '5000',
-                CRASH_HEADER: '1',
+                fleet_case.CRASH_HEADER: '1',
             },
         )
         ran = request_id in {each['request_id'] for each in self.runs()}
@@ -862,7 +472,7 @@
         return outcome, int(answer.headers['X-Result-Code'])
 
 
-class CutTest(FleetTest):
+class CutTest(fleet_case.FleetTest):
     """Two failure domains; each cell's third attester is on the other side."""
 
     domains = (BALAJU._replace(hosts=2, upstreams=2), NORTH)
@@ -877,7 +487,7 @@
             )
 
         return fleet_module.running(
-            cls.domains, (SERVICE,), SLOTS, front=front
+            cls.domains, (fleet_case.SERVICE,), fleet_case.SLOTS, front=front
         )
 
     def test_domains_cut_off(self) -> None:
