Let no malformed entry or datagram end a host or hide the others

Cause: an operator's report: one odd entry among those of the targets ended the hosts that read the list. Shown here by tests of the decoders: a warm-up time too large for a float raised OverflowError, a deeply nested body RecursionError, an integer of 5,000 digits made the whole list unreadable, and infinity, slots of 400 digits, the address 300.0.0.1 and names that cannot be a header value passed. Datagrams between hosts were taken in part: a wrong value was stored and failed later in a job, whose end stops the process.

Ruled out: a library with an iterative parser for all bodies: the standard decoder stays for the usual body, and only one that it rejects is read by the slower way, which replaces the value that is nested too deeply.

Change: `json_body` decodes what can be read; `entry_checks` judges entries, key ranges and addresses, from the store and from datagrams alike; `message_checks` judges each kind of datagram before its handler sees it, so the handlers' own partial checks go; `rejection_log` logs each revision of a rejected object once; the client of the store checks `asOf`, `items` and `events`; a compressed ticket is limited; the lease and the command line take malformed objects. Kinds of messages are a module of their own.

Two tests called handlers with content that the messenger now rejects; they send the datagram instead, and count the rejected ones.

--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -14,6 +14,7 @@
 from amaranthcrank.platform import settings_file
 from amaranthcrank.platform import store
 from amaranthcrank.router import connection_pool
+from amaranthcrank.router import controller_lease
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 
@@ -134,7 +135,12 @@
         )
     except ValueError as error:
         _exit_with_error(printing.EXIT_BAD_INPUT, str(error))
-    except (store.StoreError, manifest.ManifestError) as error:
+    except (
+        store.StoreError,
+        store.RevisionExpiredError,
+        store.ConflictError,
+        manifest.ManifestError,
+    ) as error:
         _exit_with_error(
             printing.EXIT_UNREACHABLE, f'cannot read the store: {error}'
         )
@@ -153,11 +159,11 @@
     finally:
         pool.close()
     holders = [
-        str((item.get('spec') or {}).get('holder', ''))
+        controller_lease.holder_in(item)
         for item in leases.item_by_name.values()
     ]
     return Snapshot(
-        manifest.decode(manifest_object['spec']) if manifest_object else None,
+        _decode_ticket(manifest_object),
         _decode_listing(targets, entries.decode_target),
         _key_table(shared),
         tuple(
@@ -169,6 +175,12 @@
     )
 
 
+def _decode_ticket(item: typing.Any) -> model.Ticket | None:
+    if not item:
+        return None
+    return manifest.decode(item.get('spec'))
+
+
 def _decode_listing(
     listing: store.Listing, decode: typing.Callable[[str, typing.Any], _T]
 ) -> tuple[_T, ...]:
@@ -183,7 +195,10 @@
 
 def _key_table(listing: store.Listing) -> key_table.KeyTable:
     table = key_table.KeyTable()
-    for key_map in entries.decode_key_maps(listing.item_by_name):
+    key_maps, errors = entries.decode_key_maps(listing.item_by_name)
+    for error in errors:
+        typer.echo(f'cannot decode entry {error}', err=True)
+    for key_map in key_maps:
         table.put(key_map)
     return table
 
--- a/amaranthcrank/platform/entries.py
+++ b/amaranthcrank/platform/entries.py
@@ -4,6 +4,7 @@
 
 from amaranthcrank.platform import names
 from amaranthcrank.platform import settings_file
+from amaranthcrank.router import entry_checks
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
 
@@ -12,6 +13,18 @@
     """A stored object does not have the format of its kind."""
 
 
+# What a body of another form raises while its fields are read.
+_FORMAT_ERRORS = (
+    KeyError,
+    IndexError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
+MAX_ERROR_LENGTH = 200
+
+
 def decode_target(name: str, item: typing.Any) -> model.TargetEntry:
     """Decode the entry that a target registered for itself.
 
@@ -23,9 +36,13 @@
       EntryError: The entry is malformed or belongs to another writer.
     """
     try:
-        return _decode_target(name, item)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise EntryError(f'{type(error).__name__}: {error}') from error
+        entry = _decode_target(name, item)
+    except _FORMAT_ERRORS as error:
+        raise _entry_error(error) from error
+    problem = entry_checks.problem(entry)
+    if problem:
+        raise EntryError(problem)
+    return entry
 
 
 def _decode_target(name: str, item: typing.Any) -> model.TargetEntry:
@@ -36,27 +53,18 @@
     fields = {**item, **spec}
     info = fields['info']
     status = item.get('status') or spec['status']
-    state = status['state']
-    if state not in (model.READY, model.DRAINING):
-        raise ValueError(f'unknown state {state!r}')
-    incarnation = fields.get('born', 0)
-    if type(incarnation) is not int:
-        raise ValueError(f'born is not an integer: {incarnation!r}')
-    slots = info['slots']
-    if type(slots) is not int or slots < 1:
-        raise ValueError(f'slots is not a positive integer: {slots!r}')
-    for field in ('service', 'zone'):
-        if not isinstance(info[field], str):
-            raise TypeError(f'{field} is not a string: {info[field]!r}')
+    warm_up_ms = status.get('warmupLeftMs', 0)
+    if not entry_checks.is_number(warm_up_ms):
+        raise TypeError('warmupLeftMs is not a number')
     return model.TargetEntry(
         target_id=name,
         service=info['service'],
         address=settings_file.parse_address(fields['address']),
         failure_domain=info['zone'],
-        slots=slots,
-        state=state,
-        cold_s=float(status.get('warmupLeftMs', 0)) / 1000,
-        incarnation=incarnation,
+        slots=info['slots'],
+        state=status['state'],
+        cold_s=warm_up_ms / 1000,
+        incarnation=fields.get('born', 0),
     )
 
 
@@ -68,37 +76,48 @@
     """
     try:
         spec = item['spec']
-        ranges = [model.KeyRange(*values) for values in spec['ranges']]
-        address_by_holder = {
-            holder: settings_file.parse_address(text)
-            for holder, text in spec['holders'].items()
-        }
-        return model.KeyMap(
+        key_map = model.KeyMap(
             name,
             spec['fence'],
-            tuple(ranges),
+            tuple(model.KeyRange(*values) for values in spec['ranges']),
             item['metadata']['rev'],
-            address_by_holder,
+            {
+                holder: settings_file.parse_address(text)
+                for holder, text in spec['holders'].items()
+            },
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise EntryError(f'{type(error).__name__}: {error}') from error
+    except _FORMAT_ERRORS as error:
+        raise _entry_error(error) from error
+    if not entry_checks.is_key_map(key_map):
+        raise EntryError('the ranges of keys are malformed')
+    return key_map
+
+
+def _entry_error(error: Exception) -> EntryError:
+    """Return a short error, as the text may quote a long value."""
+    text = f'{type(error).__name__}: {error}'
+    return EntryError(text[:MAX_ERROR_LENGTH])
 
 
 def decode_key_maps(
     item_by_name: dict[str, typing.Any],
-) -> list[model.KeyMap]:
+) -> tuple[list[model.KeyMap], list[str]]:
     """Decode all key maps among the objects shared by the hosts.
 
-    Raises:
-      EntryError: A map is malformed.
+    Returns:
+      The key maps, and an error text for each malformed one.
     """
     key_maps = []
+    errors = []
     for name, item in item_by_name.items():
         if not name.startswith(names.KEY_MAP_PREFIX):
             continue
         service = name.removeprefix(names.KEY_MAP_PREFIX)
-        key_maps.append(decode_key_map(service, item))
-    return key_maps
+        try:
+            key_maps.append(decode_key_map(service, item))
+        except EntryError as error:
+            errors.append(f'{name}: {error}')
+    return key_maps, errors
 
 
 def encode_key_map(key_map: model.KeyMap) -> dict[str, typing.Any]:
@@ -121,10 +140,24 @@
     """
     try:
         spec = item['spec']
-        address = model.Address(spec['ip'], int(spec['port']))
-        return peers.Peer(host_id, address, spec['domain'])
-    except (KeyError, TypeError, ValueError) as error:
-        raise EntryError(f'{type(error).__name__}: {error}') from error
+        address = model.Address(spec['ip'], spec['port'])
+        peer = peers.Peer(host_id, address, spec['domain'])
+    except _FORMAT_ERRORS as error:
+        raise _entry_error(error) from error
+    if not entry_checks.is_address(address):
+        raise EntryError('the address is not an IPv4 address with a port')
+    if not entry_checks.is_name(peer.failure_domain):
+        raise EntryError('the failure domain is not a short printable text')
+    return peer
+
+
+def revision_of(item: typing.Any) -> int:
+    """Return the revision of a stored object, or 0 if it has none."""
+    try:
+        revision = item['metadata']['rev']
+    except (KeyError, TypeError):
+        return 0
+    return revision if entry_checks.is_revision(revision) else 0
 
 
 def encode_peer(peer: peers.Peer) -> dict[str, typing.Any]:
--- a/amaranthcrank/platform/manifest.py
+++ b/amaranthcrank/platform/manifest.py
@@ -9,6 +9,10 @@
 from amaranthcrank.router import model
 
 _Row = dict[str, typing.Any]
+# Kinds of routes whose requests may run more than once. A kind that is not
+# known here is not repeated.
+REPEATABLE_KINDS = ('safe', 'download')
+MAX_ERROR_LENGTH = 200
 
 
 class ManifestError(Exception):
@@ -25,9 +29,20 @@
       ManifestError: A field is missing or has the wrong type.
     """
     try:
-        return _decode(spec)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise ManifestError(f'{type(error).__name__}: {error}') from error
+        ticket = _decode(spec)
+        # Routes are compared and looked up later, so unhashable field values
+        # are found here.
+        hash(ticket.routes)
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
+        text = f'{type(error).__name__}: {error}'
+        raise ManifestError(text[:MAX_ERROR_LENGTH]) from error
+    return ticket
 
 
 def _decode(spec: typing.Any) -> model.Ticket:
@@ -57,7 +72,7 @@
 
 def _decode_service(row: _Row) -> model.Service:
     return model.Service(
-        name=row['name'],
+        name=_text(row, 'name'),
         max_connections=int(row.get('maxConnections', 100)),
         keyed=bool(row.get('sharded', False)),
     )
@@ -65,19 +80,26 @@
 
 def _decode_route(row: _Row) -> model.Route:
     parts = [
-        model.WeightedService(part['service'], float(part['weight']))
+        model.WeightedService(_text(part, 'service'), float(part['weight']))
         for part in row.get('weightedClusters') or ()
     ]
     if not parts:
-        parts = [model.WeightedService(row['service'], 1.0)]
+        parts = [model.WeightedService(_text(row, 'service'), 1.0)]
     return model.Route(
-        name=row['name'],
-        host=row['host'].lower(),
-        prefix=row['pathPrefix'],
-        repeatable=row['kind'] == 'safe',
+        name=_text(row, 'name'),
+        host=_text(row, 'host').lower(),
+        prefix=_text(row, 'pathPrefix'),
+        repeatable=row['kind'] in REPEATABLE_KINDS,
         timeout_s=row['timeoutMs'] / 1000,
         goal_s=row.get('aimMs', row['timeoutMs']) / 1000,
         rank=int(row.get('priority', 0)),
         max_attempts=int(row.get('maxAttempts', 1)),
         weighted_services=tuple(parts),
     )
+
+
+def _text(row: _Row, field: str) -> str:
+    value = row[field]
+    if not isinstance(value, str):
+        raise TypeError(f'{field} is not a text')
+    return value
--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -1,7 +1,12 @@
 """Parsing of the settings file that the platform gives to a process."""
 
+import ipaddress
+import re
+
 from amaranthcrank.router import model
 
+_ADDRESS = re.compile(r'(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})')
+
 
 class SettingsError(Exception):
     """A field of the settings file is missing or malformed."""
@@ -76,10 +81,11 @@
     Raises:
       ValueError: The text is not an IPv4 address with a port.
     """
-    ip, found, port = text.rpartition(':')
-    if not found or ip.count('.') != 3:
-        raise ValueError(f'{text!r} is not ip:port')
-    port_number = int(port)
-    if not 0 < port_number < 65536:
+    match = _ADDRESS.fullmatch(text)
+    if match is None:
+        raise ValueError(f'{text[:40]!r} is not ip:port')
+    ip = str(ipaddress.IPv4Address(match['ip']))
+    port = int(match['port'])
+    if not 0 < port < 65536:
         raise ValueError(f'{text!r} has a port outside 1 to 65535')
-    return model.Address(ip, port_number)
+    return model.Address(ip, port)
--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -4,8 +4,10 @@
 import typing
 import urllib.parse
 
+from amaranthcrank.platform import json_body
 from amaranthcrank.router import clock
 from amaranthcrank.router import connection_pool
+from amaranthcrank.router import entry_checks
 from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
@@ -119,15 +121,17 @@
         revision = 0
         after = ''
         while True:
-            query = f'?after={urllib.parse.quote(after)}' if after else ''
+            query = f'?after={_quote(after)}' if after else ''
             _, body = await self._request('GET', kind + query, None, timeout_s)
             # A watch from the revision of the first page includes changes
             # made while later pages were read.
-            revision = revision or body['asOf']
-            for item in body['items']:
-                after = _name_of(item) or after
+            revision = revision or _revision(body)
+            items = _list_field(body, 'items')
+            last_before = after
+            for item in items:
+                after = _raw_name_of(item) or after
                 item_by_name[_name_of(item)] = item
-            if not body.get('hasMore') or not body['items']:
+            if not body.get('hasMore') or after == last_before:
                 item_by_name.pop('', None)
                 return Listing(item_by_name, revision)
 
@@ -148,11 +152,16 @@
         query = f'{kind}?watch={revision}&waitMs={int(wait_s * 1000)}'
         _, body = await self._request('GET', query, None, wait_s + timeout_s)
         changes = []
-        for event in body.get('events') or ():
-            item = event['object']
-            gone = bool(event.get('tombstone'))
-            changes.append(Change(_name_of(item), item, gone))
-        return tuple(changes), body['asOf']
+        read_until = _revision(body)
+        for event in _list_field(body, 'events'):
+            if not isinstance(event, dict):
+                continue
+            item = event.get('object')
+            name = _name_of(item)
+            if name:
+                gone = bool(event.get('tombstone'))
+                changes.append(Change(name, item, gone))
+        return tuple(changes), read_until
 
     async def get(self, kind: str, name: str, timeout_s: float) -> typing.Any:
         """Return one object, or None if it does not exist.
@@ -161,7 +170,7 @@
           StoreError: The store did not answer or refused the call.
         """
         status, body = await self._request(
-            'GET', f'{kind}/{urllib.parse.quote(name)}', None, timeout_s
+            'GET', f'{kind}/{_quote(name)}', None, timeout_s
         )
         return None if status == 404 else body
 
@@ -196,7 +205,7 @@
           ConflictError: The object has another revision or does not exist.
         """
         content = {'metadata': {'name': name, 'rev': revision}, 'spec': spec}
-        path = f'{kind}/{urllib.parse.quote(name)}'
+        path = f'{kind}/{_quote(name)}'
         status, body = await self._request('PUT', path, content, timeout_s)
         if status == 404:
             raise ConflictError(None)
@@ -208,7 +217,7 @@
         Raises:
           StoreError: The store did not answer or refused the call.
         """
-        path = f'{kind}/{urllib.parse.quote(name)}'
+        path = f'{kind}/{_quote(name)}'
         await self._request('DELETE', path, None, timeout_s)
 
     async def _request(
@@ -273,8 +282,8 @@
     if response.status == 410:
         raise RevisionExpiredError
     try:
-        body = json.loads(response.body) if response.body else None
-    except ValueError as error:
+        body = json_body.decode(response.body) if response.body else None
+    except (ValueError, RecursionError) as error:
         raise StoreError('response is not JSON') from error
     if response.status == 409:
         raise ConflictError(body)
@@ -285,8 +294,46 @@
     return response.status, body
 
 
-def _name_of(item: typing.Any) -> str:
+def _revision(body: typing.Any) -> int:
+    """Return the store's revision that a response names.
+
+    Raises:
+      StoreError: The response names none.
+    """
+    revision = body.get('asOf') if isinstance(body, dict) else None
+    if not entry_checks.is_revision(revision):
+        raise StoreError('response without a revision')
+    return revision
+
+
+def _list_field(body: dict[str, typing.Any], field: str) -> list[typing.Any]:
+    """Return a list in a response; a missing one is empty.
+
+    Raises:
+      StoreError: The field is not a list.
+    """
+    value = body.get(field)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise StoreError(f'{field} in the response is not a list')
+    return value
+
+
+def _raw_name_of(item: typing.Any) -> str:
     try:
-        return str(item['metadata']['name'])
+        name = item['metadata']['name']
     except (KeyError, TypeError):
         return ''
+    return name if isinstance(name, str) else ''
+
+
+def _name_of(item: typing.Any) -> str:
+    """Return the name of an object, or '' if it has none that can be used."""
+    name = _raw_name_of(item)
+    return name if entry_checks.is_name(name) else ''
+
+
+def _quote(name: str) -> str:
+    # Names by other writers may have characters that cannot be encoded.
+    return urllib.parse.quote(name, errors='replace')
--- a/amaranthcrank/router/catch_up.py
+++ b/amaranthcrank/router/catch_up.py
@@ -9,6 +9,7 @@
 from amaranthcrank.router import change_history
 from amaranthcrank.router import change_parts
 from amaranthcrank.router import event_log
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import peer_polling
 from amaranthcrank.router import peers
 from amaranthcrank.router import store_sync
@@ -45,20 +46,19 @@
         self._messenger = messenger
         self._reachability = reachability
         self._poller = peer_polling.PeerPoller(
-            messenger, reachability, peers.CHANGES_AFTER, revision
+            messenger, reachability, message_kinds.CHANGES_AFTER, revision
         )
         self._revision = revision
         self._apply = apply
         self._log = log
         self._parts = change_parts.PartAssembler()
-        messenger.handler_by_kind[peers.CHANGES_AFTER] = self._on_changes_after
-        messenger.handler_by_kind[peers.CHANGES] = self._on_changes
+        messenger.handler_by_kind[message_kinds.CHANGES_AFTER] = (
+            self._on_changes_after
+        )
+        messenger.handler_by_kind[message_kinds.CHANGES] = self._on_changes
 
     def _on_changes_after(self, host_id: str, content: typing.Any) -> None:
-        if (
-            not isinstance(content, int)
-            or self._reachability.unreachable_since is not None
-        ):
+        if self._reachability.unreachable_since is not None:
             return
         found = self.history.changes_after(content, self._fits)
         if found is None:
@@ -72,7 +72,7 @@
                 len(parts),
                 part,
             ]
-            self._messenger.send(host_id, peers.CHANGES, message)
+            self._messenger.send(host_id, message_kinds.CHANGES, message)
 
     def _fits(self, changes: change_history.Changes) -> bool:
         return bool(self._split(changes))
@@ -82,14 +82,12 @@
     ) -> tuple[change_parts.Part, ...]:
         def fits(part: change_parts.Part) -> bool:
             message = [found.from_revision, found.revision, 0, 0, part]
-            return self._messenger.fits(peers.CHANGES, message)
+            return self._messenger.fits(message_kinds.CHANGES, message)
 
         return change_parts.split(found.changes, fits)
 
     def _on_changes(self, host_id: str, content: typing.Any) -> None:
-        if self._reachability.unreachable_since is None or not isinstance(
-            content, list
-        ):
+        if self._reachability.unreachable_since is None:
             return
         from_revision, revision, index, count, part = content
         known_revision = self._revision()
--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -11,9 +11,11 @@
 import random
 import typing
 
+from amaranthcrank.platform import entries
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
 from amaranthcrank.router import clock
+from amaranthcrank.router import entry_checks
 from amaranthcrank.router import event_log
 
 LEASE_S = 3.0
@@ -179,10 +181,10 @@
         if item is None:
             await self._create()
             return
-        spec = item.get('spec') or {}
-        self.holder_id = str(spec.get('holder', ''))
-        self._count = int(spec.get('count', 0))
-        self._revision = item['metadata']['rev']
+        spec = _spec_of(item)
+        self.holder_id = holder_in(item)
+        self._count = _count_in(spec)
+        self._revision = entries.revision_of(item)
         # A record with this host's id and address was written by this process
         # or by an earlier one of this host, which has ended.
         own = self.holder_id == self._host_id and spec.get('ip') == self._ip
@@ -238,7 +240,7 @@
         }
 
     def _record_write(self, item: typing.Any, sent_at: float) -> None:
-        self._revision = item['metadata']['rev']
+        self._revision = entries.revision_of(item)
         self.holder_id = self._host_id
         self.held_until = sent_at + LEASE_S
 
@@ -251,11 +253,26 @@
         Returns:
           Whether this process wrote the object and holds the lease by it.
         """
-        if not isinstance(item, dict):
-            return False
-        spec = item.get('spec') or {}
+        spec = _spec_of(item)
         if spec.get('incarnation') != self._incarnation:
             return False
-        self._revision = item['metadata']['rev']
-        self._count = max(self._count, int(spec.get('count', 0)))
+        self._revision = entries.revision_of(item)
+        self._count = max(self._count, _count_in(spec))
         return bool(spec.get('holder'))
+
+
+def holder_in(item: typing.Any) -> str:
+    """Return the host that a stored lease names as its holder, or ''."""
+    holder = _spec_of(item).get('holder')
+    return holder if isinstance(holder, str) else ''
+
+
+def _spec_of(item: typing.Any) -> dict[str, typing.Any]:
+    """Return the spec of a stored object; empty if it is malformed."""
+    spec = item.get('spec') if isinstance(item, dict) else None
+    return spec if isinstance(spec, dict) else {}
+
+
+def _count_in(spec: dict[str, typing.Any]) -> int:
+    count: typing.Any = spec.get('count')
+    return count if entry_checks.is_revision(count) else 0
--- a/amaranthcrank/router/departure_queries.py
+++ b/amaranthcrank/router/departure_queries.py
@@ -10,6 +10,7 @@
 import typing
 
 from amaranthcrank.router import directory
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import peers
 
 # Delays of the repeated queries. They are repeated because datagrams may be
@@ -39,8 +40,12 @@
         """
         self._messenger = messenger
         self._targets = targets
-        messenger.handler_by_kind[peers.MISSING_TARGETS] = self._on_missing
-        messenger.handler_by_kind[peers.DEPARTED_TARGETS] = self._on_departed
+        messenger.handler_by_kind[message_kinds.MISSING_TARGETS] = (
+            self._on_missing
+        )
+        messenger.handler_by_kind[message_kinds.DEPARTED_TARGETS] = (
+            self._on_departed
+        )
 
     def query(self) -> None:
         """Query some other hosts repeatedly while entries are missing."""
@@ -55,21 +60,19 @@
         queried = min(QUERIED_TARGETS, len(missing))
         holders = random.sample(missing, queried)
         for host_id in self._messenger.sample(QUERIED_HOSTS):
-            self._messenger.send(host_id, peers.MISSING_TARGETS, holders)
+            self._messenger.send(
+                host_id, message_kinds.MISSING_TARGETS, holders
+            )
 
     def _on_missing(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, list):
-            return
-        departed = []
-        for holder in content:
-            if isinstance(holder, str) and self._targets.has_departed(holder):
-                departed.append(holder)
+        departed = [
+            holder for holder in content if self._targets.has_departed(holder)
+        ]
         if departed:
-            self._messenger.send(host_id, peers.DEPARTED_TARGETS, departed)
+            self._messenger.send(
+                host_id, message_kinds.DEPARTED_TARGETS, departed
+            )
 
     def _on_departed(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, list):
-            return
         for holder in content:
-            if isinstance(holder, str):
-                self._targets.confirm_departure(holder)
+            self._targets.confirm_departure(holder)
--- a/amaranthcrank/router/departure_queries_test.py
+++ b/amaranthcrank/router/departure_queries_test.py
@@ -3,8 +3,11 @@
 import asyncio
 import unittest
 
+import cbor2
+
 from amaranthcrank.router import departure_queries
 from amaranthcrank.router import directory
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import model
 from amaranthcrank.router import peers
 from standins import domain_hosts
@@ -87,14 +90,21 @@
             : departure_queries.QUERIED_TARGETS
         ]
         self.assertTrue(
-            self.peers_by_id['h-0'].fits(peers.MISSING_TARGETS, holders)
+            self.peers_by_id['h-0'].fits(
+                message_kinds.MISSING_TARGETS, holders
+            )
         )
 
     async def test_malformed_messages_are_ignored(self):
-        handlers = self.peers_by_id['h-0'].handler_by_kind
-        for kind in (peers.MISSING_TARGETS, peers.DEPARTED_TARGETS):
-            handlers[kind]('h-1', 'x')
-            handlers[kind]('h-1', [1, None])
+        messenger = self.peers_by_id['h-0']
+        for kind in (
+            message_kinds.MISSING_TARGETS,
+            message_kinds.DEPARTED_TARGETS,
+        ):
+            for content in ('x', [1, None], ['i-1/x'], None):
+                data = cbor2.dumps([kind, 'h-1', content])
+                messenger.datagram_received(data, ('10.0.0.1', 1))
+        self.assertEqual(messenger.malformed, 8)
 
 
 if __name__ == '__main__':
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -10,6 +10,7 @@
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_controller
 from amaranthcrank.router import key_table
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import model
 from amaranthcrank.router import owner_usage
 from amaranthcrank.router import peers
@@ -108,18 +109,18 @@
         self._usage_by_others_at = NEVER
         messenger.handler_by_kind.update(
             {
-                peers.LOAD: self._on_load,
-                peers.OWNER_USAGE: self._on_owner_usage,
-                peers.USAGE_BY_OTHERS: self._on_usage_by_others,
-                peers.KEY_LOAD: self._on_key_load,
-                peers.MISDIRECTED: self._on_misdirected,
-                peers.CRASHED: self._on_crash,
-                peers.CRASH_CLEARED: self._on_crash_cleared,
-                peers.HEARTBEAT: self._on_heartbeat,
-                peers.RESIGNED: self._on_resigned,
-                peers.MOVE_COMPLETED: self._on_move_completed,
-                peers.KEY_MAP_CHANGE: self._on_key_map_change,
-                peers.HELLO: self._on_hello,
+                message_kinds.LOAD: self._on_load,
+                message_kinds.OWNER_USAGE: self._on_owner_usage,
+                message_kinds.USAGE_BY_OTHERS: self._on_usage_by_others,
+                message_kinds.KEY_LOAD: self._on_key_load,
+                message_kinds.MISDIRECTED: self._on_misdirected,
+                message_kinds.CRASHED: self._on_crash,
+                message_kinds.CRASH_CLEARED: self._on_crash_cleared,
+                message_kinds.HEARTBEAT: self._on_heartbeat,
+                message_kinds.RESIGNED: self._on_resigned,
+                message_kinds.MOVE_COMPLETED: self._on_move_completed,
+                message_kinds.KEY_MAP_CHANGE: self._on_key_map_change,
+                message_kinds.HELLO: self._on_hello,
             }
         )
 
@@ -148,21 +149,20 @@
             }
             contended_services = sorted(self._controller.contended_services)
             content = [self._lease.revision, revisions, contended_services]
-            self._messenger.send_to_all(peers.HEARTBEAT, content)
+            self._messenger.send_to_all(message_kinds.HEARTBEAT, content)
             await asyncio.sleep(CONTROLLER_HEARTBEAT_S)
 
     def broadcast_resignation(self) -> None:
         """Notify all hosts that this host is no longer the controller."""
-        self._messenger.send_to_all(peers.RESIGNED, None)
+        self._messenger.send_to_all(message_kinds.RESIGNED, None)
 
     def _on_heartbeat(self, host_id: str, content: typing.Any) -> None:
         self._controller_id = host_id
         self._controller_heartbeat_at = self._clock()
-        if isinstance(content, list) and len(content) == 3:
-            lease_revision, revisions, contended_services = content
-            self._contended_services = frozenset(contended_services)
-            self._lease.record_heartbeat(lease_revision)
-            self.read_schedule.record_revisions(revisions)
+        lease_revision, revisions, contended_services = content
+        self._contended_services = frozenset(contended_services)
+        self._lease.record_heartbeat(lease_revision)
+        self.read_schedule.record_revisions(revisions)
 
     def _on_resigned(self, host_id: str, content: typing.Any) -> None:
         if host_id == self._controller_id:
@@ -182,19 +182,19 @@
         self.read_schedule.request()
         for _ in range(HELLO_TIMES):
             await asyncio.sleep(HELLO_INTERVAL_S)
-            self._messenger.send_to_all(peers.HELLO, self._hello())
+            self._messenger.send_to_all(message_kinds.HELLO, self._hello())
         while True:
             await asyncio.sleep(HELLO_INTERVAL_S)
             if not self.is_controller_known():
                 holder_id = self._lease.holder_id
-                self._messenger.send(holder_id, peers.HELLO, self._hello())
+                self._messenger.send(
+                    holder_id, message_kinds.HELLO, self._hello()
+                )
 
     def _hello(self) -> list[typing.Any]:
         return [*self._own.address, self._own.failure_domain]
 
     def _on_hello(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, list) or len(content) != 3:
-            return
         ip, port, failure_domain = content
         self._messenger.by_id[host_id] = peers.Peer(
             host_id, model.Address(ip, port), failure_domain
@@ -219,12 +219,10 @@
             self._key_samples = []
             if samples and self._controller_id:
                 self._messenger.send(
-                    self._controller_id, peers.KEY_LOAD, samples
+                    self._controller_id, message_kinds.KEY_LOAD, samples
                 )
 
     def _on_key_load(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, list):
-            return
         for service, key, work_s in content:
             self._controller.load.add(service, key, work_s)
 
@@ -235,11 +233,11 @@
             return
         if self._controller_id:
             self._messenger.send(
-                self._controller_id, peers.MISDIRECTED, target_id
+                self._controller_id, message_kinds.MISDIRECTED, target_id
             )
 
     def _on_misdirected(self, host_id: str, content: typing.Any) -> None:
-        if isinstance(content, str) and self._lease.is_held:
+        if self._lease.is_held:
             self._controller.renew_soon(content)
 
     # Moves of keys.
@@ -267,18 +265,16 @@
 
         def fits(part: change_parts.Part) -> bool:
             return self._messenger.fits(
-                peers.KEY_MAP_CHANGE, content(0, 1, part)
+                message_kinds.KEY_MAP_CHANGE, content(0, 1, part)
             )
 
         parts = change_parts.split(changed, fits)
         for index, part in enumerate(parts):
             self._messenger.send_to_all(
-                peers.KEY_MAP_CHANGE, content(index, len(parts), part)
+                message_kinds.KEY_MAP_CHANGE, content(index, len(parts), part)
             )
 
     def _on_key_map_change(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, list) or len(content) != 6:
-            return
         service, from_revision, revision, index, count, values = content
         part = [model.KeyRange(*value) for value in values]
         changed = self._parts.add((service, revision), index, count, part)
@@ -297,12 +293,10 @@
             key_range.last,
             key_range.fence,
         ]
-        self._messenger.send_to_all(peers.MOVE_COMPLETED, content)
+        self._messenger.send_to_all(message_kinds.MOVE_COMPLETED, content)
         self._on_move_completed('', content)
 
     def _on_move_completed(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, list) or len(content) != 4:
-            return
         self._keys.mark_move_completed(*content)
         self._admission.assign_waiting(content[0])
 
@@ -310,19 +304,19 @@
 
     def broadcast_crash(self, request: bytes, target_id: str) -> None:
         """Notify all hosts that a target ended while it ran a request."""
-        self._messenger.send_to_all(peers.CRASHED, [request, target_id])
+        self._messenger.send_to_all(
+            message_kinds.CRASHED, [request, target_id]
+        )
 
     def broadcast_crash_cleared(self, request: bytes) -> None:
         """Notify all hosts that a request with crash reports was answered."""
-        self._messenger.send_to_all(peers.CRASH_CLEARED, request)
+        self._messenger.send_to_all(message_kinds.CRASH_CLEARED, request)
 
     def _on_crash(self, host_id: str, content: typing.Any) -> None:
-        if isinstance(content, list) and len(content) == 2:
-            self._crashes.record_crash(content[0], content[1])
+        self._crashes.record_crash(*content)
 
     def _on_crash_cleared(self, host_id: str, content: typing.Any) -> None:
-        if isinstance(content, bytes):
-            self._crashes.clear(content)
+        self._crashes.clear(content)
 
     # Load.
 
@@ -372,18 +366,16 @@
 
     def _on_owner_usage(self, host_id: str, content: typing.Any) -> None:
         """Reply to a report of a host's usage with the usage by others."""
-        if not isinstance(content, dict):
-            return
         self._usage.record_report(host_id, owner_usage.decode_usage(content))
         usage_by_others = self._usage.usage_by_others(host_id)
         if host_id == self._own.host_id:
             self._on_usage_by_others(host_id, usage_by_others)
             return
-        self._messenger.send(host_id, peers.USAGE_BY_OTHERS, usage_by_others)
+        self._messenger.send(
+            host_id, message_kinds.USAGE_BY_OTHERS, usage_by_others
+        )
 
     def _on_usage_by_others(self, host_id: str, content: typing.Any) -> None:
-        if not isinstance(content, dict):
-            return
         self._usage_by_others = owner_usage.decode_usage(content)
         self._usage_by_others_at = self._clock()
         self._is_load_stale = True
@@ -400,7 +392,7 @@
             return
         self._reported_load = load
         self._reported_at = now
-        self._messenger.send_in_domain(peers.LOAD, load)
+        self._messenger.send_in_domain(message_kinds.LOAD, load)
 
     def _report_owner_usage(self, now: float) -> None:
         """Report the usage of contended owners to the controller.
@@ -415,7 +407,9 @@
         if self._lease.is_held:
             self._on_owner_usage(self._own.host_id, usage)
             return
-        self._messenger.send(self._controller_id, peers.OWNER_USAGE, usage)
+        self._messenger.send(
+            self._controller_id, message_kinds.OWNER_USAGE, usage
+        )
         if not usage:
             self._usage_by_others = {}
 
--- a/amaranthcrank/router/host_reports_test.py
+++ b/amaranthcrank/router/host_reports_test.py
@@ -6,6 +6,7 @@
 
 from amaranthcrank.router import host_reports
 from amaranthcrank.router import key_table
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import model
 from amaranthcrank.router import owner_usage
 from amaranthcrank.router import peers
@@ -107,7 +108,9 @@
     def test_full_report_of_keys_fits(self):
         """Guards against oversized reports, which the busiest hosts drop."""
         samples = [('s' * 16, 65535, 0.123)] * host_reports.MAX_KEY_SAMPLES
-        self.assertTrue(self.second.messenger.fits(peers.KEY_LOAD, samples))
+        self.assertTrue(
+            self.second.messenger.fits(message_kinds.KEY_LOAD, samples)
+        )
 
     def test_heartbeat_shows_a_lost_change(self):
         """Guards against a host that never notices a lost datagram."""
@@ -160,7 +163,8 @@
         self.second._on_heartbeat('h-1', [5, {}, ['book']])
         self.second._report_owner_usage(self.now)
         self.assertEqual(
-            self.sent, [(peers.OWNER_USAGE, {'i-1': owner_usage.Usage(1, 0)})]
+            self.sent,
+            [(message_kinds.OWNER_USAGE, {'i-1': owner_usage.Usage(1, 0)})],
         )
 
     def test_controller_replies_with_the_usage_by_others(self):
--- a/amaranthcrank/router/key_map_store.py
+++ b/amaranthcrank/router/key_map_store.py
@@ -39,9 +39,18 @@
                 self._log.event('key_maps_unread', reason=str(error))
                 await asyncio.sleep(RETRY_S)
                 continue
-            return entries.decode_key_maps(listing.item_by_name)
+            return self._decode_all(listing.item_by_name)
         return None
 
+    def _decode_all(
+        self, item_by_name: dict[str, typing.Any]
+    ) -> list[model.KeyMap]:
+        """Decode all key maps; malformed ones are logged and left out."""
+        key_maps, errors = entries.decode_key_maps(item_by_name)
+        for error in errors:
+            self._log.event('entry_rejected', error=error)
+        return key_maps
+
     async def write(self, key_map: model.KeyMap) -> model.KeyMap | None:
         """Write a map, on condition that the store has its revision.
 
@@ -63,7 +72,12 @@
                 if not _has_spec(item, spec):
                     self._log.event('key_map_conflict')
                     return None
-            return entries.decode_key_map(key_map.service, item)
+            try:
+                return entries.decode_key_map(key_map.service, item)
+            except entries.EntryError as error:
+                # The write took effect, but its revision is unknown.
+                self._log.event('key_map_unread', error=str(error))
+                return None
         return None
 
     async def _put(
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -11,32 +11,19 @@
 
 import cbor2
 
+from amaranthcrank.router import message_checks
 from amaranthcrank.router import model
 from amaranthcrank.router import owner_usage
 
 MAX_DATAGRAM_BYTES = 1200
 
-# Kinds of messages, as sent in the datagrams.
-LOAD = 1
-HEARTBEAT = 2
-RESIGNED = 3
-KEY_LOAD = 4
-OWNER_USAGE = 5
-MISDIRECTED = 6
-CRASHED = 7
-CRASH_CLEARED = 8
-MOVE_COMPLETED = 9
-KEY_MAP_CHANGE = 10
-HELLO = 11
-USAGE_BY_OTHERS = 12
-TICKET = 13
-TARGETS = 14
-MISSING_TARGETS = 15
-DEPARTED_TARGETS = 16
-CHANGES_AFTER = 17
-CHANGES = 18
-TICKET_AFTER = 19
-NEWER_TICKET = 20
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    cbor2.CBORDecodeError,
+)
 
 Handler = typing.Callable[[str, typing.Any], None]
 
@@ -63,6 +50,7 @@
       handler_by_kind: Called with the sender's id and the content of each
         message of a kind.
       oversized: How many messages were dropped as too long for a datagram.
+      malformed: How many received datagrams were dropped as malformed.
     """
 
     def __init__(self, host_id: str, failure_domain: str) -> None:
@@ -70,6 +58,7 @@
         self.by_id: dict[str, Peer] = {}
         self.handler_by_kind: dict[int, Handler] = {}
         self.oversized = 0
+        self.malformed = 0
         self._host_id = host_id
         self._failure_domain = failure_domain
         self._transport: asyncio.DatagramTransport | None = None
@@ -85,11 +74,16 @@
         try:
             kind, host_id, content = cbor2.loads(data)
             handler = self.handler_by_kind.get(kind)
-        except (ValueError, TypeError, cbor2.CBORDecodeError):
-            # Not a message of another host.
+        except _DECODE_ERRORS:
+            self.malformed += 1
             return
-        if handler is not None and isinstance(host_id, str):
-            handler(host_id, content)
+        if handler is None:
+            # A host of a later version may send kinds that are not known here.
+            return
+        if not message_checks.is_well_formed(kind, host_id, content):
+            self.malformed += 1
+            return
+        handler(host_id, content)
 
     def send_to_all(self, kind: int, content: typing.Any) -> None:
         """Send to all other hosts."""
@@ -163,8 +157,7 @@
 
     def record_report(self, host_id: str, content: typing.Any) -> None:
         """Record another host's requests in flight by target."""
-        if isinstance(content, dict):
-            self._report_by_host[host_id] = (self._clock(), content)
+        self._report_by_host[host_id] = (self._clock(), content)
 
     def refresh(self) -> None:
         """Sum up the recent reports and discard older ones."""
--- a/amaranthcrank/router/peers_test.py
+++ b/amaranthcrank/router/peers_test.py
@@ -3,6 +3,7 @@
 
 import cbor2
 
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import model
 from amaranthcrank.router import owner_usage
 from amaranthcrank.router import peers
@@ -54,17 +55,17 @@
         for host_id, domain in (('h-2', 'a'), ('h-3', 'b')):
             peer, address = await self._peer(host_id, domain)
             first.by_id[host_id] = peers.Peer(host_id, address, domain)
-            peer.handler_by_kind[peers.LOAD] = (
+            peer.handler_by_kind[message_kinds.LOAD] = (
                 lambda sender, content, host_id=host_id: received.append(
                     (host_id, sender, content)
                 )
             )
-        first.send_in_domain(peers.LOAD, {'i-1': [1, 0]})
-        first.send('h-3', peers.LOAD, 5)
+        first.send_in_domain(message_kinds.LOAD, {'i-1': 1})
+        first.send('h-3', message_kinds.LOAD, {})
         await asyncio.sleep(0.05)
         self.assertEqual(
             sorted(received),
-            [('h-2', 'h-1', {'i-1': [1, 0]}), ('h-3', 'h-1', 5)],
+            [('h-2', 'h-1', {'i-1': 1}), ('h-3', 'h-1', {})],
         )
 
     async def test_malformed_datagrams_are_ignored(self):
--- a/amaranthcrank/router/shared_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import event_log
 from amaranthcrank.router import key_table
 from amaranthcrank.router import peers
+from amaranthcrank.router import rejection_log
 from amaranthcrank.router import shared_read_schedule
 from amaranthcrank.router import store_sync
 
@@ -51,6 +52,7 @@
         self._log = log
         self._on_key_map = on_key_map
         self._read_schedule = read_schedule
+        self._rejections = rejection_log.RejectionLog(log)
         self._backoff = store_sync.RetryBackoff(retry_gate)
 
     async def follow(self) -> None:
@@ -92,18 +94,18 @@
                 )
                 return
             except store.ConflictError as error:
-                existing = error.item or {}
-                if existing.get('spec') == spec:
-                    return
-                await self._replace_registration(name, existing, spec)
+                if isinstance(error.item, dict):
+                    if error.item.get('spec') == spec:
+                        return
+                await self._replace_registration(name, error.item, spec)
             except store.StoreError as error:
                 self._log.event('not_registered', reason=str(error))
             await asyncio.sleep(REGISTER_RETRY_S * (1 + random.random()))
 
     async def _replace_registration(
-        self, name: str, existing: dict[str, typing.Any], spec: typing.Any
+        self, name: str, existing: typing.Any, spec: typing.Any
     ) -> None:
-        revision = existing.get('metadata', {}).get('rev', 0)
+        revision = entries.revision_of(existing)
         # The next attempt of `register` to create the entry shows whether the
         # replacement succeeded.
         with contextlib.suppress(store.StoreError, store.ConflictError):
@@ -115,7 +117,9 @@
         try:
             self._apply_shared(name, item)
         except entries.EntryError as error:
-            self._log.event('entry_rejected', name=name, error=str(error))
+            self._rejections.record(
+                name, entries.revision_of(item), str(error)
+            )
 
     def _apply_shared(self, name: str, item: typing.Any) -> None:
         if name.startswith(names.KEY_MAP_PREFIX):
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -17,10 +17,12 @@
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import model
 from amaranthcrank.router import outage_grace
 from amaranthcrank.router import peers
 from amaranthcrank.router import reader_election
+from amaranthcrank.router import rejection_log
 from amaranthcrank.router import store_sync
 
 # Pause after changes before the next watch: a starting target updates its
@@ -61,7 +63,7 @@
         self._availability = client.availability
         self._targets = targets
         self._messenger = messenger
-        self._log = log
+        self._rejections = rejection_log.RejectionLog(log)
         self._reachability = store_sync.Reachability(
             names.TARGETS_KIND, log, grace.on_recovered
         )
@@ -83,7 +85,7 @@
             self._advance,
             log,
         )
-        messenger.handler_by_kind[peers.TARGETS] = self._on_domain_read
+        messenger.handler_by_kind[message_kinds.TARGETS] = self._on_domain_read
 
     async def follow(self) -> None:
         """Follow the targets until cancelled."""
@@ -158,7 +160,9 @@
         try:
             return entries.decode_target(name, item)
         except entries.EntryError as error:
-            self._log.event('entry_rejected', name=name, error=str(error))
+            self._rejections.record(
+                name, entries.revision_of(item), str(error)
+            )
             return None
 
     def _notify_domain(
@@ -175,14 +179,12 @@
             changes,
             failed_ms,
         ]
-        if not self._messenger.fits(peers.TARGETS, content):
+        if not self._messenger.fits(message_kinds.TARGETS, content):
             content = [from_revision, revision, None, failed_ms]
-        self._messenger.send_in_domain(peers.TARGETS, content)
+        self._messenger.send_in_domain(message_kinds.TARGETS, content)
 
     def _on_domain_read(self, host_id: str, content: typing.Any) -> None:
         """Apply what another host of the failure domain has just read."""
-        if not isinstance(content, list) or len(content) != 4:
-            return
         from_revision, revision, encoded, failed_ms = content
         # The store is available, even if this host cannot reach it.
         self._availability.record_answer_to_other(failed_ms)
--- a/amaranthcrank/router/ticket_feed.py
+++ b/amaranthcrank/router/ticket_feed.py
@@ -20,6 +20,7 @@
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
+from amaranthcrank.router import message_kinds
 from amaranthcrank.router import model
 from amaranthcrank.router import peer_polling
 from amaranthcrank.router import peers
@@ -34,12 +35,17 @@
 FETCH_TIMEOUT_S = 0.5
 # The fastest level: latency matters more than size here.
 COMPRESSION_LEVEL = 1
+# Bounds the memory that a compressed ticket may need. Objects of the store are
+# smaller than this.
+MAX_TICKET_BYTES = 16 * 1024 * 1024
 
 _FETCH_ERRORS = (
     http_client.ConnectError,
     http_client.ExchangeError,
     TimeoutError,
     ValueError,
+    OverflowError,
+    RecursionError,
     zlib.error,
     cbor2.CBORDecodeError,
 )
@@ -96,12 +102,16 @@
         self._poller = peer_polling.PeerPoller(
             messenger,
             self.reachability,
-            peers.TICKET_AFTER,
+            message_kinds.TICKET_AFTER,
             lambda: self._number,
         )
-        messenger.handler_by_kind[peers.TICKET] = self._on_ticket_read
-        messenger.handler_by_kind[peers.TICKET_AFTER] = self._on_ticket_after
-        messenger.handler_by_kind[peers.NEWER_TICKET] = self._on_newer_ticket
+        messenger.handler_by_kind[message_kinds.TICKET] = self._on_ticket_read
+        messenger.handler_by_kind[message_kinds.TICKET_AFTER] = (
+            self._on_ticket_after
+        )
+        messenger.handler_by_kind[message_kinds.NEWER_TICKET] = (
+            self._on_newer_ticket
+        )
 
     async def follow(self) -> None:
         """Follow the ticket until cancelled."""
@@ -146,11 +156,11 @@
     def _notify_domain(self) -> None:
         """Send the number of the ticket that was just read to the domain."""
         if self._follower.election.is_enabled:
-            self._messenger.send_in_domain(peers.TICKET, self._number)
+            self._messenger.send_in_domain(message_kinds.TICKET, self._number)
 
     def _on_ticket_read(self, host_id: str, content: typing.Any) -> None:
         """Handle the number of a ticket that the reader has just read."""
-        if not isinstance(content, int) or content < self._number:
+        if content < self._number:
             return
         if content == self._number:
             self._confirm_read(host_id)
@@ -159,17 +169,16 @@
 
     def _on_ticket_after(self, host_id: str, content: typing.Any) -> None:
         """Reply to the poll of a host that cannot reach the store."""
-        if (
-            not isinstance(content, int)
-            or self.reachability.unreachable_since is not None
-        ):
+        if self.reachability.unreachable_since is not None:
             return
         if content < self._number:
-            self._messenger.send(host_id, peers.NEWER_TICKET, self._number)
+            self._messenger.send(
+                host_id, message_kinds.NEWER_TICKET, self._number
+            )
 
     def _on_newer_ticket(self, host_id: str, content: typing.Any) -> None:
         """Handle the reply to a poll: the number of a newer ticket."""
-        if isinstance(content, int) and content > self._number:
+        if content > self._number:
             self._start_fetch(content, self._fetch_from(host_id))
 
     def _start_fetch(
@@ -230,7 +239,7 @@
         )
         if response.status != 200:
             raise ValueError(f'answered {response.status}')
-        return cbor2.loads(zlib.decompress(response.body))
+        return cbor2.loads(_decompress(response.body))
 
     def _apply(self, spec: typing.Any) -> None:
         try:
@@ -245,3 +254,17 @@
         self._compressed = b''
         self._on_ticket(ticket)
         self._log.event('ticket_in_force', number=ticket.number)
+
+
+def _decompress(data: bytes) -> bytes:
+    """Return the decompressed data.
+
+    Raises:
+      ValueError: It is longer than a ticket may be.
+      zlib.error: It is not compressed data.
+    """
+    decompressor = zlib.decompressobj()
+    text = decompressor.decompress(data, MAX_TICKET_BYTES)
+    if not decompressor.eof:
+        raise ValueError('the compressed ticket is too long or incomplete')
+    return text
--- a/standins/domain_hosts.py
+++ b/standins/domain_hosts.py
@@ -61,7 +61,8 @@
         """Deliver a message to one other host."""
         messenger = self._messenger_by_id[host_id]
         if not self.is_isolated and not messenger.is_isolated:
-            messenger.handler_by_kind[kind](self.own.host_id, content)
+            data = self._encode(kind, content)
+            messenger.datagram_received(data, tuple(self.own.address))
 
 
 class DomainHosts:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -154,7 +154,7 @@
 
     async def add_router(self, host_id: str) -> main.Router:
         """Start a router and wait until it is ready."""
-        settings = self._settings(host_id)
+        settings = self.settings(host_id)
         descriptor = os.open(os.devnull, os.O_WRONLY)
         self._stack.callback(os.close, descriptor)
         router = main.Router(settings, os.devnull, descriptor)
@@ -199,7 +199,8 @@
         finally:
             connection.abort()
 
-    def _settings(self, host_id: str) -> model.HostSettings:
+    def settings(self, host_id: str) -> model.HostSettings:
+        """Return the settings of a router; its ports are free now."""
         return model.HostSettings(
             host_id=host_id,
             ip=IP,
