--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -92,7 +92,9 @@
     """
 
     def __init__(self):
-        super().__init__(mock.Mock(), mock.Mock(), mock.AsyncMock())
+        super().__init__(
+            mock.Mock(), mock.Mock(), mock.AsyncMock(), mock.Mock()
+        )
         self.result_by_port = {}
         self.sent = []
         self.arrived = []
