Spread a suddenly hot range of keys sooner, in fewer and larger moves

Three parts: the load was a plain sum over 3 s, so after one second a third of the new load was seen; load was given away down to the mean and receivers took only up to it, so pieces were small and the 12 moves of a round were used up; rounds came once a second.

Change: samples weigh less with age (same sum for a steady load); load is given and taken up to a utilisation of 0.6 if the mean is lower; while an owner cannot do its work, rounds come every half second.

--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -28,9 +28,6 @@
 from amaranthcrank.router import target_state
 
 STEP_INTERVAL_S = 0.1
-# The interval of rebalancing by load; shorter ones would follow random
-# variation.
-REBALANCE_INTERVAL_S = 1.0
 # Moves that complete within this time are written to the store together.
 # Hosts are notified of each at once by datagram.
 BATCH_WINDOW_S = 0.5
@@ -276,12 +273,11 @@
             return ()
         load = self.load.window(service)
         moves = key_plan.plan(ranges, owners, load)
+        utilisation = key_plan.max_utilisation(ranges, owners, load)
         rebalanced_at = self._rebalanced_at_by_service.get(service, 0.0)
-        if now - rebalanced_at >= REBALANCE_INTERVAL_S:
+        if key_plan.is_rebalancing_due(now - rebalanced_at, utilisation):
             self._rebalanced_at_by_service[service] = now
-            self._update_contention(
-                service, key_plan.max_utilisation(ranges, owners, load)
-            )
+            self._update_contention(service, utilisation)
             return moves
         # Between rebalancing rounds only keys without a live owner move.
         live = {(owner.target_id, owner.incarnation) for owner in owners}
--- a/amaranthcrank/router/key_load.py
+++ b/amaranthcrank/router/key_load.py
@@ -35,12 +35,18 @@
         samples.append((self._clock(), key, work_s))
 
     def window(self, service: str) -> key_plan.Load:
-        """Return the load of a service within the window."""
+        """Return the load of a service, as work in a window.
+
+        The weight of a sample falls linearly with its age, from 2 to 0. So
+        the sum is that of all samples while the load does not change, and
+        follows within half of the window when it does.
+        """
         since = self._clock() - WINDOW_S
         samples = self._samples_by_service.get(service, collections.deque())
         while samples and samples[0][0] < since:
             samples.popleft()
         work_by_key: dict[int, float] = {}
-        for _, key, work_s in samples:
-            work_by_key[key] = work_by_key.get(key, 0.0) + work_s
+        for at, key, work_s in samples:
+            weight = 2.0 * (at - since) / WINDOW_S
+            work_by_key[key] = work_by_key.get(key, 0.0) + weight * work_s
         return key_plan.Load(work_by_key)
--- a/amaranthcrank/router/key_plan.py
+++ b/amaranthcrank/router/key_plan.py
@@ -15,6 +15,15 @@
 # Below this utilisation a target serves its keys without queueing, whatever
 # the load of the others.
 BUSY_UTILISATION = 0.65
+# Donors give load away down to this utilisation, and receivers take as much,
+# if the mean is lower. Less would take more moves, of more keys, and most of
+# the time.
+FILL_UTILISATION = 0.6
+# Load is moved at intervals, so that the effect of earlier moves is known, and
+# sooner while requests wait for an owner that cannot do its work.
+REBALANCE_INTERVAL_S = 1.0
+OVERLOAD_INTERVAL_S = 0.5
+OVERLOAD_UTILISATION = 1.0
 # After a move, the receiver's utilisation must be below the donor's former
 # one by this share. Else a single busy key would move from target to target.
 MIN_RELIEF = 0.2
@@ -105,6 +114,18 @@
         return best
 
 
+def is_rebalancing_due(elapsed_s: float, utilisation: float) -> bool:
+    """Return whether load should be moved between live owners.
+
+    Args:
+      elapsed_s: The time since it was considered last.
+      utilisation: The highest utilisation of an owner.
+    """
+    if utilisation >= OVERLOAD_UTILISATION:
+        return elapsed_s >= OVERLOAD_INTERVAL_S
+    return elapsed_s >= REBALANCE_INTERVAL_S
+
+
 def plan(
     ranges: typing.Sequence[model.KeyRange],
     owners: typing.Sequence[Owner],
@@ -259,6 +280,7 @@
     """Move load from the busiest targets to the least loaded ones."""
     mean = sum(load_by_id.values()) / sum(owner.capacity_s for owner in owners)
     limit = max(mean * MAX_IMBALANCE, BUSY_UTILISATION)
+    level = max(mean, FILL_UTILISATION)
     exhausted: set[str] = set()
     while len(moves) < MAX_MOVES:
         candidates = [
@@ -276,11 +298,13 @@
         receiver_idle = load_by_id[receiver.target_id] == 0.0
         if not receiver_idle and _utilisation(donor, load_by_id) < limit:
             return
-        excess = load_by_id[donor.target_id] - mean * donor.capacity_s
-        headroom = mean * receiver.capacity_s - load_by_id[receiver.target_id]
+        excess = load_by_id[donor.target_id] - level * donor.capacity_s
+        headroom = level * receiver.capacity_s - load_by_id[receiver.target_id]
         pieces = pieces_by_id[donor.target_id]
         if receiver_idle:
-            amount = min(headroom, load_by_id[donor.target_id] / 2)
+            amount = min(
+                mean * receiver.capacity_s, load_by_id[donor.target_id] / 2
+            )
             piece = _tail_of_widest_piece(pieces, load, amount)
         else:
             piece = _narrowest_busy_part(pieces, load, min(excess, headroom))
