Disconnect callers that do not take their responses

Cause: a response that its caller did not read stayed in memory for ever: the idle time-out closed the connection, which waits for the caller.

Change: a caller that takes nothing for the idle time-out is cut; beyond 32 MB of unsent responses those without progress for longest are. A slow caller that goes on reading is not cut (test).

--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -20,6 +20,9 @@
 # Reading from a connection pauses when more than this has been received behind
 # a request that is still being handled.
 MAX_PIPELINED_BYTES = 64 * 1024
+# Callers that read slowly keep responses in memory. Beyond this sum, those
+# that have made no progress for longest are disconnected.
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
 
 class Request(typing.NamedTuple):
@@ -136,6 +139,21 @@
             now = asyncio.get_running_loop().time()
             for connection in list(self.connections):
                 connection.check_timeouts(now, self.limits)
+            self._limit_unsent_bytes()
+
+    def _limit_unsent_bytes(self) -> None:
+        unsent_bytes = sum(each.unsent_bytes for each in self.connections)
+        if unsent_bytes <= MAX_UNSENT_BYTES:
+            return
+        by_progress = sorted(
+            self.connections, key=lambda each: each.progress_at
+        )
+        for connection in by_progress:
+            if unsent_bytes <= MAX_UNSENT_BYTES:
+                return
+            unsent_bytes -= connection.unsent_bytes
+            if connection.unsent_bytes:
+                connection.abort()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -149,11 +167,15 @@
 
     Attributes:
       requests_served: The number of requests handled on this connection.
+      progress_at: When the caller was last seen to have taken data of a
+        response, or had taken all of it, in event loop time.
     """
 
     def __init__(self, server: Server) -> None:
         """Create the protocol of a connection that a server accepts."""
         self.requests_served = 0
+        self.progress_at = 0.0
+        self._unsent_bytes_before = 0
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(
@@ -171,6 +193,7 @@
         """Register with the server and start the timeouts."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._timer_started_at = asyncio.get_running_loop().time()
+        self.progress_at = self._timer_started_at
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -208,6 +231,13 @@
             return False
         return not self._http.trailing_data[0]
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The number of bytes that wait to be sent to the caller."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def check_timeouts(self, now: float, limits: model.CallerLimits) -> None:
         """Close the connection if it exceeds a timeout.
 
@@ -218,6 +248,7 @@
           now: The current event loop time.
           limits: The timeouts to enforce.
         """
+        self._check_progress(now, limits.idle_timeout_s)
         if self._handler_task is not None:
             return
         elapsed = now - self._timer_started_at
@@ -232,6 +263,26 @@
         if now - self._data_arrived_at > limits.idle_timeout_s:
             self._send_error(408, b'the body took too long')
 
+    def _check_progress(self, now: float, timeout_s: float) -> None:
+        """Disconnect a caller that does not take its response.
+
+        Closing would wait for the caller, and keep the response in memory.
+        """
+        unsent_bytes = self.unsent_bytes
+        if not self._unsent_bytes_before:
+            # Nothing waited at the last check.
+            self.progress_at = now
+        if unsent_bytes < self._unsent_bytes_before:
+            self.progress_at = now
+        self._unsent_bytes_before = unsent_bytes
+        if now - self.progress_at > timeout_s:
+            self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once, discarding unsent data."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close(self) -> None:
         """Close the connection."""
         if self._transport is not None:
--- a/amaranthcrank/router/http_server_test.py
+++ b/amaranthcrank/router/http_server_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import unittest
 
 from amaranthcrank.router import http_server
@@ -116,6 +117,69 @@
         self.assertIn(b'connection: close', head)
         self.assertEqual(self.requests, [])
 
+    async def _request_long_response(self, size):
+        async def respond(request):
+            return http_server.Response(200, [], b'x' * size)
+
+        self.server.handler = respond
+        reader, writer = await self._connect()
+        # The caller stops to read soon.
+        writer.transport.pause_reading()
+        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        async with asyncio.timeout(2.0):
+            while not any(
+                each.unsent_bytes for each in self.server.connections
+            ):
+                await asyncio.sleep(0.01)
+        return reader, writer
+
+    async def test_caller_that_does_not_read(self):
+        # Its response was kept in memory for ever.
+        await self._request_long_response(8 * 1024 * 1024)
+        timeout_task = asyncio.create_task(self.server.enforce_timeouts())
+        self.addCleanup(timeout_task.cancel)
+        async with asyncio.timeout(3.0):
+            while self.server.connections:
+                await asyncio.sleep(0.02)
+
+    async def test_slow_caller_is_not_cut(self):
+        body = b'x' * (16 * 1024 * 1024)
+
+        async def respond(request):
+            return http_server.Response(200, [], body)
+
+        self.server.handler = respond
+        timeout_task = asyncio.create_task(self.server.enforce_timeouts())
+        self.addCleanup(timeout_task.cancel)
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(('127.0.0.1', self.port)) as caller:
+            caller.setblocking(False)
+            await loop.sock_sendall(
+                caller, b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+            )
+            received = 0
+            # The transfer takes longer than the time-out.
+            async with asyncio.timeout(10.0):
+                while received < len(body):
+                    data = await loop.sock_recv(caller, 256 * 1024)
+                    self.assertTrue(data)
+                    received += len(data)
+                    await asyncio.sleep(0.02)
+
+    async def test_many_callers_that_do_not_read(self):
+        # Hosts have a few hundred megabytes of memory.
+        self.server.limits = model.CallerLimits(500, 20, 9.0, 9.0)
+        timeout_task = asyncio.create_task(self.server.enforce_timeouts())
+        self.addCleanup(timeout_task.cancel)
+        size = http_server.MAX_UNSENT_BYTES // 2
+        for _ in range(4):
+            await self._request_long_response(size)
+        async with asyncio.timeout(3.0):
+            while len(self.server.connections) > 2:
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(0.6)
+        self.assertTrue(self.server.connections)
+
     async def test_failed_handler(self):
         # The caller waited for an answer until its deadline.
         async def fail(request):
