Send long changes of targets in parts, and do not postpone due reads

The hosts were not busy: front-ktm-balaju-27 answered all the while. A change too long for a datagram was sent without its content; each host then read the store within a random 0.3 s, but the notice of each host that had read drew that time anew for all others, so the last read when all others had.

Change: the reader sends long changes in up to eight datagrams, as the catch-up and key maps do; a read that is due is not postponed.

Ruled out: load of the hosts, loss of datagrams (all hosts of all domains were late alike), the store (its answers took a few ms).

--- a/amaranthcrank/router/message_checks.py
+++ b/amaranthcrank/router/message_checks.py
@@ -171,6 +171,8 @@
     message_kinds.TARGETS: _fields(
         _optional(_is_revision),
         _is_revision,
+        _is_part_index,
+        _is_part_index,
         _optional(_list_of(_is_entry_change)),
         _is_age_ms,
     ),
--- a/amaranthcrank/router/message_checks_test.py
+++ b/amaranthcrank/router/message_checks_test.py
@@ -36,7 +36,14 @@
     message_kinds.HELLO: ['10.0.0.2', 7200, 'a'],
     message_kinds.USAGE_BY_OTHERS: {'i-1': [1, 2]},
     message_kinds.TICKET: 3,
-    message_kinds.TARGETS: [4, 7, [['i-1', ENTRY], ['i-2', None]], 500],
+    message_kinds.TARGETS: [
+        4,
+        7,
+        0,
+        1,
+        [['i-1', ENTRY], ['i-2', None]],
+        500,
+    ],
     message_kinds.MISSING_TARGETS: ['i-1/5'],
     message_kinds.DEPARTED_TARGETS: ['i-1/5'],
     message_kinds.CHANGES_AFTER: 4,
@@ -68,7 +75,7 @@
     def test_an_entry_is_checked_like_one_of_the_store(self):
         entry = [*ENTRY]
         entry[2] = ['10.0.0.1', 70_000]
-        content = [4, 7, [['i-1', entry]], 500]
+        content = [4, 7, 0, 1, [['i-1', entry]], 500]
         self.assertFalse(
             message_checks.is_well_formed(
                 message_kinds.TARGETS, 'h-1', content
--- a/amaranthcrank/router/reader_election.py
+++ b/amaranthcrank/router/reader_election.py
@@ -76,10 +76,13 @@
         self._is_reader = True
 
     def expedite(self) -> None:
-        """Let this host read soon, as it could not apply received changes."""
-        self._reader_timeout_at = (
-            self._clock() + EXPEDITED_SPREAD_S * self._random()
-        )
+        """Let this host read soon, as it could not apply received changes.
+
+        A read that is due earlier is not postponed, however often this is
+        called: each host that has read notifies all others.
+        """
+        read_at = self._clock() + EXPEDITED_SPREAD_S * self._random()
+        self._reader_timeout_at = min(self._reader_timeout_at, read_at)
 
     def record_read_by(self, reader_id: str) -> None:
         """Record that another host of the failure domain has just read."""
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -14,6 +14,7 @@
 from amaranthcrank.platform import store
 from amaranthcrank.router import catch_up
 from amaranthcrank.router import change_history
+from amaranthcrank.router import change_parts
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
@@ -63,6 +64,7 @@
         self._availability = client.availability
         self._targets = targets
         self._messenger = messenger
+        self._parts = change_parts.PartAssembler()
         self._rejections = rejection_log.RejectionLog(log)
         self._reachability = store_sync.Reachability(
             names.TARGETS_KIND, log, grace.on_recovered
@@ -173,22 +175,40 @@
     ) -> None:
         """Send what was just read to the hosts of the failure domain."""
         failed_ms = self._availability.failed_ms()
-        content: list[typing.Any] = [
-            from_revision,
-            revision,
-            changes,
-            failed_ms,
-        ]
-        if not self._messenger.fits(message_kinds.TARGETS, content):
-            content = [from_revision, revision, None, failed_ms]
-        self._messenger.send_in_domain(message_kinds.TARGETS, content)
+
+        def content(
+            index: int, count: int, part: change_parts.Part | None
+        ) -> list[typing.Any]:
+            return [from_revision, revision, index, count, part, failed_ms]
+
+        def fits(part: change_parts.Part) -> bool:
+            return self._messenger.fits(
+                message_kinds.TARGETS, content(0, 1, part)
+            )
+
+        parts: tuple[change_parts.Part | None, ...] = ()
+        if from_revision is not None:
+            parts = change_parts.split(changes, fits)
+        # Without the changes, the other hosts read them from the store.
+        parts = parts or (None,)
+        for index, part in enumerate(parts):
+            self._messenger.send_in_domain(
+                message_kinds.TARGETS, content(index, len(parts), part)
+            )
 
     def _on_domain_read(self, host_id: str, content: typing.Any) -> None:
         """Apply what another host of the failure domain has just read."""
-        from_revision, revision, encoded, failed_ms = content
+        from_revision, revision, index, count, part, failed_ms = content
         # The store is available, even if this host cannot reach it.
         self._availability.record_answer_to_other(failed_ms)
         self._reachability.record_answer()
+        encoded = part
+        if part is not None:
+            change = (host_id, from_revision, revision)
+            encoded = self._parts.add(change, index, count, part)
+            if encoded is None:
+                # The other parts follow.
+                return
         if self._advance(from_revision, revision, encoded):
             self._targets.mark_current()
             self._follower.election.record_read_by(host_id)
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -229,6 +229,39 @@
         await self._wait(lambda targets: 'i-2' in targets.by_id, 5.0)
 
 
+class ManyHostsTest(_FeedsTest):
+    """A large failure domain, in which many targets are replaced at once."""
+
+    HOSTS = 24
+
+    async def _put_many(self, numbers):
+        for number in numbers:
+            self._put(number)
+        last = f'i-{numbers[-1]}'
+        began_at = asyncio.get_running_loop().time()
+        await self._wait(lambda targets: last in targets.by_id, 10.0)
+        return asyncio.get_running_loop().time() - began_at
+
+    async def test_change_in_several_datagrams(self):
+        """Guards against requests to targets after their drain time.
+
+        A change that was too long for one datagram was read from the store by
+        each host, one after the other.
+        """
+        before = self._calls()
+        await self._put_many(range(10, 40))
+        self.assertLess(self._calls() - before, self.HOSTS)
+
+    async def test_change_too_long_to_send(self):
+        """Guards against hosts that read one after the other.
+
+        The notice of each host that had read postponed the reads of the
+        others, so the last one read when all others had.
+        """
+        elapsed_s = await self._put_many(range(100, 400))
+        self.assertLess(elapsed_s, DRAIN_S / 2)
+
+
 class FewHostsTest(_FeedsTest):
     """Too few hosts for an election: each one reads the store itself."""
 
