Let the soak judge targets that say in responses that they are leaving

Targets that drain say so in each response. A router that has passed one on must send nothing to that target after the drain time, whatever faults its connections have; only a restart or a suspension excuses it.

--- a/soak/drain_checks.py
+++ b/soak/drain_checks.py
@@ -13,6 +13,15 @@
 STORE = 'store'
 
 
+# How long a response takes to pass through a router, at most.
+PASSING_S = 0.25
+
+
+def process_of(router: str) -> str:
+    """Return the name under which faults of a router's process are kept."""
+    return f'process of {router}'
+
+
 class Interval(typing.NamedTuple):
     """The time in which a fault was active, in monotonic seconds."""
 
@@ -44,6 +53,19 @@
         finally:
             intervals[index] = Interval(start, time.monotonic())
 
+    @contextlib.contextmanager
+    def record_process(self, router: str) -> abc.Iterator[None]:
+        """Record that a router's process does not run, for the block."""
+        with self.record(router), self.record(process_of(router)):
+            yield
+
+    def ran_throughout(self, router: str, start: float, end: float) -> bool:
+        """Return whether a router's process ran during a period."""
+        return not any(
+            interval.start <= end and interval.end >= start
+            for interval in self.intervals_by_name.get(process_of(router), ())
+        )
+
     def is_fault_free(self, name: str, at: float) -> bool:
         """Return whether a component was free of faults at a moment.
 
@@ -96,3 +118,44 @@
             f'reached {run.holder} {late_s:.2f} s after its drain began: '
             f'{result}'
         )
+
+
+def ignored_notices(
+    results: abc.Iterable[callers.Result],
+    runs: abc.Iterable[target.Run],
+    answers: abc.Iterable[target.LeavingAnswer],
+    fault_intervals: FaultIntervals,
+) -> abc.Iterator[str]:
+    """Yield each run that a router sent although the target said it leaves.
+
+    A router that has passed such a response on knows it, whatever becomes of
+    its connections; only a restart or a suspension excuses it.
+
+    Args:
+      results: What callers sent.
+      runs: What targets ran.
+      answers: The responses in which targets said that they are leaving.
+      fault_intervals: When faults were active.
+    """
+    result_by_id = {result.request_id: result for result in results}
+    known_at: dict[tuple[str, str], float] = {}
+    for answer in answers:
+        result = result_by_id.get(answer.request_id)
+        if result is None or result.status != 200:
+            continue
+        known_at.setdefault((result.router, answer.holder), answer.at)
+    for run in runs:
+        result = result_by_id.get(run.request_id)
+        if result is None:
+            continue
+        at = known_at.get((result.router, run.holder))
+        if at is None:
+            continue
+        late_s = result.sent_at - at - PASSING_S
+        if late_s <= platform_settings.DRAIN_S:
+            continue
+        if fault_intervals.ran_throughout(result.router, at, run.at):
+            yield (
+                f'sent to {run.holder} {late_s:.2f} s after it had said that '
+                f'it leaves: {result}'
+            )
--- a/soak/drain_checks_test.py
+++ b/soak/drain_checks_test.py
@@ -61,5 +61,54 @@
         self.assertLess(intervals[0].end, float('inf'))
 
 
+class IgnoredNoticeTest(unittest.TestCase):
+    """A target says in a response that it is leaving."""
+
+    def setUp(self):
+        self.fault_intervals = drain_checks.FaultIntervals()
+
+    def _ignored(self, sent_at, first_status=200, router='host-0'):
+        results = [
+            callers.Result(
+                request_id, kind, name, at, status, True, request_id, b''
+            )
+            for request_id, name, at, status, kind in (
+                (
+                    'host-0-1-1',
+                    'host-0',
+                    NOTICE_AT,
+                    first_status,
+                    callers.REQUEST_KINDS[0],
+                ),
+                ('x-1-2', router, sent_at, 200, callers.REQUEST_KINDS[0]),
+            )
+        ]
+        answer = target.LeavingAnswer('host-0-1-1', 'desk-1/1', NOTICE_AT)
+        run = target.Run('x-1-2', 'desk', 'desk-1/1', sent_at)
+        return list(
+            drain_checks.ignored_notices(
+                results, [run], [answer], self.fault_intervals
+            )
+        )
+
+    def test_after_the_drain_time(self):
+        self.assertEqual(self._ignored(NOTICE_AT + 2.2), [])
+        self.assertEqual(len(self._ignored(NOTICE_AT + 2.3)), 1)
+
+    def test_loss_of_the_store_is_no_excuse(self):
+        with self.fault_intervals.record('host-0'):
+            self.assertEqual(len(self._ignored(NOTICE_AT + 5)), 1)
+
+    def test_process_that_restarted(self):
+        interval = drain_checks.Interval(NOTICE_AT + 1, NOTICE_AT + 1.5)
+        name = drain_checks.process_of('host-0')
+        self.fault_intervals.intervals_by_name[name] = [interval]
+        self.assertEqual(self._ignored(NOTICE_AT + 5), [])
+
+    def test_response_that_was_not_passed_on(self):
+        self.assertEqual(self._ignored(NOTICE_AT + 5, 0), [])
+        self.assertEqual(self._ignored(NOTICE_AT + 5, 200, 'host-1'), [])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -189,6 +189,7 @@
         else:
             self.store.remove('servers', instance.target_id)
         self.drain_start_by_holder[instance.holder] = time.monotonic()
+        instance.is_leaving = True
         await asyncio.sleep(2.0 + 2 * self.rng.random())
         if self.rng.random() < LONG_DRAIN_SHARE:
             self.store.remove('servers', instance.target_id)
@@ -272,7 +273,7 @@
         router = self._random_running_router()
         if router is None:
             return
-        with self.fault_intervals.record(router.name):
+        with self.fault_intervals.record_process(router.name):
             router.kill()
             await asyncio.sleep(self.rng.random() * 2)
             router.start()
@@ -282,7 +283,9 @@
         killed = [each for each in self.routers if each.is_up]
         with contextlib.ExitStack() as stack:
             for router in killed:
-                stack.enter_context(self.fault_intervals.record(router.name))
+                stack.enter_context(
+                    self.fault_intervals.record_process(router.name)
+                )
                 router.kill()
             await asyncio.sleep(self.rng.random())
             for router in killed:
@@ -293,7 +296,7 @@
         router = self._random_running_router()
         if router is None:
             return
-        with self.fault_intervals.record(router.name):
+        with self.fault_intervals.record_process(router.name):
             await self._restart(router)
 
     async def _restart(self, router: routers.Router) -> None:
@@ -311,7 +314,7 @@
         router = self._random_running_router()
         if router is None:
             return
-        with self.fault_intervals.record(router.name):
+        with self.fault_intervals.record_process(router.name):
             router.suspend()
             await asyncio.sleep(0.2 + 5 * self.rng.random())
             self._resumed_at = time.monotonic()
--- a/soak/run.py
+++ b/soak/run.py
@@ -141,6 +141,14 @@
         violations += drain_checks.late_runs(
             results, runs, env.drain_start_by_holder, env.fault_intervals
         )
+        answers = [
+            answer
+            for instance in env.targets
+            for answer in instance.leaving_answers
+        ]
+        violations += drain_checks.ignored_notices(
+            results, runs, answers, env.fault_intervals
+        )
         served = sum(result.status == 200 for result in results)
         return Outcome(
             tuple(violations), len(results), served, tuple(fault_names)
--- a/soak/target.py
+++ b/soak/target.py
@@ -28,12 +28,28 @@
     at: float = 0.0
 
 
+class LeavingAnswer(typing.NamedTuple):
+    """A response in which a target said that it is leaving.
+
+    Attributes:
+      request_id: The id of the request.
+      holder: The target's id and incarnation.
+      at: When it was sent, in monotonic seconds.
+    """
+
+    request_id: str
+    holder: str
+    at: float
+
+
 class Target:
     """One incarnation of a target.
 
     Attributes:
       holder: Its id and incarnation.
       runs: The requests that it began, in order.
+      leaving_answers: The responses in which it said that it is leaving.
+      is_leaving: Whether it says so in all responses.
       holds: Which keys it held and when.
       accepts_grants: Returns whether grants are accepted now. They are not
         just after a router was resumed, when a stale one may arrive.
@@ -49,6 +65,8 @@
         self.holder = model.holder_name(target_id, incarnation)
         self.work_s = 0.02
         self.runs: list[Run] = []
+        self.leaving_answers: list[LeavingAnswer] = []
+        self.is_leaving = False
         self.holds: list[key_holds.Hold] = []
         self.accepts_grants: typing.Callable[[], bool] = lambda: True
         self._keyed = keyed
@@ -67,6 +85,20 @@
 
     async def _handle(
         self, request: http_server.Request
+    ) -> http_server.Response:
+        response = await self._respond(request)
+        if self.is_leaving:
+            response.headers.append((names.LEAVING, names.LEAVING_VALUE))
+            request_id = request.header(names.REQUEST_ID) or b''
+            self.leaving_answers.append(
+                LeavingAnswer(
+                    request_id.decode(), self.holder, time.monotonic()
+                )
+            )
+        return response
+
+    async def _respond(
+        self, request: http_server.Request
     ) -> http_server.Response:
         if request.path == names.GRANT_PATH.encode():
             return self._on_grant(json.loads(request.body))
