Do not move a single busy key again and again

The key was moved at each round, five and seven times in five seconds: its owner is measured as slower than the idle ones, so each move seems to relieve it, and nobody serves the key while it moves. Rounds of half a second made this worse.

Change: a single key that was moved for its load stays for ten seconds; other keys of its owner may move. A key whose owner is gone moves as before.

--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -17,10 +17,12 @@
 from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import former_owners
+from amaranthcrank.router import held_keys
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import key_load
 from amaranthcrank.router import key_map_store
 from amaranthcrank.router import key_plan
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import key_renewals
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
@@ -108,6 +110,7 @@
             grant_max_s,
         )
         self._rebalanced_at_by_service: dict[str, float] = {}
+        self._held_keys_by_service: dict[str, held_keys.HeldKeys] = {}
         self._first_completed_at = 0.0
         self._renewal_task: asyncio.Task[None] | None = None
         self._observed_owners_by_service: dict[
@@ -184,8 +187,8 @@
         fence = key_map.fence
         if moves:
             fence += 1
-            ranges = key_plan.apply(ranges, moves, fence)
-        ranges = key_plan.merge(ranges)
+            ranges = key_ranges.apply(ranges, moves, fence)
+        ranges = key_ranges.merge(ranges)
         if ranges != key_map.ranges:
             updated = key_map._replace(
                 fence=fence,
@@ -272,12 +275,16 @@
         if not ranges and not self._is_stable(service, owners, now):
             return ()
         load = self.load.window(service)
-        moves = key_plan.plan(ranges, owners, load)
+        held = self._held_keys_by_service.setdefault(
+            service, held_keys.HeldKeys()
+        )
+        moves = key_plan.plan(ranges, owners, load, held.keys(now))
         utilisation = key_plan.max_utilisation(ranges, owners, load)
         rebalanced_at = self._rebalanced_at_by_service.get(service, 0.0)
         if key_plan.is_rebalancing_due(now - rebalanced_at, utilisation):
             self._rebalanced_at_by_service[service] = now
             self._update_contention(service, utilisation)
+            held.record(moves, now)
             return moves
         # Between rebalancing rounds only keys without a live owner move.
         live = {(owner.target_id, owner.incarnation) for owner in owners}
--- a/amaranthcrank/router/key_load_shift_test.py
+++ b/amaranthcrank/router/key_load_shift_test.py
@@ -9,8 +9,10 @@
 import typing
 import unittest
 
+from amaranthcrank.router import held_keys
 from amaranthcrank.router import key_load
 from amaranthcrank.router import key_plan
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
 
 SERVICE = 'book'
@@ -38,7 +40,8 @@
 class _Fleet:
     """Owners with an even split of keys, and a controller without network."""
 
-    def __init__(self, site, seed):
+    def __init__(self, site, seed, hot_keys=HOT_KEYS):
+        self.hot_keys = hot_keys
         self.now = 0.0
         self.random = random.Random(seed)
         self.site = site
@@ -54,12 +57,14 @@
         self.moved_keys = 0
         self.hot_first = self.random.randrange(model.KEY_COUNT - HOT_KEYS)
         self.rebalanced_at = 0.0
+        self.held = held_keys.HeldKeys()
+        self.moves_of_hot_keys = 0
 
     def _apply(self, moves):
         self.fence += 1
         self.moved_keys += sum(move.last - move.first + 1 for move in moves)
-        ranges = key_plan.apply(self.ranges, moves, self.fence)
-        self.ranges = key_plan.merge(
+        ranges = key_ranges.apply(self.ranges, moves, self.fence)
+        self.ranges = key_ranges.merge(
             part._replace(moving=False, former_holders='') for part in ranges
         )
 
@@ -81,19 +86,43 @@
                 checked_at = self.now
                 self._rebalance()
 
+    def _capacity_s(self, owner, load):
+        work_s = sum(
+            load.measured(part.first, part.last)
+            for part in self.ranges
+            if part.target_id == owner.target_id
+        )
+        capacity_s = self.site.slots * key_load.WINDOW_S
+        return capacity_s / (1.5 if work_s > capacity_s else 1.0)
+
     def _key(self, hot_share):
         if self.random.random() < hot_share:
-            return self.hot_first + self.random.randrange(HOT_KEYS)
+            return self.hot_first + self.random.randrange(self.hot_keys)
         return self.random.randrange(model.KEY_COUNT)
 
     def _rebalance(self):
         load = self.load.window(SERVICE)
+        # The owner of a key that is too busy is measured as slower than the
+        # others, which are idle.
+        self.owners = [
+            owner._replace(capacity_s=self._capacity_s(owner, load))
+            for owner in self.owners
+        ]
         utilisation = key_plan.max_utilisation(self.ranges, self.owners, load)
         elapsed_s = self.now - self.rebalanced_at
         if not key_plan.is_rebalancing_due(elapsed_s, utilisation):
             return
         self.rebalanced_at = self.now
-        self._apply(key_plan.plan(self.ranges, self.owners, load))
+        moves = key_plan.plan(
+            self.ranges, self.owners, load, self.held.keys(self.now)
+        )
+        self.held.record(moves, self.now)
+        hot_last = self.hot_first + self.hot_keys - 1
+        self.moves_of_hot_keys += sum(
+            move.first <= hot_last and self.hot_first <= move.last
+            for move in moves
+        )
+        self._apply(moves)
 
     def overload(self):
         """Return the work a second beyond what its owners can do."""
@@ -141,6 +170,19 @@
             with self.subTest(site=site):
                 self.assertLess(self._mean_overload(site, 0.0), MAX_OVERLOAD)
 
+    def test_single_hot_key_stays(self):
+        """Guards against a key that moves all the time.
+
+        It is busier than any owner can serve, and nobody serves it while it
+        moves.
+        """
+        for site in self.SITES:
+            fleet = _Fleet(site, 2, hot_keys=1)
+            fleet.run(4.0, 0.0)
+            fleet.run(8.0, HOT_SHARE)
+            with self.subTest(site=site):
+                self.assertLessEqual(fleet.moves_of_hot_keys, 1)
+
     def test_steady_load_moves_few_keys(self):
         """Guards against moves that only follow random variation."""
         for site in self.SITES:
--- a/amaranthcrank/router/key_plan.py
+++ b/amaranthcrank/router/key_plan.py
@@ -130,6 +130,7 @@
     ranges: typing.Sequence[model.KeyRange],
     owners: typing.Sequence[Owner],
     load: Load,
+    held_keys: typing.Collection[int] = (),
 ) -> tuple[Move, ...]:
     """Plan the moves of keys that are due.
 
@@ -137,6 +138,8 @@
       ranges: The present ranges, in order; none if nothing is assigned.
       owners: The targets that can own keys.
       load: Recent work by key.
+      held_keys: Keys that are not moved between live owners now. Other keys
+        of their owners may be.
 
     Returns:
       The moves; none if no keys need to move or there is no target.
@@ -166,6 +169,9 @@
     _add_moving_load(ranges, owner_by_id, load, load_by_id)
     _place_orphans(orphans, owners, load, load_by_id, moves)
     moved = [(move.first, move.last) for move in moves]
+    for pieces in pieces_by_id.values():
+        for key in held_keys:
+            _remove_piece(pieces, (key, key))
     _balance(owners, pieces_by_id, load, load_by_id, moves, moved)
     return tuple(moves)
 
@@ -403,108 +409,3 @@
             remaining.append((piece[1] + 1, last))
         pieces[index : index + 1] = remaining
         return
-
-
-def apply(
-    ranges: typing.Sequence[model.KeyRange],
-    moves: typing.Sequence[Move],
-    fence: int,
-) -> tuple[model.KeyRange, ...]:
-    """Return the ranges after the start of moves.
-
-    Args:
-      ranges: The present ranges, in order.
-      moves: Disjoint moves.
-      fence: The fencing token of all moved keys, higher than all before.
-
-    Returns:
-      All ranges, in order, with the moved ones marked as moving.
-    """
-    result: list[model.KeyRange] = []
-    for key_range in ranges:
-        result += subtract(key_range, moves)
-    for move in moves:
-        parts = _split_by_former_holders(ranges, move)
-        for first, last, former_holders in parts:
-            result.append(
-                model.KeyRange(
-                    first,
-                    last,
-                    move.owner.target_id,
-                    move.owner.incarnation,
-                    fence,
-                    True,
-                    former_holders,
-                )
-            )
-    return tuple(sorted(result))
-
-
-def subtract(
-    key_range: model.KeyRange,
-    moves: typing.Sequence[Move | model.KeyRange],
-) -> list[model.KeyRange]:
-    """Return the parts of a range that are in none of the moves."""
-    remaining = [key_range]
-    for move in moves:
-        kept = []
-        for part in remaining:
-            if move.last < part.first or part.last < move.first:
-                kept.append(part)
-                continue
-            if part.first < move.first:
-                kept.append(part._replace(last=move.first - 1))
-            if move.last < part.last:
-                kept.append(part._replace(first=move.last + 1))
-        remaining = kept
-    return remaining
-
-
-def _split_by_former_holders(
-    ranges: typing.Sequence[model.KeyRange], move: Move
-) -> list[tuple[int, int, str]]:
-    """Split a move into parts with the same former holders.
-
-    Returns:
-      The first key, the last key and the former holders of each part.
-    """
-    parts = []
-    covered = move.first
-    for key_range in ranges:
-        first = max(move.first, key_range.first)
-        last = min(move.last, key_range.last)
-        if first > last:
-            continue
-        if covered < first:
-            parts.append((covered, first - 1, ''))
-        covered = last + 1
-        holders = [key_range.holder]
-        if key_range.moving and key_range.former_holders:
-            holders += key_range.former_holders.split()
-        parts.append((first, last, ' '.join(dict.fromkeys(holders))))
-    if covered <= move.last:
-        parts.append((covered, move.last, ''))
-    return parts
-
-
-def merge(
-    ranges: typing.Sequence[model.KeyRange],
-) -> tuple[model.KeyRange, ...]:
-    """Join adjacent ranges with one owner and fencing token.
-
-    Ranges that are moving are not joined.
-    """
-    result: list[model.KeyRange] = []
-    for key_range in ranges:
-        if result:
-            last = result[-1]
-            joined = last._replace(last=key_range.last)
-            adjacent = last.last + 1 == key_range.first
-            alike = last._replace(first=0, last=0) == key_range._replace(
-                first=0, last=0
-            )
-            if adjacent and alike and not last.moving:
-                result[-1] = joined
-                continue
-        result.append(key_range)
-    return tuple(result)
--- a/amaranthcrank/router/key_plan_test.py
+++ b/amaranthcrank/router/key_plan_test.py
@@ -2,6 +2,7 @@
 import unittest
 
 from amaranthcrank.router import key_plan
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
 
 KEYS = model.KEY_COUNT
@@ -17,12 +18,12 @@
 
 def _assigned(owners, load):
     moves = key_plan.plan((), owners, load)
-    ranges = key_plan.apply((), moves, 1)
+    ranges = key_ranges.apply((), moves, 1)
     return _completed(ranges)
 
 
 def _completed(ranges):
-    return key_plan.merge(
+    return key_ranges.merge(
         [part._replace(moving=False, former_holders='') for part in ranges]
     )
 
@@ -84,7 +85,7 @@
         moves = key_plan.plan(ranges, remaining, IDLE)
         self.assertEqual(_count_moved_keys(moves), lost.last - lost.first + 1)
         self.assertGreater(len({move.owner for move in moves}), 1)
-        self.assertTrue(_covers_all_keys(key_plan.apply(ranges, moves, 2)))
+        self.assertTrue(_covers_all_keys(key_ranges.apply(ranges, moves, 2)))
 
     def test_new_incarnation_gets_keys_by_a_move(self):
         owners = _owners(3)
@@ -120,7 +121,7 @@
         for fence in range(2, 6):
             moves = key_plan.plan(ranges, owners, load)
             moved += _count_moved_keys(moves)
-            ranges = _completed(key_plan.apply(ranges, moves, fence))
+            ranges = _completed(key_ranges.apply(ranges, moves, fence))
         after = max(_work_by_owner(ranges, work_by_key).values())
         self.assertGreater(before, 9.0)
         self.assertLess(after, 9.0)
@@ -160,9 +161,9 @@
         owners = _owners(3)
         ranges = _assigned(owners, IDLE)
         first = key_plan.Move(10, 20, owners[1])
-        ranges = key_plan.apply(ranges, [first], 2)
+        ranges = key_ranges.apply(ranges, [first], 2)
         second = key_plan.Move(15, 30, owners[2])
-        ranges = key_plan.apply(ranges, [second], 3)
+        ranges = key_ranges.apply(ranges, [second], 3)
         self.assertTrue(_covers_all_keys(ranges))
         formers = {
             (part.first, part.last): set(part.former_holders.split())
@@ -183,7 +184,7 @@
             model.KeyRange(10, 19, owner.target_id, 1, 2, False, ''),
             model.KeyRange(20, 29, owner.target_id, 1, 2, False, ''),
         ]
-        merged = key_plan.merge(parts)
+        merged = key_ranges.merge(parts)
         self.assertEqual([part.first for part in merged], [0, 10])
 
     def test_random_moves_leave_no_gap(self):
@@ -195,7 +196,7 @@
             last = min(KEYS - 1, first + chance.randrange(5000))
             move = key_plan.Move(first, last, chance.choice(owners))
             before = ranges
-            ranges = key_plan.apply(ranges, [move], fence)
+            ranges = key_ranges.apply(ranges, [move], fence)
             self.assertTrue(_covers_all_keys(ranges))
             self.assertGreater(fence, max(part.fence for part in before))
             if chance.random() < 0.5:
--- /dev/null
+++ b/amaranthcrank/router/key_ranges.py
@@ -0,0 +1,111 @@
+"""Changes the ranges of a key map by moves. Pure functions."""
+
+import typing
+
+from amaranthcrank.router import key_plan
+from amaranthcrank.router import model
+
+
+def apply(
+    ranges: typing.Sequence[model.KeyRange],
+    moves: typing.Sequence[key_plan.Move],
+    fence: int,
+) -> tuple[model.KeyRange, ...]:
+    """Return the ranges after the start of moves.
+
+    Args:
+      ranges: The present ranges, in order.
+      moves: Disjoint moves.
+      fence: The fencing token of all moved keys, higher than all before.
+
+    Returns:
+      All ranges, in order, with the moved ones marked as moving.
+    """
+    result: list[model.KeyRange] = []
+    for key_range in ranges:
+        result += subtract(key_range, moves)
+    for move in moves:
+        parts = _split_by_former_holders(ranges, move)
+        for first, last, former_holders in parts:
+            result.append(
+                model.KeyRange(
+                    first,
+                    last,
+                    move.owner.target_id,
+                    move.owner.incarnation,
+                    fence,
+                    True,
+                    former_holders,
+                )
+            )
+    return tuple(sorted(result))
+
+
+def subtract(
+    key_range: model.KeyRange,
+    moves: typing.Sequence[key_plan.Move | model.KeyRange],
+) -> list[model.KeyRange]:
+    """Return the parts of a range that are in none of the moves."""
+    remaining = [key_range]
+    for move in moves:
+        kept = []
+        for part in remaining:
+            if move.last < part.first or part.last < move.first:
+                kept.append(part)
+                continue
+            if part.first < move.first:
+                kept.append(part._replace(last=move.first - 1))
+            if move.last < part.last:
+                kept.append(part._replace(first=move.last + 1))
+        remaining = kept
+    return remaining
+
+
+def _split_by_former_holders(
+    ranges: typing.Sequence[model.KeyRange], move: key_plan.Move
+) -> list[tuple[int, int, str]]:
+    """Split a move into parts with the same former holders.
+
+    Returns:
+      The first key, the last key and the former holders of each part.
+    """
+    parts = []
+    covered = move.first
+    for key_range in ranges:
+        first = max(move.first, key_range.first)
+        last = min(move.last, key_range.last)
+        if first > last:
+            continue
+        if covered < first:
+            parts.append((covered, first - 1, ''))
+        covered = last + 1
+        holders = [key_range.holder]
+        if key_range.moving and key_range.former_holders:
+            holders += key_range.former_holders.split()
+        parts.append((first, last, ' '.join(dict.fromkeys(holders))))
+    if covered <= move.last:
+        parts.append((covered, move.last, ''))
+    return parts
+
+
+def merge(
+    ranges: typing.Sequence[model.KeyRange],
+) -> tuple[model.KeyRange, ...]:
+    """Join adjacent ranges with one owner and fencing token.
+
+    Ranges that are moving are not joined.
+    """
+    result: list[model.KeyRange] = []
+    for key_range in ranges:
+        if result:
+            last = result[-1]
+            joined = last._replace(last=key_range.last)
+            adjacent = last.last + 1 == key_range.first
+            alike = last._replace(first=0, last=0) == key_range._replace(
+                first=0, last=0
+            )
+            if adjacent and alike and not last.moving:
+                result[-1] = joined
+                continue
+        result.append(key_range)
+    return tuple(result)
--- a/amaranthcrank/router/key_table.py
+++ b/amaranthcrank/router/key_table.py
@@ -4,7 +4,7 @@
 import collections
 import typing
 
-from amaranthcrank.router import key_plan
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
 
 # How many completed moves are remembered until a map from the store shows
@@ -68,7 +68,7 @@
             return False
         ranges = list(changed)
         for key_range in key_map.ranges:
-            ranges += key_plan.subtract(key_range, changed)
+            ranges += key_ranges.subtract(key_range, changed)
         ranges.sort()
         self._set(key_map._replace(ranges=tuple(ranges), revision=revision))
         return True
