--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -122,7 +122,6 @@
             self.metrics,
         )
         self.server = http_server.Server(self.forwarder.handle)
-        self.server.on_handler_error = self._on_handler_error
         self.probe_server = http_server.Server(self.handle_probe)
 
     def _build_control(self, clock: typing.Callable[[], float]) -> None:
@@ -178,6 +177,8 @@
             self._new_election(clock),
         )
         self.ticket_server = http_server.Server(self.ticket_feed.handle)
+        for server in (self.server, self.probe_server, self.ticket_server):
+            server.on_handler_error = self._on_handler_error
         self.retry_gate = store_sync.gate_on(self.ticket_feed.reachability)
         self.grace = outage_grace.OutageGrace(
             self.store.availability,
