--- a/amaranthcrank/platform/malformed_objects_test.py
+++ b/amaranthcrank/platform/malformed_objects_test.py
@@ -186,11 +186,14 @@
             b'{"items": 5, "asOf": 3}',
             b'{"items": [], "asOf": "x"}',
             b'{"items": [], "asOf": 1e999}',
+            b'{"items": [{}], "hasMore": true, "asOf": 3}',
             b'[' * NESTING,
         ):
             self._answer(body)
             with self.assertRaises(store.StoreError, msg=body[:30]):
                 await self.client.list_all('servers', 2.0)
+            if b'hasMore' in body:
+                continue
             self._answer(body.replace(b'items', b'events'))
             with self.assertRaises(store.StoreError, msg=body[:30]):
                 await self.client.watch('servers', 1, 0.1, 2.0)
--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -131,7 +131,10 @@
             for item in items:
                 after = _raw_name_of(item) or after
                 item_by_name[_name_of(item)] = item
-            if not body.get('hasMore') or after == last_before:
+            if items and body.get('hasMore') and after == last_before:
+                # Without the other pages, objects would be taken for removed.
+                raise StoreError('no name on a page of the list')
+            if not body.get('hasMore') or not items:
                 item_by_name.pop('', None)
                 return Listing(item_by_name, revision)
 
