--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 from review.common import target
 
 TARGETS = 4
-ROUTERS = 3
+ROUTERS = 2
 STOP_AFTER_S = 3.0
 DRAIN_AFTER_S = 0.3
 AFTER_S = 8.0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,9 @@
 MEMORY_MB = 300
 RUN_S = 24.0
 BURST_AT_S = 10.0
-BURST_S = 5.0
+BURST_S = 6.5
+# Two and a half times the usual uploads: two more consumers, one of which
+# pauses for as long as its uploads take.
 CALLERS = 12
 WORK_S = 0.25
 # The rule: more than three times.
@@ -50,7 +52,7 @@
     connection.close()
 
 
-async def _upload(router, name, counts, record, end_at) -> None:
+async def _upload(router, name, counts, record, end_at, pauses=False) -> None:
     """Upload one file after the other, on one kept connection."""
     connection = caller.Caller(router.address)
     body = b'u' * UPLOAD_BYTES
@@ -59,12 +61,14 @@
         number += 1
         request_id = f'{name}-{number}'
         record.line(f'{name} sends {request_id} with {UPLOAD_BYTES} bytes')
+        sent_at = time.monotonic()
         answer = await connection.send(
             'POST', '/files/1', request_id, 5000, body
         )
         counts.uploads += answer.status == 200
         record.line(f'{name} got {answer.status} for {request_id}')
-        await asyncio.sleep(0.1 if answer.complete else 0.5)
+        pause_s = time.monotonic() - sent_at if pauses else 0.1
+        await asyncio.sleep(pause_s if answer.complete else 0.5)
     connection.close()
 
 
@@ -161,9 +165,12 @@
 
 async def _burst(router, counts, record) -> None:
     await asyncio.sleep(BURST_AT_S)
-    record.line('the burst begins: uploads come from two consumers')
+    record.line('the burst begins: two more consumers upload')
     end_at = time.monotonic() + BURST_S
-    await _upload(router, 'upload-b', counts, record, end_at)
+    await asyncio.gather(
+        _upload(router, 'upload-b', counts, record, end_at),
+        _upload(router, 'upload-c', counts, record, end_at, pauses=True),
+    )
     record.line('the burst ends')
 
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -97,6 +97,16 @@
 LAST_PORT = 30_000
 READY_TIMEOUT_S = 20.0
 MAX_RUN_S = 110.0
+# Events of the routers' logs that are copied to the record.
+COPIED_EVENTS = (
+    'lease_taken',
+    'lease_unread',
+    'keys_move',
+    'former_owner_ended',
+    'renewal_failed',
+    'stopping',
+    'stopped',
+)
 
 BROKEN = 1
 HELD = 0
@@ -338,9 +348,12 @@
         return None
 
     def close(self) -> None:
-        """End all processes."""
+        """End all processes; copy what they decided to the record."""
         for router in self.routers:
             router.kill()
+            for line in router.events().splitlines():
+                if any(f'"event":"{each}"' in line for each in COPIED_EVENTS):
+                    self.record.line(f'log of {router.name}: {line[:300]}')
         self.store.server.close()
         self._folder.cleanup()
 
