--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,93 +1,27 @@
-"""A burst of uploads within the manifest's limits ends a router."""
+"""A target that left while the store was away loses its keys too early."""
 
 import asyncio
-import signal
 import time
 
-from review.common import caller
 from review.common import deployment
+from review.common import keyed
 from review.common import target
 
-# The manifest allows 64 MiB.
-UPLOAD_BYTES = 44 * 1024 * 1024
-MEMORY_MB = 300
-RUN_S = 24.0
-BURST_AT_S = 10.0
-BURST_S = 6.5
-# Two and a half times the usual uploads: two more consumers, one of which
-# pauses for as long as its uploads take.
-CALLERS = 12
-WORK_S = 0.25
-# The rule: more than three times.
-MAX_CUT = 3
-
-
-class Counts:
-    """What the callers saw."""
-
-    def __init__(self) -> None:
-        """Start with nothing."""
-        self.cut: list[str] = []
-        self.peak_mb = 0.0
-        self.kills = 0
-        self.uploads = 0
-
-
-async def _call(router, name, counts, record, end_at) -> None:
-    """Send small requests that may not repeat, on one kept connection."""
-    connection = caller.Caller(router.address)
-    number = 0
-    while time.monotonic() < end_at:
-        number += 1
-        request_id = f'{name}-{number}'
-        record.line(f'{name} sends {request_id}')
-        answer = await connection.send(
-            'POST', '/post/1', request_id, 2000, b'x' * 4000
-        )
-        record.line(f'{name} got {answer.status} for {request_id}')
-        # The first request of a connection does not come from a kept one.
-        if not answer.complete and connection.used > 1:
-            counts.cut.append(request_id)
-        await asyncio.sleep(0.02 if answer.complete else 0.5)
-    connection.close()
-
-
-async def _upload(router, name, counts, record, end_at, pauses=False) -> None:
-    """Upload one file after the other, on one kept connection."""
-    connection = caller.Caller(router.address)
-    body = b'u' * UPLOAD_BYTES
-    number = 0
-    while time.monotonic() < end_at:
-        number += 1
-        request_id = f'{name}-{number}'
-        record.line(f'{name} sends {request_id} with {UPLOAD_BYTES} bytes')
-        sent_at = time.monotonic()
-        answer = await connection.send(
-            'POST', '/files/1', request_id, 5000, body
-        )
-        counts.uploads += answer.status == 200
-        record.line(f'{name} got {answer.status} for {request_id}')
-        pause_s = time.monotonic() - sent_at if pauses else 0.1
-        await asyncio.sleep(pause_s if answer.complete else 0.5)
-    connection.close()
-
-
-async def _watch_memory(router, counts, record) -> None:
-    """Kill the router above its limit, as the platform does, and restart."""
-    while True:
-        _, peak_mb = router.memory_mb()
-        counts.peak_mb = max(counts.peak_mb, peak_mb)
-        if peak_mb > MEMORY_MB:
-            record.line(f'{router.name} used {peak_mb:.0f} MB and is killed')
-            counts.kills += 1
-            router.signal(signal.SIGKILL)
-            await asyncio.sleep(0.5)
-            router.start()
-        await asyncio.sleep(0.002)
+TARGETS = 4
+WORK_S = 1.8
+AWAY_AFTER_S = 4.0
+AWAY_S = 2.2
+LEAVES_AFTER_S = 0.1
+# `drainMs`.
+DRAIN_S = 2.0
+AFTER_S = 6.0
+# The target that holds this key leaves.
+KEY = 1000
+CONSUMERS = 2
 
 
 async def case(record) -> bool:
-    """Return whether more than three requests were cut."""
+    """Return whether keys were granted while their holder worked on them."""
     deployed = deployment.Deployment(record)
     try:
         return await _play(deployed, record)
@@ -96,82 +30,77 @@
 
 
 async def _play(deployed, record) -> bool:
-    routes = [
-        [
-            'post',
-            deployment.HOST,
-            '/post/',
-            'unsafe',
-            2000,
-            500,
-            1,
-            'desk',
-            2,
-            None,
-        ],
-        [
-            'files',
-            deployment.HOST,
-            '/files/',
-            'unsafe',
-            5000,
-            2500,
-            2,
-            'files',
-            2,
-            None,
-        ],
-    ]
-    services = [
-        ['desk', '/healthz', 130, None, None],
-        ['files', '/healthz', 130, None, None],
-    ]
-    await deployed.start(1, routes, services)
-    targets = [
-        target.Target(deployed, f'desk-{index}', 'desk', 'a', work_s=WORK_S)
-        for index in range(5)
-    ]
-    targets += [
-        target.Target(deployed, f'files-{index}', 'files', 'a', work_s=0.05)
-        for index in range(2)
-    ]
-    for each in targets:
+    await deployed.start(2, keyed.ROUTES, keyed.SERVICES)
+    targets = []
+    for index in range(TARGETS):
+        each = target.Target(
+            deployed,
+            f'book-{index}',
+            'book',
+            'ab'[index % 2],
+            keyed=True,
+            work_s=WORK_S,
+        )
         await each.start()
+        targets.append(each)
     await deployed.wait_until_ready()
-    router = deployed.routers[0]
-    counts = Counts()
-    watcher = asyncio.create_task(_watch_memory(router, counts, record))
-    now = time.monotonic()
-    jobs = [
-        _call(router, f'c{index}', counts, record, now + RUN_S)
-        for index in range(CALLERS)
+    await keyed.wait_until_assigned(deployed, targets)
+    end_at = time.monotonic() + AWAY_AFTER_S + AWAY_S + AFTER_S
+    calls = [
+        asyncio.create_task(
+            keyed.call(deployed, f'c{index}', end_at, deadline_ms=4000)
+        )
+        for index in range(2)
     ]
-    jobs.append(_upload(router, 'upload-a', counts, record, now + RUN_S))
+    # Two consumers in turn, so that the target always works on this key.
+    for index in range(CONSUMERS):
+        calls.append(
+            asyncio.create_task(
+                keyed.call(deployed, f'k{index}', end_at, 4000, KEY)
+            )
+        )
+        await asyncio.sleep(WORK_S / CONSUMERS)
+    await asyncio.sleep(AWAY_AFTER_S)
     if deployment.is_trouble():
-        jobs.append(_burst(router, counts, record))
-    await asyncio.gather(*jobs)
-    watcher.cancel()
-    ran = {request_id for each in targets for request_id in each.ran}
-    cut = [request_id for request_id in counts.cut if request_id in ran]
-    record.line(
-        f'peak memory {counts.peak_mb:.0f} MB, killed {counts.kills} times, '
-        f'{counts.uploads} uploads answered'
-    )
-    record.line(f'passed on and cut: {len(cut)}: {" ".join(cut)}')
-    if not counts.uploads:
-        raise deployment.CannotRunError('no upload was answered')
-    return len(cut) > MAX_CUT
-
-
-async def _burst(router, counts, record) -> None:
-    await asyncio.sleep(BURST_AT_S)
-    record.line('the burst begins: two more consumers upload')
-    end_at = time.monotonic() + BURST_S
-    await asyncio.gather(
-        _upload(router, 'upload-b', counts, record, end_at),
-        _upload(router, 'upload-c', counts, record, end_at, pauses=True),
-    )
-    record.line('the burst ends')
+        record.line('the store is down: calls get 503, watches hear nothing')
+        deployed.store.go_away()
+    leaving = next(each for each in targets if each.is_holding(KEY))
+    away_until = time.monotonic() + AWAY_S
+    await asyncio.sleep(LEAVES_AFTER_S)
+    record.line(f'{leaving.target_id} leaves: its entry is removed')
+    deployed.store.remove('servers', leaving.target_id)
+    await asyncio.sleep(DRAIN_S)
+    leaving.finish()
+    await asyncio.sleep(away_until - time.monotonic())
+    if deployment.is_trouble():
+        record.line('the store is back')
+        deployed.store.come_back()
+    await asyncio.gather(*calls)
+    return _is_broken(record, leaving, targets)
+
+
+def _is_broken(record, leaving, others) -> bool:
+    broken = False
+    for hold in (hold for each in others for hold in each.holds):
+        if hold.target_id == leaving.target_id:
+            continue
+        for run in leaving.runs:
+            if not hold.first <= run.key <= hold.last:
+                continue
+            if not run.since < hold.since < run.until:
+                continue
+            if hold.until <= hold.since or hold.since >= run.held_until:
+                # A release, or the keys' hold had run out.
+                continue
+            broken = True
+            record.line(
+                f'{hold.target_id} was given {hold.first} to {hold.last}, '
+                f'fence {hold.fence}, {run.until - hold.since:.2f} s before '
+                f'{leaving.target_id} ended {run.request_id} on key '
+                f'{run.key}, whose hold had '
+                f'{run.held_until - hold.since:.2f} s left'
+            )
+    return broken
 
 
 if __name__ == '__main__':
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -239,7 +239,7 @@
 
 
 class Store(platform_store.PlatformStore):
-    """The project's store, with a hook that loses answers of writes.
+    """The project's store, which can be away and lose answers of writes.
 
     Attributes:
       loses_answer: Called with the method, the kind, the name and the body of
@@ -249,10 +249,26 @@
     def __init__(self) -> None:
         """Lose no answers."""
         super().__init__()
+        self._is_away = False
         self.loses_answer: typing.Callable[[str, str, str, bytes], bool] = (
             lambda *_: False
         )
 
+    def go_away(self) -> None:
+        """Refuse calls with 503; waiting watches hear nothing."""
+        self._is_away = True
+        self.fault = platform_store.BUSY
+
+    def come_back(self) -> None:
+        """Answer again; waiting watches hear what has changed."""
+        self._is_away = False
+        self.fault = ''
+        self._wake_watchers()
+
+    def _wake_watchers(self) -> None:
+        if not self._is_away:
+            super()._wake_watchers()
+
     async def _handle(
         self, request: http_server.Request
     ) -> http_server.Response:
--- a/review/common/keyed.py
+++ b/review/common/keyed.py
@@ -14,7 +14,7 @@
         deployment.HOST,
         '/book/',
         'unsafe',
-        2000,
+        4000,
         500,
         1,
         'book',
@@ -29,8 +29,14 @@
 PAUSE_S = 0.05
 
 
-async def call(deployed, name: str, end_at: float) -> None:
-    """Send requests on random keys to all running routers in turn."""
+async def call(
+    deployed,
+    name: str,
+    end_at: float,
+    deadline_ms: int = 2000,
+    fixed_key: int | None = None,
+) -> None:
+    """Send requests to all running routers in turn, on random keys or one."""
     rng = random.Random(name)
     number = 0
     connections = {}
@@ -45,11 +51,11 @@
         connection = connections.setdefault(
             router.name, caller.Caller(router.address)
         )
-        key = rng.randrange(65536)
+        key = rng.randrange(65536) if fixed_key is None else fixed_key
         request_id = f'{name}-{number}'
         deployed.record.line(f'{name} sends {request_id} for key {key}')
         answer = await connection.send(
-            'POST', '/book/1', request_id, 2000, b'x', key
+            'POST', '/book/1', request_id, deadline_ms, b'x', key
         )
         deployed.record.line(f'{name} got {answer.status} for {request_id}')
         await asyncio.sleep(PAUSE_S)
--- a/review/common/target.py
+++ b/review/common/target.py
@@ -29,10 +29,27 @@
     until: float
 
 
+class Run(typing.NamedTuple):
+    """A request on a key that a target worked on.
+
+    Attributes:
+      since: When it began, monotonic seconds.
+      until: When it ended.
+      held_until: When the target's hold of the key would have run out.
+    """
+
+    request_id: str
+    key: int
+    since: float
+    until: float
+    held_until: float
+
+
 class Target:
     """One life of a target.
 
     Attributes:
+      runs: The requests on keys that have ended.
       ran: The id of each request that it began, in order.
       holds: Its holds, also those that have ended.
       crashes_on: Whether the target crashes on a request with this path.
@@ -53,6 +70,7 @@
         self.service = service
         self.work_s = work_s
         self.ran: list[str] = []
+        self.runs: list[Run] = []
         self.holds: list[Hold] = []
         self.state = 'ready'
         self.crashes_on: typing.Callable[[str], bool] = lambda _: False
@@ -127,6 +145,15 @@
         for connection in list(self.server.connections):
             connection.abort()
 
+    def finish(self) -> None:
+        """Close the port and idle connections; end the running requests."""
+        self._record.line(
+            f'{self.target_id} closes its port, {self._running} at work'
+        )
+        self.server.stop_listening()
+        self.server.draining = True
+        self.server.close_idle()
+
     async def start_again(self, after_s: float) -> None:
         """Come back with a new id after a crash; the old entry goes."""
         await asyncio.sleep(after_s)
@@ -160,6 +187,7 @@
         if self.crashes_on(path):
             self.crash()
             await asyncio.sleep(3600)
+        began_at = time.monotonic()
         self._running += 1
         self._running_by_key[key] = self._running_by_key.get(key, 0) + 1
         try:
@@ -167,6 +195,8 @@
         finally:
             self._running -= 1
             self._running_by_key[key] -= 1
+            if self._keyed:
+                self._end_run(request_id, key, began_at)
         if self.answer is not None:
             response = self.answer(request)
             if response is not None:
@@ -176,6 +206,19 @@
             200, headers, b'ran ' + request_id.encode()
         )
 
+    def _end_run(self, request_id: str, key: int, began_at: float) -> None:
+        held_until = max(
+            (
+                hold.until
+                for hold in self.holds
+                if hold.first <= key <= hold.last
+            ),
+            default=0.0,
+        )
+        self.runs.append(
+            Run(request_id, key, began_at, time.monotonic(), held_until)
+        )
+
     def is_holding(self, key: int) -> bool:
         """Return whether it holds a key now."""
         now = time.monotonic()
