Do not take a refused connection for the end of an owner

Cause: FormerOwners.reclaim() took a refusal of an owner that the store calls ready for its end. It neither released its keys nor waited for the end of its last grant. A cut can refuse for all hosts at once, and the store's entry shows only that the target is alive.

Ruled out: an early answer to a release and a hold that was counted too short (the record shows no release).

Change: an owner that is not reached keeps its keys until its last grant has run out by the slowest clock, and its renewal is tried every 0.2 s. The plan gives it no other keys. The read of the store after a refusal is gone, as its answer proved nothing.

On related paths: an attempt to renew that opened no connection extended the time for which the owner was taken to hold keys, without end. Only grants that were sent count. The keys of an owner that is ready by its entry, but silent to the controller, ran out and got no other owner; they move now.

--- a/amaranthcrank/router/entry_reads.py
+++ b/amaranthcrank/router/entry_reads.py
@@ -15,9 +15,6 @@
 
 # A grant must be sent soon after its sender was known to hold the lease.
 PRE_GRANT_TIMEOUT_S = 0.2
-# An owner that refuses connections keeps its keys until the read is complete,
-# so there is time to wait for a slow store.
-REFUSAL_TIMEOUT_S = 1.0
 
 # Called with the id of a target. Returns None if there is no entry, or if it
 # cannot be read.
@@ -69,20 +66,3 @@
         return entry is not None and entry.incarnation > incarnation
 
     return has_restarted
-
-
-def ready_check(read: ReadEntry) -> HolderCheck:
-    """Return a function that checks whether a target should be serving.
-
-    It should if the store has its entry, and the entry does not say that the
-    target is draining. If the entry cannot be read, the check returns False.
-    """
-
-    async def is_ready(holder: str) -> bool:
-        target_id, incarnation = model.split_holder(holder)
-        entry = await read(target_id)
-        if entry is None or entry.incarnation != incarnation:
-            return False
-        return entry.state == model.READY
-
-    return is_ready
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -4,15 +4,14 @@
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
-from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
 
 RELEASE_RETRY_S = 0.1
-# The retry interval for a target that has closed its port while it finishes
-# its requests: it accepts no more releases.
-DRAINING_RETRY_S = 0.5
+# The retry interval for a target that refuses connections: it has ended, is
+# cut off, or has closed its port while it finishes its requests.
+REFUSED_RETRY_S = 0.3
 
 
 class FormerOwners:
@@ -23,7 +22,6 @@
         calls: key_calls.KeyCalls,
         targets: directory.Directory,
         address_by_holder: dict[str, model.Address],
-        is_ready: entry_reads.HolderCheck,
         log: event_log.EventLog,
     ) -> None:
         """Share the state of the controller.
@@ -33,13 +31,11 @@
           targets: The known targets and their states.
           address_by_holder: Where each holder listens; the controller keeps
             it up to date.
-          is_ready: Reads from the store whether a target should be serving.
           log: Logs the reason when keys are reclaimed without a release.
         """
         self._calls = calls
         self._targets = targets
         self._address_by_holder = address_by_holder
-        self._is_ready = is_ready
         self._log = log
 
     async def reclaim(self, former: str, key_range: model.KeyRange) -> str:
@@ -72,10 +68,10 @@
                 self._log.event('former_owner_replaced', former=former)
                 return ''
             if result == key_calls.REFUSED:
-                if await self._has_crashed(restarted or former):
+                if self._has_crashed(restarted or former):
                     self._log.event('former_owner_ended', former=former)
                     return ''
-                await asyncio.sleep(DRAINING_RETRY_S)
+                await asyncio.sleep(REFUSED_RETRY_S)
                 continue
             if result == key_calls.RELEASED and restarted is not None:
                 # Grants that the former incarnation had not answered ended
@@ -86,19 +82,15 @@
             await asyncio.sleep(RELEASE_RETRY_S)
         return ''
 
-    async def _has_crashed(self, holder: str) -> bool:
+    def _has_crashed(self, holder: str) -> bool:
         """Return whether a target that refuses connections has ended.
 
-        A draining target closes its port while it still runs requests, and
-        this host may not know yet that it drains. So a refusal counts as a
-        crash only if a fresh read of the store says that the target should
-        be serving.
+        A target that has an entry may be cut off and hold its keys, and a
+        draining one closes its port while it still runs requests.
         """
-        if not self._targets.refusal_means_crash(holder):
+        if self._targets.find(*model.split_holder(holder)) is not None:
             return False
-        if self._targets.find(*model.split_holder(holder)) is None:
-            return True
-        return await self._is_ready(holder)
+        return self._targets.refusal_means_crash(holder)
 
     def _find_restarted(self, holder: str) -> str | None:
         """Return the target's later incarnation at the same address, or None.
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -51,19 +51,20 @@
     """A grant without a response so far.
 
     Attributes:
-      until: When it expires at the latest, by `clock.now`.
+      until: When it expires at the latest, by `clock.now`; in the past if it
+        was never sent.
     """
 
-    def __init__(self) -> None:
-        self.until = 0.0
+    def __init__(self, until: float) -> None:
+        self.until = until
 
 
 class KeyCalls:
     """Sends grants and releases; tracks how long targets may hold keys.
 
     Attributes:
-      held_until_by_holder: The latest expiry of any grant, on the clock of
-        `clock.now`, by holder as `id/incarnation`.
+      held_until_by_holder: The latest expiry of any grant that was sent, on
+        the clock of `clock.now`, by holder as `id/incarnation`.
     """
 
     def __init__(
@@ -97,18 +98,20 @@
           grant_max_s: The longest duration of a grant.
         """
         self.held_until_by_holder.clear()
-        self._prior_held_until = (
-            clock.now() + grant_max_s * CLOCK_RATE_FACTOR + MARGIN_S
-        )
+        self._prior_held_until = _latest_expiry(grant_max_s)
         self._pending_by_holder.clear()
 
     def held_until(self, holder: str) -> float:
-        """Return the latest time at which a holder may still hold keys."""
+        """Return until when a holder may hold keys by the grants sent."""
         return max(
             self._prior_held_until,
             self.held_until_by_holder.get(holder, 0.0),
         )
 
+    def may_hold(self, holder: str) -> bool:
+        """Return whether a holder may hold keys by the grants sent so far."""
+        return clock.now() < self.held_until(holder)
+
     def hold_end(self, holder: str) -> typing.Callable[[], float]:
         """Return a function that returns when the grants begun so far expire.
 
@@ -148,17 +151,21 @@
 
         Returns:
           GRANTED, REJECTED (the target has seen a higher fencing token),
-          REFUSED (nothing listens there), OTHER_SERVER or UNANSWERED.
+          REFUSED (the connection was refused, so nothing was sent),
+          OTHER_SERVER or UNANSWERED.
         """
         body = grants.grant_body(key_range, hold_s, handover)
-        grant = _PendingGrant()
-        self._extend_hold(holder, grant, hold_s)
+        grant = _PendingGrant(_latest_expiry(hold_s))
+        is_sent = False
 
         async def before_send(is_new: bool) -> None:
+            nonlocal is_sent
             if is_new and await self._has_restarted(holder):
                 raise _RestartedError
             # The grant counts from its arrival, and connecting takes time.
-            self._extend_hold(holder, grant, hold_s)
+            grant.until = _latest_expiry(hold_s)
+            self._extend_hold(holder, grant.until)
+            is_sent = True
 
         pending = self._pending_by_holder.setdefault(holder, [])
         pending.append(grant)
@@ -173,16 +180,15 @@
         if result in (GRANTED, REJECTED, REFUSED, OTHER_SERVER):
             # The grant has taken effect or never will.
             pending.remove(grant)
+        if not is_sent:
+            grant.until = 0.0
         now = clock.now()
         pending[:] = [each for each in pending if each.until > now]
         return result
 
-    def _extend_hold(
-        self, holder: str, grant: _PendingGrant, hold_s: float
-    ) -> None:
-        grant.until = clock.now() + hold_s * CLOCK_RATE_FACTOR + MARGIN_S
+    def _extend_hold(self, holder: str, until: float) -> None:
         known_until = self.held_until_by_holder.get(holder, 0.0)
-        self.held_until_by_holder[holder] = max(grant.until, known_until)
+        self.held_until_by_holder[holder] = max(until, known_until)
 
     async def release(
         self,
@@ -196,6 +202,7 @@
 
         Returns:
           RELEASED with the handover, or REFUSED, OTHER_SERVER or UNANSWERED.
+          A refusal does not show that the target has ended.
         """
         body = grants.release_body(first, last, fence)
         result, response = await self._post(
@@ -269,6 +276,11 @@
         return UNANSWERED, response
 
 
+def _latest_expiry(hold_s: float) -> float:
+    """Return when a grant that is sent now expires, by the slowest clock."""
+    return clock.now() + hold_s * CLOCK_RATE_FACTOR + MARGIN_S
+
+
 async def _skip_restart_check(_: bool) -> None:
     """Do nothing: keys are taken back from any incarnation."""
 
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -14,7 +14,6 @@
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import directory
-from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import former_owners
 from amaranthcrank.router import held_keys
@@ -92,11 +91,6 @@
             calls,
             targets,
             self._address_by_holder,
-            entry_reads.ready_check(
-                entry_reads.entry_reader(
-                    client, log, entry_reads.REFUSAL_TIMEOUT_S
-                )
-            ),
             log,
         )
         self._refused_holders = refused_holders.RefusedHolders()
@@ -259,10 +253,13 @@
         self, service: str, ranges: tuple[model.KeyRange, ...]
     ) -> tuple[key_plan.Move, ...]:
         owners = []
+        unreachable = set()
         for target in self._targets.ready(service):
-            if self._refused_holders.is_refused(target.entry.holder):
-                continue
             entry = target.entry
+            if self._refused_holders.is_refused(entry.holder):
+                if self._keeps_keys(entry.holder):
+                    unreachable.add(entry.holder)
+                continue
             owners.append(
                 key_plan.Owner(
                     entry.target_id,
@@ -278,7 +275,9 @@
         held = self._held_keys_by_service.setdefault(
             service, held_keys.HeldKeys()
         )
-        moves = key_plan.plan(ranges, owners, load, held.keys(now))
+        moves = key_plan.plan(
+            ranges, owners, load, held.keys(now), unreachable
+        )
         utilisation = key_plan.max_utilisation(ranges, owners, load)
         rebalanced_at = self._rebalanced_at_by_service.get(service, 0.0)
         if key_plan.is_rebalancing_due(now - rebalanced_at, utilisation):
@@ -287,11 +286,25 @@
             held.record(moves, now)
             return moves
         # Between rebalancing rounds only keys without a live owner move.
-        live = {(owner.target_id, owner.incarnation) for owner in owners}
+        live = {
+            model.holder_name(owner.target_id, owner.incarnation)
+            for owner in owners
+        }
         return tuple(
             move for move in moves if _is_reassignment(ranges, move, live)
         )
 
+    def _keeps_keys(self, holder: str) -> bool:
+        """Return whether an owner that is not reached keeps its keys.
+
+        Hosts that reach it can use them until its grants expire, and it is
+        not known to have ended before. They stay where they are if it is
+        reached again.
+        """
+        if self._refused_holders.is_replaced(holder):
+            return False
+        return self._calls.may_hold(holder)
+
     def _update_contention(self, service: str, utilisation: float) -> None:
         """Record whether an owner of a service is likely to have a queue."""
         if utilisation >= CONTENDED_UTILISATION:
@@ -412,7 +425,10 @@
             self._log.event(
                 'grant_failed', target=key_range.target_id, result=result
             )
-            if result in (key_calls.REFUSED, key_calls.OTHER_SERVER):
+            if result == key_calls.OTHER_SERVER:
+                self._refused_holders.add_replaced(holder)
+                return
+            if result == key_calls.REFUSED:
                 self._refused_holders.add(holder)
                 return
             await asyncio.sleep(STEP_INTERVAL_S)
@@ -421,12 +437,12 @@
 def _is_reassignment(
     ranges: tuple[model.KeyRange, ...],
     move: key_plan.Move,
-    live: set[tuple[str, int]],
+    live: set[str],
 ) -> bool:
     """Return whether the owners of all keys of a move are gone."""
     for key_range in ranges:
         if key_range.last < move.first or move.last < key_range.first:
             continue
-        if (key_range.target_id, key_range.incarnation) in live:
+        if key_range.holder in live:
             return False
     return True
--- a/amaranthcrank/router/key_plan.py
+++ b/amaranthcrank/router/key_plan.py
@@ -131,6 +131,7 @@
     owners: typing.Sequence[Owner],
     load: Load,
     held_keys: typing.Collection[int] = (),
+    unreachable: typing.Collection[str] = (),
 ) -> tuple[Move, ...]:
     """Plan the moves of keys that are due.
 
@@ -140,6 +141,8 @@
       load: Recent work by key.
       held_keys: Keys that are not moved between live owners now. Other keys
         of their owners may be.
+      unreachable: Holders, as `id/incarnation`, that keep the keys that they
+        have and get no others.
 
     Returns:
       The moves; none if no keys need to move or there is no target.
@@ -158,7 +161,8 @@
         owner = owner_by_id.get(key_range.target_id)
         piece = (key_range.first, key_range.last)
         if owner is None or owner.incarnation != key_range.incarnation:
-            orphans.append(piece)
+            if key_range.moving or key_range.holder not in unreachable:
+                orphans.append(piece)
             continue
         if not key_range.moving:
             pieces_by_id[key_range.target_id].append(piece)
--- a/amaranthcrank/router/key_renewals.py
+++ b/amaranthcrank/router/key_renewals.py
@@ -17,6 +17,8 @@
 GRANT_DURATION_S = 6.0
 RENEWAL_INTERVAL_S = 2.0
 CHECK_INTERVAL_S = 0.1
+# Between attempts after a failed renewal.
+RETRY_INTERVAL_S = 0.2
 # The lease counts as unconfirmed when its last renewal is this old, which is
 # after two missed renewals. Grants then get their longest duration, so that
 # keys keep their owners after the lease has ended.
@@ -42,8 +44,7 @@
           lease: The controller's lease; grants are sent while it is held.
           calls: Sends the grants.
           former_tracker: Detects whether an owner has ended.
-          refused: Updated with holders whose address refuses connections or is
-            that of another server now.
+          refused: Updated with holders that are not reached at their address.
           address_by_holder: Where each holder listens; the controller keeps
             it up to date.
           log: Logs failures.
@@ -115,9 +116,9 @@
             self._renewed_at_by_holder[holder] = now
             if self._former_owners.has_ended(holder):
                 # Another server may listen at its address now and must not be
-                # granted its keys with its fencing token. As a refused holder
-                # it loses its keys in the next plan.
-                self._refused_holders.add(holder)
+                # granted its keys with its fencing token. As a replaced
+                # holder it loses its keys in the next plan.
+                self._refused_holders.add_replaced(holder)
                 continue
             self._task_by_holder[holder] = asyncio.create_task(
                 self._renew_all(service, map_by_service, holder, ranges)
@@ -148,11 +149,24 @@
             self._log.event(
                 'renewal_failed', target=key_range.target_id, result=result
             )
-            self._renewed_at_by_holder[holder] = 0.0
-            if result in (key_calls.REFUSED, key_calls.OTHER_SERVER):
-                self._refused_holders.add(holder)
+            self._record_failure(holder, result)
             return
 
+    def _record_failure(self, holder: str, result: str) -> None:
+        """Schedule the next attempt; give up a holder that has lost its keys.
+
+        A holder that refuses connections may still be at work, so it keeps
+        its keys until they expire, and its renewal is tried again meanwhile.
+        """
+        self._renewed_at_by_holder[holder] = (
+            clock.now() - RENEWAL_INTERVAL_S + RETRY_INTERVAL_S
+        )
+        if result == key_calls.OTHER_SERVER:
+            self._refused_holders.add_replaced(holder)
+            return
+        if result == key_calls.REFUSED or not self._calls.may_hold(holder):
+            self._refused_holders.add(holder)
+
 
 def _owned_ranges_by_holder(
     key_map: model.KeyMap,
