Know the previous holder of the lease by its term, not by an unanswered write

Cause: a host's takeover of the lease was carried out, but not answered. It tried again, found its own incarnation in the lease and set was_last_holder, so the controller skipped assume_prior_grants(): the hold of each former owner counted as ended.

Ruled out: a late grant of the former controller (none was sent after its resignation).

Change: the lease has a term that rises with each takeover. A host was the previous holder only if it held the lease in the stored term by an answered write. lease_taken logs the term and was_last_holder.

Tests, failing before: test_first_write_without_a_response, test_creation_without_a_response, test_takeover_that_takes_effect_late. test_lease_that_is_taken_again keeps the case that must not wait.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -5,6 +5,11 @@
 of the lease takes it over by a conditional write. The holder counts its lease
 from before it sent the write, on a clock that also runs while the host is
 suspended, so that it stops before another host can have taken over.
+
+Each takeover begins a new term, whose number is in the object. A write without
+a response may have taken effect, so a host that finds its own incarnation in
+the object may never have held the lease: what it knows of the previous holder
+comes from the term alone.
 """
 
 import asyncio
@@ -44,8 +49,8 @@
     Attributes:
       held_until: When the held lease ends, by `clock.now`; 0.0 if not held.
       holder_id: The host that held the lease when it was last read, or ''.
-      was_last_holder: Whether this process was also the previous holder, so
-        that no other host has sent grants in between.
+      was_last_holder: Whether this process was also the previous holder, in
+        the same term, so that no other host has sent grants in between.
     """
 
     def __init__(
@@ -70,6 +75,10 @@
         self._seen_since = 0.0
         self._next_attempt_at = clock.now()
         self._count = 0
+        # The term of the next write, and the last one in which this process
+        # is known to have held the lease.
+        self._term = 0
+        self._held_term: int | None = None
         self._confirmed = asyncio.Event()
 
     @property
@@ -183,7 +192,7 @@
             return
         spec = _spec_of(item)
         self.holder_id = holder_in(item)
-        self._count = _count_in(spec)
+        self._count = _number_in(spec, 'count')
         self._revision = entries.revision_of(item)
         # A record with this host's id and address was written by this process
         # or by an earlier one of this host, which has ended.
@@ -194,9 +203,27 @@
             self._next_attempt_at = self._seen_expiry
             return
         former = self.holder_id
-        self.was_last_holder = spec.get('incarnation') == self._incarnation
+        self._begin_term(spec)
         await self._write(self._host_id)
-        self._log.event('lease_taken', former=former, count=self._count)
+        self._held_term = self._term
+        self._log_taken(former)
+
+    def _begin_term(self, stored: dict[str, typing.Any]) -> None:
+        """Continue the stored term if this process held the lease in it."""
+        is_own = stored.get('incarnation') == self._incarnation
+        self._term = _number_in(stored, 'term')
+        self.was_last_holder = is_own and self._term == self._held_term
+        if not self.was_last_holder:
+            self._term += 1
+
+    def _log_taken(self, former: str) -> None:
+        self._log.event(
+            'lease_taken',
+            former=former,
+            count=self._count,
+            term=self._term,
+            was_last_holder=self.was_last_holder,
+        )
 
     def _record_seen(self, revision: int) -> None:
         self._seen_revision = revision
@@ -209,6 +236,7 @@
         return self._seen_since + LEASE_S + MARGIN_S
 
     async def _create(self) -> None:
+        self._begin_term({})
         sent_at = clock.now()
         item = await self._client.create(
             names.LEASES_KIND,
@@ -217,7 +245,8 @@
             CALL_TIMEOUT_S,
         )
         self._record_write(item, sent_at)
-        self._log.event('lease_taken', former='', count=self._count)
+        self._held_term = self._term
+        self._log_taken('')
 
     async def _write(self, holder_id: str) -> None:
         self._count += 1
@@ -237,6 +266,7 @@
             'incarnation': self._incarnation,
             'ip': self._ip,
             'count': self._count,
+            'term': self._term,
         }
 
     def _record_write(self, item: typing.Any, sent_at: float) -> None:
@@ -257,7 +287,7 @@
         if spec.get('incarnation') != self._incarnation:
             return False
         self._revision = entries.revision_of(item)
-        self._count = max(self._count, _count_in(spec))
+        self._count = max(self._count, _number_in(spec, 'count'))
         return bool(spec.get('holder'))
 
 
@@ -273,6 +303,7 @@
     return spec if isinstance(spec, dict) else {}
 
 
-def _count_in(spec: dict[str, typing.Any]) -> int:
-    count: typing.Any = spec.get('count')
-    return count if entry_checks.is_revision(count) else 0
+def _number_in(spec: dict[str, typing.Any], field: str) -> int:
+    """Return a counter of a stored lease; 0 if it is malformed."""
+    number: typing.Any = spec.get(field)
+    return number if entry_checks.is_revision(number) else 0
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -17,6 +17,8 @@
         self.item = None
         self.availability = store_availability.AvailabilityHistory()
         self.is_unavailable = False
+        # How many of the next writes take effect without a response.
+        self.lost_responses = 0
         self.revision = 1
         self.calls = 0
 
@@ -38,6 +40,9 @@
             raise store.ConflictError(self.item)
         self.revision += 1
         self.item = {'metadata': {'rev': self.revision}, 'spec': spec}
+        if self.lost_responses:
+            self.lost_responses -= 1
+            raise store.StoreError('no answer in time', silent=True)
         return self.item
 
 
@@ -207,6 +212,63 @@
         await self._acquire(second)
         self.assertLess(clock.now() - began_at, 0.3)
 
+    async def test_first_write_without_a_response(self):
+        """Guards against a controller that forgets its predecessor's grants.
+
+        A host found its own incarnation in the lease, written by a takeover
+        whose response was lost, and believed that it had sent all grants
+        (review case 2).
+        """
+        former = self._lease('1')
+        await self._acquire(former)
+        await former.resign()
+        lease = self._lease('2')
+        for lost_responses in (1, 2):
+            with self.subTest(lost_responses=lost_responses):
+                self.store.lost_responses = lost_responses
+                await self._acquire(lease)
+                self.assertFalse(lease.was_last_holder)
+                await lease.resign()
+                await self._acquire(former)
+                self.assertFalse(former.was_last_holder)
+                await former.resign()
+
+    async def test_creation_without_a_response(self):
+        """Guards against a controller that forgets grants, as above."""
+        self.store.lost_responses = 1
+        lease = self._lease('1')
+        await self._acquire(lease)
+        self.assertFalse(lease.was_last_holder)
+
+    async def test_takeover_that_takes_effect_late(self):
+        """Guards against a controller that forgets its successor's grants.
+
+        The takeover of a former holder took effect seconds later, when its
+        successor had led for a while.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        await first.resign()
+        second = self._lease('2')
+        await self._acquire(second)
+        await second.resign()
+        # The unanswered write of the first host takes effect now.
+        self.store.lost_responses = 1
+        with self.assertRaises(store.StoreError):
+            await first._try_acquire()
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+
+    async def test_lease_that_is_taken_again(self):
+        """Guards against a needless wait when no other host has led."""
+        lease = self._lease('1')
+        await self._acquire(lease)
+        self.assertFalse(lease.was_last_holder)
+        lease.held_until = 0.0
+        self.store.lost_responses = 1
+        await self._acquire(lease)
+        self.assertTrue(lease.was_last_holder)
+
     async def test_many_hosts_back_off_while_the_store_fails(self):
         """Guards against store calls of every host throughout an outage.
 
