Do not date the end of an owner by a removal that was read late

Cause: Directory._drop() dates a removal to the moment at which it is read. After an outage that the watch survived this was 2.1 s late, so that refusal_means_crash() took the closed port of a target that had left for a crash within its drain time.

Ruled out: an early answer to a release (the port refuses it), a hold counted too short (it had 8 s left).

Change: refusal_means_crash() is gone, and with it the last place in which a refusal ends a hold. The date of a removal only ends its memory.

Tests: test_target_whose_entry_was_removed_may_hold_its_keys (failed before: moved 0.02 s after the last grant) and test_new_controller_waits_for_an_owner_that_refuses (failed before: 0.02 s) take the place of test_target_that_refuses_while_it_should_serve_has_ended, test_target_removed_without_draining_may_hold_its_keys and the part of test_new_controller_calls_owners_whose_entries_are_gone that demanded the inference; the latter now ends the wait by a release. The three tests of refusal_means_crash in directory_test go with it.

--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -12,9 +12,6 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import target_state
 
-# A draining target keeps serving for the drain time after its entry is
-# removed. A host may see the removal this much later.
-DEPARTURE_NOTICE_DELAY_S = 1.0
 # How long departures are remembered. No grant lasts longer, and hosts that
 # were disconnected from the store query other hosts for departures.
 DEPARTURE_RETENTION_S = 60.0
@@ -36,13 +33,11 @@
     Attributes:
       at: The earliest time at which the entry may have been removed, in event
         loop time.
-      was_draining: Whether the target was draining when it was removed.
       expired: Whether it was removed just after an outage of the store, so
         that it may have expired during the outage.
     """
 
     at: float
-    was_draining: bool
     expired: bool
 
 
@@ -247,24 +242,6 @@
             return None
         return target
 
-    def refusal_means_crash(self, holder: str) -> bool:
-        """Return whether a target that refuses connections has crashed.
-
-        A draining target closes its port while it still processes requests,
-        so a refused connection proves a crash only of a target that should be
-        serving. A target whose entry is missing after an outage of the store
-        may have departed long ago.
-        """
-        target = self.find(*model.split_holder(holder))
-        if target is not None:
-            is_missing = target.missing_until is not None
-            return target.entry.state == model.READY and not is_missing
-        departure = self._departure_by_holder.get(holder)
-        if departure is None or departure.was_draining or departure.expired:
-            return False
-        age_s = self._clock() - departure.at
-        return age_s < self.drain_s - DEPARTURE_NOTICE_DELAY_S
-
     def _upsert(self, entry: model.TargetEntry) -> None:
         now = self._clock()
         if entry.holder in self._leaving_since_by_holder:
@@ -327,9 +304,8 @@
 
     def _drop(self, target_id: str, reason: str) -> None:
         target = self.by_id.pop(target_id)
-        is_draining = target.entry.state == model.DRAINING
         self._departure_by_holder[target.entry.holder] = Departure(
-            self._earliest_change_at(), is_draining, reason == EXPIRED
+            self._earliest_change_at(), reason == EXPIRED
         )
         self._log('target_gone', target=target_id, reason=reason)
 
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -15,7 +15,11 @@
 
 
 class FormerOwners:
-    """Reclaims keys from targets, or detects that the targets have ended."""
+    """Reclaims keys from targets, or detects that the targets have ended.
+
+    A refused connection proves nothing: a target that is cut off refuses, and
+    a draining one closes its port while it still runs requests.
+    """
 
     def __init__(
         self,
@@ -68,9 +72,6 @@
                 self._log.event('former_owner_replaced', former=former)
                 return ''
             if result == key_calls.REFUSED:
-                if self._has_crashed(restarted or former):
-                    self._log.event('former_owner_ended', former=former)
-                    return ''
                 await asyncio.sleep(REFUSED_RETRY_S)
                 continue
             if result == key_calls.RELEASED and restarted is not None:
@@ -82,16 +83,6 @@
             await asyncio.sleep(RELEASE_RETRY_S)
         return ''
 
-    def _has_crashed(self, holder: str) -> bool:
-        """Return whether a target that refuses connections has ended.
-
-        A target that has an entry may be cut off and hold its keys, and a
-        draining one closes its port while it still runs requests.
-        """
-        if self._targets.find(*model.split_holder(holder)) is not None:
-            return False
-        return self._targets.refusal_means_crash(holder)
-
     def _find_restarted(self, holder: str) -> str | None:
         """Return the target's later incarnation at the same address, or None.
 
