Keep request bodies once, and within a share of the host's memory

Cause: a body took up to four times its length (parts, joined parts, head and body joined, the transport's buffer), and nothing bounded the sum over connections.

Ruled out: responses, whose budget was not touched.

Change: RequestBody collects a body once; the client hands it to the transport as the target reads. UploadBudget reserves the length of bodies over 64 KB before they are read, up to 0.3 of the memory in the settings. Others wait, unread, for 0.8 s, and are then rejected as not run, with Retry-After. An announced length beyond the ticket's limit is rejected at once. What follows a rejection is discarded for 2 s, so that the response is not lost by a reset. The setting self.limits.memoryMb is required now, as maxFds is.

On related paths: a target's early answer ends the use of its connection, also if the rest of the body was not sent; a request whose caller left before all of it was sent is given up.

--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -14,6 +14,7 @@
 self.zone=a
 self.region=north
 self.limits.maxFds=4100
+self.limits.memoryMb=300
 network.listen.front=10.1.0.18:8381
 network.listen.readiness=10.1.0.18:8388
 network.internalPorts=7200,7215
--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -58,6 +58,7 @@
         store=parse_address(fields['platform.platform.address']),
         heartbeat_s=float(fields['platform.heartbeatMs']) / 1000,
         max_descriptors=int(fields['self.limits.maxFds']),
+        memory_bytes=int(fields['self.limits.memoryMb']) * 1024 * 1024,
         bounds=_bounds(fields),
     )
 
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import re
 import typing
 
@@ -20,6 +21,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 TOO_LONG = 'the answer is too long'
+# Longer requests are handed to the transport in parts of this size.
+WRITE_BYTES = 64 * 1024
 # Interim (1xx) responses, and responses to earlier requests, accepted before
 # the awaited response.
 MAX_SKIPPED_RESPONSES = 16
@@ -145,6 +148,9 @@
         self._sent_request: h11.Request | None = None
         self._response_head: h11.Response | None = None
         self._body: list[bytes] = []
+        # The rest of the request, in parts.
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        self._is_write_paused = False
         self._skipped_responses = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -196,6 +202,11 @@
             return False
         return self.reusable
 
+    @property
+    def is_request_sent(self) -> bool:
+        """Whether all of the request was handed to the transport."""
+        return not self._unsent
+
     @property
     def is_new(self) -> bool:
         """Whether no request was sent on this connection yet."""
@@ -204,6 +215,7 @@
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
         self.reusable = False
+        self._unsent.clear()
         if self.transport is not None:
             self.transport.abort()
 
@@ -212,7 +224,7 @@
         method: bytes,
         path: bytes,
         headers: header_fields.Headers,
-        body: bytes,
+        body: bytes | bytearray,
         request_id: bytes | None,
     ) -> Response:
         """Send a request and wait for its response.
@@ -233,10 +245,7 @@
         """
         assert self.transport is not None
         request = h11.Request(method=method, target=path, headers=headers)
-        data = self._http.send(request) or b''
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b''
-        data += self._http.send(h11.EndOfMessage()) or b''
+        parts = self._encode(request, body)
         self._sent_request = request
         self._expected_id = request_id
         self._waiter = asyncio.get_running_loop().create_future()
@@ -245,7 +254,7 @@
         if self.transport.is_closing():
             # Nothing would ever end the wait.
             self._fail('connection lost before sending', disconnected=True)
-        self.transport.write(data)
+        self._send(parts)
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -255,6 +264,49 @@
             self._waiter = None
             self._discard_body()
 
+    def _encode(
+        self, request: h11.Request, body: bytes | bytearray
+    ) -> list[bytes | bytearray]:
+        """Return the parts of a request; a long body is not copied."""
+        events: list[typing.Any] = [request]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        parts: list[bytes | bytearray] = []
+        for event in events:
+            parts += self._http.send_with_data_passthrough(event) or ()
+        if sum(len(part) for part in parts) <= WRITE_BYTES:
+            return [b''.join(parts)]
+        return parts
+
+    def _send(self, parts: list[bytes | bytearray]) -> None:
+        self._unsent.extend(memoryview(part) for part in parts)
+        self._send_more()
+
+    def _send_more(self) -> None:
+        """Send until the transport is full.
+
+        The transport copies what it cannot send at once.
+        """
+        assert self.transport is not None
+        while self._unsent and not self._is_write_paused:
+            if self.transport.is_closing():
+                self._unsent.clear()
+                return
+            part = self._unsent.popleft()
+            self.transport.write(part[:WRITE_BYTES])
+            if len(part) > WRITE_BYTES:
+                self._unsent.appendleft(part[WRITE_BYTES:])
+
+    def pause_writing(self) -> None:
+        """Keep the rest of the request until the server has read more."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Send more of the request."""
+        self._is_write_paused = False
+        self._send_more()
+
     def _parse(self, data: bytes) -> None:
         try:
             self._http.receive_data(data)
@@ -382,6 +434,9 @@
             self.idle_limit_s = min(MAX_IDLE_S, max(0.0, limit_s))
 
     def _prepare_next_request(self) -> None:
+        if self._unsent:
+            # Answered early; the server expects the rest of the body next.
+            self.reusable = False
         try:
             if self._http.trailing_data[0]:
                 self.reusable = False
@@ -401,8 +456,7 @@
                     reason, disconnected, response_started, timed_out
                 )
             )
-        if self.transport is not None:
-            self.transport.abort()
+        self.abort()
 
 
 def _new_http_state() -> h11.Connection:
--- a/amaranthcrank/router/http_client_test.py
+++ b/amaranthcrank/router/http_client_test.py
@@ -151,6 +151,65 @@
         self.assertTrue(caught.exception.refused)
 
 
+class LongRequestTest(_ServerTestCase):
+    """Requests that the server reads slowly, or answers before their end."""
+
+    BODY = b'x' * 8_000_000
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.may_read = asyncio.Event()
+        self.answers_early = False
+        self.received = b''
+
+    async def _serve(self, reader, writer):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
+        ):
+            await reader.readuntil(b'\r\n\r\n')
+            if self.answers_early:
+                writer.write(_response(b'one', b'early'))
+            await self.may_read.wait()
+            self.received = await reader.readexactly(len(self.BODY))
+            if not self.answers_early:
+                writer.write(_response(b'one', b'late'))
+                await writer.drain()
+
+    async def _start_exchange(self):
+        connection = await self.pool.acquire(self.address, 1.0)
+        headers = [*HEADERS, (b'content-length', b'%d' % len(self.BODY))]
+        task = asyncio.create_task(
+            connection.exchange(b'POST', b'/', headers, self.BODY, b'one')
+        )
+        await asyncio.sleep(0.1)
+        return connection, task
+
+    async def test_body_is_not_copied_while_the_server_does_not_read(self):
+        """Guards against uploads that take several times their length."""
+        connection, task = await self._start_exchange()
+        buffered = connection.transport.get_write_buffer_size()
+        self.assertLess(buffered, len(self.BODY) / 8)
+        self.assertFalse(connection.is_request_sent)
+        self.may_read.set()
+        async with asyncio.timeout(5.0):
+            response = await task
+        self.assertEqual(response.body, b'late')
+        self.assertEqual(self.received, self.BODY)
+        self.assertTrue(connection.is_request_sent)
+
+    async def test_early_response(self):
+        """Guards against a request that is taken for the rest of a body."""
+        self.answers_early = True
+        connection, task = await self._start_exchange()
+        async with asyncio.timeout(2.0):
+            response = await task
+        self.assertEqual(response.body, b'early')
+        self.assertFalse(connection.is_open)
+        self.may_read.set()
+        connection.abort()
+
+
 class InvalidResponseTest(_ServerTestCase):
     """Truncated and endless responses."""
 
--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -12,6 +12,8 @@
 
 from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import model
+from amaranthcrank.router import request_body
+from amaranthcrank.router import upload_budget
 
 # Used until a ticket is in force, which sets its own limits.
 DEFAULT_LIMITS = model.CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
@@ -20,6 +22,11 @@
 # Reading from a connection pauses when more than this has been received behind
 # a request that is still being handled.
 MAX_PIPELINED_BYTES = 64 * 1024
+# Retry-After for a request whose long body got no memory.
+UPLOAD_RETRY_AFTER_S = 1.0
+# How long data behind a rejected request is read and discarded. Closing a
+# connection with unread data resets it, and the caller loses the response.
+DISCARD_S = 2.0
 # Callers that read slowly keep responses in memory. Beyond this sum, those
 # that have made no progress for longest are disconnected.
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
@@ -32,14 +39,15 @@
       method: The HTTP method.
       path: The request target, that is path and query, as received.
       headers: All headers, names in lower case.
-      body: The complete body, without transfer encoding.
+      body: The complete body, without transfer encoding. A long one is not
+        copied, and must not be changed.
       arrived_at: When the last byte arrived, in event loop time.
     """
 
     method: bytes
     path: bytes
     headers: header_fields.Headers
-    body: bytes
+    body: bytes | bytearray
     arrived_at: float
 
     def header(self, name: bytes) -> bytes | None:
@@ -81,6 +89,7 @@
       draining: Whether responses carry `Connection: close`.
       active_requests: The number of requests being handled.
       connections: All open connections.
+      uploads: Limits the memory used by bodies of requests.
       on_handler_error: Called with each exception of the handler.
     """
 
@@ -95,6 +104,7 @@
         self.draining = False
         self.active_requests = 0
         self.connections: set[CallerConnection] = set()
+        self.uploads = upload_budget.UploadBudget()
         self.on_handler_error: typing.Callable[[Exception], None] | None = None
         self._listeners: list[asyncio.Server] = []
 
@@ -183,8 +193,13 @@
             max_incomplete_event_size=server.limits.header_bytes,
         )
         self._request_head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = request_body.RequestBody(
+            server.uploads,
+            self._pause_upload,
+            self._resume_upload,
+            self._reject_upload,
+        )
+        self._is_discarding = False
         self._handler_task: asyncio.Task[None] | None = None
         self._timer_started_at = 0.0
         self._data_arrived_at = 0.0
@@ -199,6 +214,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, whose caller is gone."""
         self._server.connections.discard(self)
+        self._body.release()
         if self._handler_task is not None:
             self._handler_task.cancel()
 
@@ -208,6 +224,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data and start the handler when it is complete."""
+        if self._is_discarding:
+            return
         self._data_arrived_at = asyncio.get_running_loop().time()
         if self.is_idle:
             self._timer_started_at = self._data_arrived_at
@@ -251,6 +269,8 @@
         self._check_progress(now, limits.idle_timeout_s)
         if self._handler_task is not None:
             return
+        if self._body.is_waiting or self._is_discarding:
+            return
         elapsed = now - self._timer_started_at
         if self.is_idle:
             if elapsed > limits.idle_timeout_s:
@@ -290,7 +310,7 @@
 
     def _read_events(self) -> None:
         try:
-            while self._handler_task is None:
+            while self._handler_task is None and not self._body.is_waiting:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     self._send_continue_if_expected()
@@ -307,14 +327,10 @@
     def _on_event(self, event: typing.Any) -> None:
         if isinstance(event, h11.Request):
             self._request_head = event
-            self._body = []
-            self._body_size = 0
+            self._body.begin(event, self._server.limits.body_bytes)
             return
         if isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._body_size += len(event.data)
-            if self._body_size > self._server.limits.body_bytes:
-                raise h11.RemoteProtocolError('body too long', 413)
+            self._body.add(event.data)
             return
         if (
             isinstance(event, h11.EndOfMessage)
@@ -322,6 +338,25 @@
         ):
             self._start_handler(self._request_head)
 
+    def _pause_upload(self) -> None:
+        """Stop reading a body that waits for memory."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _resume_upload(self) -> None:
+        """Read the body that waited for memory."""
+        self._data_arrived_at = asyncio.get_running_loop().time()
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self._read_events()
+
+    def _reject_upload(self) -> None:
+        """Reject a request whose body got no memory in time."""
+        retry_after = f'{UPLOAD_RETRY_AFTER_S:.0f}'.encode()
+        self._send_error(
+            503, b'too many long requests', [(b'retry-after', retry_after)]
+        )
+
     def _send_continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -332,10 +367,9 @@
             head.method,
             head.target,
             list(head.headers),
-            b''.join(self._body),
+            self._body.take(),
             loop.time(),
         )
-        self._body = []
         self._server.active_requests += 1
         self._handler_task = loop.create_task(self._run_handler(request))
 
@@ -352,6 +386,7 @@
         finally:
             self._server.active_requests -= 1
             self._handler_task = None
+            self._body.release()
         self.requests_served += 1
         self._start_next_cycle()
 
@@ -385,12 +420,18 @@
         self._transport.resume_reading()
         self._read_events()
 
-    def _send_error(self, status: int, reason: bytes) -> None:
+    def _send_error(
+        self,
+        status: int,
+        reason: bytes,
+        extra_headers: header_fields.Headers | None = None,
+    ) -> None:
         """Send an error without calling the handler, and close."""
         headers = [
             (b'content-type', b'text/plain'),
             (b'content-length', str(len(reason)).encode()),
             (b'connection', b'close'),
+            *(extra_headers or ()),
         ]
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._write(
@@ -398,8 +439,19 @@
                 h11.Data(data=reason),
                 h11.EndOfMessage(),
             )
+        self._body.release()
+        if self._http.their_state is h11.SEND_BODY:
+            self._discard_then_close()
+            return
         self.close()
 
+    def _discard_then_close(self) -> None:
+        """Close after the caller had time to read the response."""
+        self._is_discarding = True
+        if self._transport is not None:
+            self._transport.resume_reading()
+        asyncio.get_running_loop().call_later(DISCARD_S, self.close)
+
     def _write(self, *events: typing.Any) -> None:
         if self._transport is None:
             return
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -42,6 +42,7 @@
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import target_notices
 from amaranthcrank.router import ticket_feed
+from amaranthcrank.router import upload_budget
 
 MAINTENANCE_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 2.0
@@ -122,6 +123,9 @@
             self.metrics,
         )
         self.server = http_server.Server(self.forwarder.handle)
+        self.server.uploads.max_bytes = int(
+            upload_budget.MEMORY_SHARE * settings.memory_bytes
+        )
         self.probe_server = http_server.Server(self.handle_probe)
 
     def _build_control(self, clock: typing.Callable[[], float]) -> None:
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -57,6 +57,7 @@
       store: The address of the platform's store.
       heartbeat_s: The interval at which targets report to the store.
       max_descriptors: The limit of open file descriptors of the process.
+      memory_bytes: The memory that the process may use.
       bounds: The limits of the deployment.
     """
 
@@ -72,6 +73,7 @@
     store: Address
     heartbeat_s: float
     max_descriptors: int
+    memory_bytes: int
     bounds: Bounds
 
 
--- a/amaranthcrank/router/sender.py
+++ b/amaranthcrank/router/sender.py
@@ -196,6 +196,10 @@
         connection: http_client.Connection,
     ) -> None:
         """Let a request finish whose response is no longer awaited."""
+        if not connection.is_request_sent:
+            # The target cannot finish it before the deadline, and the rest of
+            # the body would be kept in memory.
+            connection.abort()
         loop = asyncio.get_running_loop()
         timer = loop.call_later(DETACHED_TIMEOUT_S, connection.abort)
         self._detached.add(task)
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -16,6 +16,7 @@
 self.zone={domain}
 self.region=north
 self.limits.maxFds=1000
+self.limits.memoryMb=300
 network.listen.front={ip}:18381
 network.listen.readiness={ip}:18388
 network.internalPorts=17200,17215
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -214,6 +214,7 @@
             store=self._store_address,
             heartbeat_s=0.5,
             max_descriptors=1000,
+            memory_bytes=300 * 1024 * 1024,
             bounds=model.Bounds(2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0),
         )
 
