Wait at shutdown until callers have taken their responses

Cause: _drain() waited for active_requests, which does not count what the transports still have to send.

Ruled out: the limit of unsent bytes (28 MB of 32) and the idle time-out.

Change: Server.is_busy also counts unsent bytes, and the drain waits for it until its end as before.

Test: test_response_that_is_being_delivered (failed before: 3.6 MB unsent when the router had ended).

--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -142,6 +142,13 @@
             if connection.is_idle and connection.requests_served:
                 connection.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is handled or a response not taken completely."""
+        if self.active_requests:
+            return True
+        return any(each.unsent_bytes for each in self.connections)
+
     async def enforce_timeouts(self) -> None:
         """Close connections that exceed the timeouts; runs until cancelled."""
         while True:
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -344,7 +344,10 @@
             self.reload()
 
     async def _drain(self) -> None:
-        """Wait for the load balancer, then finish the open requests."""
+        """Wait for the load balancer, then finish the open requests.
+
+        They are finished when their callers have taken the responses.
+        """
         loop = asyncio.get_running_loop()
         end_at = loop.time() + self.settings.bounds.grace_s - EXIT_MARGIN_S
         self.log.event('stopping', busy=self.server.active_requests)
@@ -357,7 +360,7 @@
         resigning = loop.create_task(self._resign())
         await asyncio.sleep(LISTEN_AFTER_SIGTERM_S)
         self.server.stop_listening()
-        while self.server.active_requests and loop.time() < end_at:
+        while self.server.is_busy and loop.time() < end_at:
             self.server.close_idle()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         self.server.close_idle()
--- a/amaranthcrank/router/shutdown_limits_test.py
+++ b/amaranthcrank/router/shutdown_limits_test.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import socket
 import unittest
 
 from amaranthcrank.router import http_client
@@ -13,6 +14,7 @@
 from amaranthcrank.router import shutdown_limits
 from standins import platform_site
 
+READ_BYTES = 64 * 1024
 LIMITS = shutdown_limits.ShutdownLimits(2.4, 6.0)
 
 
@@ -107,6 +109,52 @@
         response = await self._send(connection, 'a1')
         self.assertEqual(response.status, 200)
 
+    async def _read_steadily(self, size, bytes_per_s):
+        """Request a response and return how many bytes of its body arrive."""
+        reader, writer = await asyncio.open_connection(
+            *self.router.settings.listen_address, limit=READ_BYTES
+        )
+        self.addCleanup(writer.close)
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES
+        )
+        writer.write(
+            b'POST /post/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: a1\r\n'
+            b'X-Request-Deadline: 8000\r\nContent-Length: 0\r\n\r\n'
+            % platform_site.HOST.encode()
+        )
+        await reader.readuntil(b'\r\n\r\n')
+        received = 0
+        while received < size:
+            data = await reader.read(READ_BYTES)
+            if not data:
+                break
+            received += len(data)
+            await asyncio.sleep(len(data) / bytes_per_s)
+        return received
+
+    async def test_response_that_is_being_delivered(self):
+        """Guards against responses that are cut at SIGTERM.
+
+        The process ended once all responses were handed to the transport,
+        and callers that read steadily lost the rest.
+        """
+        size = 14 * 1024 * 1024
+        self.target.body = b'x' * size
+        reading = asyncio.create_task(
+            self._read_steadily(size, bytes_per_s=2.5 * 1024 * 1024)
+        )
+        await asyncio.sleep(0.5)
+        self.router.stopping.set()
+        async with asyncio.timeout(10.0):
+            await asyncio.wait([self.site.tasks[0]])
+            # What the process has not handed to the system is lost.
+            unsent_bytes = sum(
+                each.unsent_bytes for each in self.router.server.connections
+            )
+            self.assertEqual(unsent_bytes, 0)
+            self.assertEqual(await reading, size)
+
     async def test_waiting_request_is_refused_when_it_is_too_late(self):
         # The target's slots are in use, so the request waits.
         self.target.work_s = 3.2
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -95,6 +95,7 @@
       grants: The grants that it accepted, newest last.
       released: The first key, last key and fence of each release.
       status: The status of its responses to requests.
+      body: The body of these responses.
       work_s: How long a request takes.
       keyed: Whether it runs only requests whose key it holds.
       refuses_requests: Whether it refuses all requests as not run.
@@ -110,6 +111,7 @@
         self.target_id = target_id
         self.keyed = keyed
         self.status = 200
+        self.body = b'done'
         self.work_s = 0.01
         self.refuses_requests = False
         self.is_leaving = False
@@ -189,7 +191,7 @@
         finally:
             self._running -= 1
         headers.append((b'x-response-signature', b'signed'))
-        return http_server.Response(self.status, headers, b'done')
+        return http_server.Response(self.status, headers, self.body)
 
     def _on_grant(self, fields: dict[str, int]) -> http_server.Response:
         call = parse_grant(fields)
