Check for a crash after a reset, also while other targets have room

Cause: a crash was reported only when the same host's next request to the same target, within two seconds, was refused. The reset pauses that target, so no request goes there while others have room.

Ruled out: reports lost between hosts (one host in the test).

Change: after a reset without a response the host tries once to connect, 0.1 s later; a refusal is reported. Silence after a reset is not reported any more. One check a target at a time; its connection is kept.

Tests: crash_checks_test (test_request_is_blocked_while_other_targets_have_room failed before), crash_reports_test.

--- /dev/null
+++ b/amaranthcrank/router/crash_checks_test.py
@@ -0,0 +1,98 @@
+"""Tests of the recognition of requests that crash targets, at low load."""
+
+import asyncio
+import contextlib
+import unittest
+
+from amaranthcrank.router import crash_reports
+from standins import platform_site
+
+CRASHING_PATH = '/post/crash'
+TARGETS = 7
+
+
+class CrashChecksTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.addAsyncCleanup(self.stack.aclose)
+        self.site = platform_site.Site(self.stack)
+        await self.site.start_store()
+        self.site.put_manifest(
+            platform_site.manifest(
+                1,
+                [
+                    platform_site.route_row(
+                        'post', '/post/', 'desk', 'unsafe'
+                    ),
+                ],
+                [['desk', '/healthz', 100, None]],
+            )
+        )
+        self.crashed = []
+        for number in range(TARGETS):
+            target = await self.site.add_target(f'i-{number}', 'desk')
+            self._crash_on_request(target)
+        self.router = await self.site.add_router('host-1')
+
+    def _crash_on_request(self, target):
+        """Let a target crash when it runs the request to CRASHING_PATH."""
+        respond = target.server.handler
+
+        async def handle(request):
+            if request.path.decode() != CRASHING_PATH:
+                return await respond(request)
+            self._close(target)
+            self.crashed.append(target.target_id)
+            return await asyncio.sleep(3600)
+
+        target.server.handler = handle
+
+    def _close(self, target):
+        target.server.stop_listening()
+        for connection in list(target.server.connections):
+            connection.abort()
+
+    async def _call(self, path, request_id):
+        return await self.site.call(self.router, path, request_id, 'POST')
+
+    async def test_request_is_blocked_while_other_targets_have_room(self):
+        """Guards against a request that crashes one target after the other.
+
+        A crash was only recognized by the next request to the same target,
+        and none was sent there while others had room (review case 5).
+        """
+        for number in range(TARGETS):
+            response = await self._call(CRASHING_PATH, f'a{number}')
+            await asyncio.sleep(0.4)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(len(self.crashed), crash_reports.BLOCKING_CRASHES)
+        response = await self._call('/post/1', 'b1')
+        self.assertEqual(response.status, 200)
+
+    async def test_target_that_resets_but_still_listens(self):
+        """Guards against a crash report on a target that is only full."""
+        target = self.site.target_by_id['i-0']
+        record = self.router.targets.by_id['i-0']
+        fingerprint = crash_reports.fingerprint(b'POST', b'/post/1', b'')
+        record.record_reset(fingerprint, asyncio.get_running_loop().time())
+        self.router.sender._checks.start(record)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.router.crashes.count(fingerprint), 0)
+        # The connection that the check opened is kept for requests.
+        self.assertEqual(len(target.server.connections), 1)
+
+    async def test_report_is_withdrawn_when_the_target_answers(self):
+        """Guards against blocking requests after a short cut."""
+        fingerprint = crash_reports.fingerprint(b'POST', b'/post/9', b'')
+        for target in self.router.targets.by_id.values():
+            self.router.crashes.record_crash(fingerprint, target.entry.holder)
+        response = await self._call('/post/9', 'a1')
+        self.assertEqual(response.status, 503)
+        for number in range(3 * TARGETS):
+            await self._call('/post/1', f'b{number}')
+        response = await self._call('/post/9', 'a2')
+        self.assertEqual(response.status, 200)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/amaranthcrank/router/crash_reports_test.py
+++ b/amaranthcrank/router/crash_reports_test.py
@@ -29,6 +29,31 @@
         self.assertTrue(self.reports.clear(self.request))
         self.assertFalse(self.reports.is_blocked(self.request))
 
+    def test_target_that_answers_had_not_crashed(self):
+        """Guards against blocking a request for targets that were cut off.
+
+        They reset their connections and refused new ones until the cut ended.
+        """
+        for number in range(3):
+            self.reports.record_crash(self.request, f'i-{number}/1')
+        self.assertTrue(self.reports.withdraw('i-1/1'))
+        self.assertFalse(self.reports.is_blocked(self.request))
+        self.assertFalse(self.reports.withdraw('i-1/1'))
+        self.assertTrue(self.reports.withdraw('i-0/1'))
+        self.assertTrue(self.reports.withdraw('i-2/1'))
+        self.assertFalse(self.reports.clear(self.request))
+
+    def test_each_incarnation_counts(self):
+        """Guards against a request that crashes one target again and again."""
+        for incarnation in range(3):
+            self.reports.record_crash(self.request, f'i-1/{incarnation}')
+        self.assertTrue(self.reports.is_blocked(self.request))
+
+    def test_cleared_reports_are_not_withdrawn(self):
+        self.reports.record_crash(self.request, 'i-1/1')
+        self.reports.clear(self.request)
+        self.assertFalse(self.reports.withdraw('i-1/1'))
+
     def test_reports_expire(self):
         for number in range(3):
             self.reports.record_crash(self.request, f'i-{number}')
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -116,6 +116,7 @@
                 message_kinds.MISDIRECTED: self._on_misdirected,
                 message_kinds.CRASHED: self._on_crash,
                 message_kinds.CRASH_CLEARED: self._on_crash_cleared,
+                message_kinds.CRASH_WITHDRAWN: self._on_crash_withdrawn,
                 message_kinds.HEARTBEAT: self._on_heartbeat,
                 message_kinds.RESIGNED: self._on_resigned,
                 message_kinds.MOVE_COMPLETED: self._on_move_completed,
@@ -302,22 +303,27 @@
 
     # Requests that crash targets.
 
-    def broadcast_crash(self, request: bytes, target_id: str) -> None:
+    def broadcast_crash(self, request: bytes, holder: str) -> None:
         """Notify all hosts that a target ended while it ran a request."""
-        self._messenger.send_to_all(
-            message_kinds.CRASHED, [request, target_id]
-        )
+        self._messenger.send_to_all(message_kinds.CRASHED, [request, holder])
 
     def broadcast_crash_cleared(self, request: bytes) -> None:
         """Notify all hosts that a request with crash reports was answered."""
         self._messenger.send_to_all(message_kinds.CRASH_CLEARED, request)
 
+    def broadcast_crash_withdrawn(self, holder: str) -> None:
+        """Notify all hosts that a target answered after a crash report."""
+        self._messenger.send_to_all(message_kinds.CRASH_WITHDRAWN, holder)
+
     def _on_crash(self, host_id: str, content: typing.Any) -> None:
         self._crashes.record_crash(*content)
 
     def _on_crash_cleared(self, host_id: str, content: typing.Any) -> None:
         self._crashes.clear(content)
 
+    def _on_crash_withdrawn(self, host_id: str, content: typing.Any) -> None:
+        self._crashes.withdraw(content)
+
     # Load.
 
     async def report_load(self) -> None:
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -227,6 +227,7 @@
         self.sender.on_misdirected = self.reports.send_misdirected
         self.sender.on_crash = self.reports.broadcast_crash
         self.sender.on_crash_cleared = self.reports.broadcast_crash_cleared
+        self.sender.on_crash_withdrawn = self.reports.broadcast_crash_withdrawn
         self.controller.on_move_completed = (
             self.reports.broadcast_move_completed
         )
--- a/amaranthcrank/router/message_checks.py
+++ b/amaranthcrank/router/message_checks.py
@@ -152,8 +152,9 @@
     message_kinds.KEY_LOAD: _list_of(_fields(_is_name, _is_key, _is_work_s)),
     message_kinds.OWNER_USAGE: _is_usage,
     message_kinds.MISDIRECTED: _is_target_id,
-    message_kinds.CRASHED: _fields(_is_fingerprint, _is_target_id),
+    message_kinds.CRASHED: _fields(_is_fingerprint, entry_checks.is_holder),
     message_kinds.CRASH_CLEARED: _is_fingerprint,
+    message_kinds.CRASH_WITHDRAWN: entry_checks.is_holder,
     message_kinds.MOVE_COMPLETED: _fields(
         _is_name, _is_key, _is_key, _is_revision
     ),
--- a/amaranthcrank/router/sender.py
+++ b/amaranthcrank/router/sender.py
@@ -5,6 +5,7 @@
 
 from amaranthcrank.router import call as calls
 from amaranthcrank.router import connection_pool
+from amaranthcrank.router import crash_checks
 from amaranthcrank.router import crash_reports
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
@@ -48,10 +49,12 @@
 
     Attributes:
       on_misdirected: Called with the id of a target that does not hold a key.
-      on_crash: Called with the fingerprint of a request and the id of the
-        target that crashed on it.
+      on_crash: Called with the fingerprint of a request and the target, as
+        `id/incarnation`, that crashed on it.
       on_crash_cleared: Called with the fingerprint of such a request once it
         was answered.
+      on_crash_withdrawn: Called with a target, as `id/incarnation`, that has
+        answered although it was reported as crashed.
     """
 
     def __init__(
@@ -72,10 +75,12 @@
         self.on_misdirected: typing.Callable[[str], None] | None = None
         self.on_crash: typing.Callable[[bytes, str], None] | None = None
         self.on_crash_cleared: typing.Callable[[bytes], None] | None = None
+        self.on_crash_withdrawn: typing.Callable[[str], None] | None = None
         self._pool = pool
         self._times = times
         self._crashes = crashes
         self._notices = notices
+        self._checks = crash_checks.CrashChecks(pool, self._report_crashes)
         self._detached: set[asyncio.Task[typing.Any]] = set()
 
     async def send(
@@ -95,8 +100,8 @@
             )
         except http_client.ConnectError as error:
             target.record_unreachable(loop.time(), not error.refused)
-            for fingerprint in target.pop_recent_resets(loop.time()):
-                self._report_crash(fingerprint, target)
+            if error.refused:
+                self._report_crashes(target)
             self._pool.drop(target.entry.address)
             return Attempt(
                 retry_rules.NOT_SENT, None, f'connecting failed: {error}'
@@ -123,7 +128,7 @@
         except http_client.ExchangeError as error:
             if error.disconnected and not error.response_started:
                 target.record_unreachable(loop.time())
-                target.record_reset(call.fingerprint, loop.time())
+                self._record_reset(call, target, error)
                 # Its other connections are likely to be broken as well.
                 self._pool.drop(target.entry.address)
             else:
@@ -134,6 +139,7 @@
             return Attempt(
                 retry_rules.MAYBE_RUN, None, 'no answer before the deadline'
             )
+        self._withdraw_crash(target)
         elapsed_s = loop.time() - sent_at
         if not calls.is_refusal(response):
             self._return_connection(target, connection)
@@ -253,13 +259,33 @@
             )
         return Attempt(retry_rules.MAYBE_RUN, response, '')
 
-    def _report_crash(
-        self, fingerprint: bytes, target: target_state.Target
+    def _record_reset(
+        self,
+        call: calls.Call,
+        target: target_state.Target,
+        error: http_client.ExchangeError,
     ) -> None:
-        target_id = target.entry.target_id
-        self._crashes.record_crash(fingerprint, target_id)
-        if self.on_crash is not None:
-            self.on_crash(fingerprint, target_id)
+        """Record a lost connection, and check whether the target crashed."""
+        if error.timed_out:
+            return
+        now = asyncio.get_running_loop().time()
+        target.record_reset(call.fingerprint, now)
+        self._checks.start(target)
+
+    def _report_crashes(self, target: target_state.Target) -> None:
+        """Report the requests on which a target seems to have crashed."""
+        now = asyncio.get_running_loop().time()
+        for fingerprint in target.pop_recent_resets(now):
+            self._crashes.record_crash(fingerprint, target.entry.holder)
+            if self.on_crash is not None:
+                self.on_crash(fingerprint, target.entry.holder)
+
+    def _withdraw_crash(self, target: target_state.Target) -> None:
+        """Withdraw the reports on a target that has answered."""
+        holder = target.entry.holder
+        was_reported = self._crashes.withdraw(holder)
+        if was_reported and self.on_crash_withdrawn is not None:
+            self.on_crash_withdrawn(holder)
 
     def _record_not_run(
         self,
