Do not renew the grants of a target before it must be registered

What callers would see: keys held by a restarted target with the fencing token of its former life.

Cause: a target listens before its entry is written, and the read of the entry before a grant on a new connection still finds the former life (docs/platform.md, "Open").

Change: an owner to which a connection failed is renewed only one heartbeat after it is reached again, and only if the entry read then is still that of the same life. If the entry cannot be read, it is not renewed. Owners that were reached all the time are renewed as before, also without the store.

Tests: test_grant_to_a_target_that_is_not_registered_yet (failed before: the grant arrived), test_target_that_is_reached_again. restart_check tells now that it does not know; its tests expect None there, and what follows from it is tested in key_calls_test.

Soak: a live target refuses connections for a while (cut_off_target).

--- a/amaranthcrank/router/entry_reads.py
+++ b/amaranthcrank/router/entry_reads.py
@@ -19,9 +19,9 @@
 # Called with the id of a target. Returns None if there is no entry, or if it
 # cannot be read.
 ReadEntry = typing.Callable[[str], typing.Awaitable[model.TargetEntry | None]]
-# Called with a holder, as `id/incarnation`. Returns whether the checked
-# condition is met.
-HolderCheck = typing.Callable[[str], typing.Awaitable[bool]]
+# Called with a holder, as `id/incarnation`. Returns whether the target has
+# restarted since, or None if it is not known.
+RestartCheck = typing.Callable[[str], typing.Awaitable[bool | None]]
 
 
 def entry_reader(
@@ -51,18 +51,19 @@
     return read
 
 
-def restart_check(read: ReadEntry) -> HolderCheck:
+def restart_check(read: ReadEntry) -> RestartCheck:
     """Return a function that checks whether a target has restarted.
 
     A grant names a target by its id only, so one that is sent before a
     restart is known would give the next incarnation keys with the fencing
-    token of the former one. If the entry cannot be read, the check returns
-    False, so that owners keep their keys while the store is unavailable.
+    token of the former one.
     """
 
-    async def has_restarted(holder: str) -> bool:
+    async def has_restarted(holder: str) -> bool | None:
         target_id, incarnation = model.split_holder(holder)
         entry = await read(target_id)
-        return entry is not None and entry.incarnation > incarnation
+        if entry is None:
+            return None
+        return entry.incarnation > incarnation
 
     return has_restarted
--- a/amaranthcrank/router/entry_reads_test.py
+++ b/amaranthcrank/router/entry_reads_test.py
@@ -30,17 +30,16 @@
         for item, expected in (
             (_entry(5), False),
             (_entry(6), True),
-            (None, False),
-            ({'spec': 'bytes of another writer'}, False),
+            (None, None),
+            ({'spec': 'bytes of another writer'}, None),
         ):
             with self.subTest(item=item):
                 self.client.get.return_value = item
                 self.assertIs(await self.has_restarted(HOLDER), expected)
 
     async def test_store_that_is_unavailable(self):
-        # Owners keep their keys while the store is unavailable.
         self.client.get.side_effect = store.StoreError('unavailable')
-        self.assertFalse(await self.has_restarted(HOLDER))
+        self.assertIsNone(await self.has_restarted(HOLDER))
 
     async def test_store_that_is_silent(self):
         # A grant that waits for the store would be sent after the lease ends.
@@ -49,7 +48,7 @@
 
         self.client.get.side_effect = wait
         began_at = time.monotonic()
-        self.assertFalse(await self.has_restarted(HOLDER))
+        self.assertIsNone(await self.has_restarted(HOLDER))
         self.assertLess(time.monotonic() - began_at, 0.5)
 
 
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -49,6 +49,10 @@
     """The target has restarted since the incarnation that a grant names."""
 
 
+class _UnconfirmedError(Exception):
+    """The target could not be reached, and may have restarted since."""
+
+
 class _PendingGrant:
     """A grant without a response so far.
 
@@ -73,8 +77,9 @@
         self,
         pool: connection_pool.Pool,
         log: event_log.EventLog,
-        has_restarted: entry_reads.HolderCheck,
+        has_restarted: entry_reads.RestartCheck,
         notices: target_notices.TargetNotices,
+        registration_s: float,
     ) -> None:
         """Send calls over a pool of connections.
 
@@ -84,6 +89,8 @@
           has_restarted: Awaited before a grant is sent on a new connection,
             which may lead to a later incarnation than earlier connections.
           notices: Reads what targets say about themselves.
+          registration_s: How long a target may listen before it is
+            registered in the store, seconds.
         """
         self.held_until_by_holder: dict[str, float] = {}
         self._pending_by_holder: dict[str, list[_PendingGrant]] = {}
@@ -91,6 +98,9 @@
         self._pool = pool
         self._log = log
         self._has_restarted = has_restarted
+        self._registration_s = registration_s
+        # Holders that could not be reached, and since when they are again.
+        self._reached_at_by_lost_holder: dict[str, float | None] = {}
         self._notices = notices
 
     def assume_prior_grants(self, grant_max_s: float) -> None:
@@ -100,6 +110,7 @@
           grant_max_s: The longest duration of a grant.
         """
         self.held_until_by_holder.clear()
+        self._reached_at_by_lost_holder.clear()
         self._prior_held_until = _latest_expiry(grant_max_s)
         self._pending_by_holder.clear()
 
@@ -162,8 +173,8 @@
 
         async def before_send(is_new: bool) -> None:
             nonlocal is_sent
-            if is_new and await self._has_restarted(holder):
-                raise _RestartedError
+            if is_new:
+                await self._check_incarnation(holder)
             # The grant counts from its arrival, and connecting takes time.
             grant.until = _latest_expiry(hold_s)
             self._extend_hold(holder, grant.until)
@@ -188,6 +199,34 @@
         pending[:] = [each for each in pending if each.until > now]
         return result
 
+    async def _check_incarnation(self, holder: str) -> None:
+        """Check that a new connection does not lead to a later incarnation.
+
+        A target listens before its entry is written. If it could not be
+        reached before, it may be one that has just restarted, so its entry
+        is read only once it must have been written.
+
+        Raises:
+          _RestartedError: The target has restarted.
+          _UnconfirmedError: It may have, as far as is known. An owner that
+            was reached all the time is not suspected, so that owners keep
+            their keys while the store is unavailable.
+        """
+        is_lost = holder in self._reached_at_by_lost_holder
+        if is_lost:
+            now = clock.now()
+            reached_at = self._reached_at_by_lost_holder[holder]
+            if reached_at is None:
+                reached_at = self._reached_at_by_lost_holder[holder] = now
+            if now - reached_at < self._registration_s:
+                raise _UnconfirmedError
+        has_restarted = await self._has_restarted(holder)
+        if has_restarted:
+            raise _RestartedError
+        if is_lost and has_restarted is None:
+            raise _UnconfirmedError
+        self._reached_at_by_lost_holder.pop(holder, None)
+
     def _extend_hold(self, holder: str, until: float) -> None:
         known_until = self.held_until_by_holder.get(holder, 0.0)
         self.held_until_by_holder[holder] = max(until, known_until)
@@ -259,7 +298,10 @@
         except _RestartedError:
             self._log.event('grant_not_sent', holder=holder)
             return OTHER_SERVER, None
+        except _UnconfirmedError:
+            return UNANSWERED, None
         except http_client.ConnectError as error:
+            self._reached_at_by_lost_holder[holder] = None
             return (REFUSED if error.refused else UNANSWERED), None
         except (http_client.ExchangeError, TimeoutError):
             return UNANSWERED, None
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -18,6 +18,7 @@
 
 IP = '127.0.0.1'
 HOLD_S = 1.0
+REGISTRATION_S = 0.3
 HOLDER = 'i-1/1'
 RANGE = model.KeyRange(0, 99, 'i-1', 1, 1, False, '')
 GRANTED = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
@@ -30,14 +31,18 @@
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
-        server = await asyncio.start_server(self._serve, IP, 0)
-        self.stack.callback(server.close)
-        self.address = model.Address(*server.sockets[0].getsockname())
+        self.server = await asyncio.start_server(self._serve, IP, 0)
+        self.stack.callback(self.server.close)
+        self.address = model.Address(*self.server.sockets[0].getsockname())
         self.pool = connection_pool.Pool(asyncio.get_running_loop().time)
         self.stack.callback(self.pool.close)
         self.has_restarted = mock.AsyncMock(return_value=False)
         self.calls = key_calls.KeyCalls(
-            self.pool, mock.Mock(), self.has_restarted, mock.Mock()
+            self.pool,
+            mock.Mock(),
+            self.has_restarted,
+            mock.Mock(),
+            REGISTRATION_S,
         )
         # The bytes that precede the response to a call, by the number of the
         # call on its connection, from 1.
@@ -140,6 +145,45 @@
         # Keys are taken back from any incarnation.
         self.assertEqual(await self._release(), key_calls.RELEASED)
 
+    async def _refuse_once(self):
+        """Let the target refuse one grant and listen again."""
+        self.assertEqual(await self._grant(), key_calls.GRANTED)
+        self.server.close()
+        self.pool.drop(self.address)
+        self.assertEqual(await self._grant(), key_calls.REFUSED)
+        self.server = await asyncio.start_server(self._serve, *self.address)
+        self.stack.callback(self.server.close)
+
+    async def test_grant_to_a_target_that_is_not_registered_yet(self):
+        """Guards against two incarnations with the same fencing token.
+
+        An owner crashed and refused connections. When it had restarted under
+        its id, a renewal was sent before its new entry was written (found by
+        the soak, seed 105).
+        """
+        await self._refuse_once()
+        arrived = self.arrived
+        self.assertEqual(await self._grant(), key_calls.UNANSWERED)
+        await asyncio.sleep(REGISTRATION_S)
+        self.has_restarted.return_value = True
+        self.assertEqual(await self._grant(), key_calls.OTHER_SERVER)
+        self.assertEqual(self.arrived, arrived)
+
+    async def test_target_that_is_reached_again(self):
+        """Guards against an owner that loses its keys after a short cut."""
+        await self._refuse_once()
+        self.assertEqual(await self._grant(), key_calls.UNANSWERED)
+        self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
+        await asyncio.sleep(REGISTRATION_S)
+        self.has_restarted.return_value = None
+        self.assertEqual(await self._grant(), key_calls.UNANSWERED)
+        self.has_restarted.return_value = False
+        self.assertEqual(await self._grant(), key_calls.GRANTED)
+        # It counts as reached from now on, also without the store.
+        self.pool.drop(self.address)
+        self.has_restarted.return_value = None
+        self.assertEqual(await self._grant(), key_calls.GRANTED)
+
     async def test_restart_is_checked_on_new_connections_only(self):
         # Each check is a call to the store.
         for _ in range(3):
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -96,6 +96,7 @@
             mock.Mock(),
             mock.AsyncMock(return_value=False),
             mock.Mock(),
+            0.0,
         )
         self.result_by_port = {}
         self.sent = []
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -154,6 +154,7 @@
                     )
                 ),
                 self.notices,
+                settings.heartbeat_s,
             ),
             self.targets,
             self.keys,
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -208,6 +208,20 @@
                 self._relay_by_target[instance.target_id]
             )
 
+    async def cut_off_target(self) -> None:
+        """Let a live target refuse connections for a while."""
+        instance = self._random_target()
+        target_relay = self._relay_by_target[instance.target_id]
+        if not target_relay.is_listening:
+            return
+        with self.fault_intervals.record(instance.holder):
+            target_relay.refuse()
+            await asyncio.sleep(0.3 + 4 * self.rng.random())
+            # It may have crashed or left meanwhile.
+            known = self._target_by_id.get(instance.target_id)
+            if known is instance and not target_relay.is_listening:
+                await target_relay.listen()
+
     async def slow_target(self) -> None:
         """Make a target slow for a while."""
         instance = self._random_target()
@@ -347,4 +361,5 @@
             self.restart_router,
             self.suspend_router,
             self.reload_router,
+            self.cut_off_target,
         )
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -43,6 +43,11 @@
             self._accept, self.address.ip, self.address.port
         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server is not None
+
     def refuse(self) -> None:
         """Refuse connections and reset those that are open."""
         if self._server is not None:
