--- a/amaranthcrank/router/crash_checks_test.py
+++ b/amaranthcrank/router/crash_checks_test.py
@@ -16,17 +16,9 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.site = platform_site.Site(self.stack)
-        await self.site.start_store()
-        self.site.put_manifest(
-            platform_site.manifest(
-                1,
-                [
-                    platform_site.route_row(
-                        'post', '/post/', 'desk', 'unsafe'
-                    ),
-                ],
-                [['desk', '/healthz', 100, None]],
-            )
+        await self.site.start(
+            [platform_site.route_row('post', '/post/', 'desk', 'unsafe')],
+            [['desk', '/healthz', 100, None]],
         )
         self.crashed = []
         for number in range(TARGETS):
--- a/amaranthcrank/router/faulty_targets_test.py
+++ b/amaranthcrank/router/faulty_targets_test.py
@@ -79,20 +79,14 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.site = platform_site.Site(self.stack)
-        await self.site.start_store()
-        self.site.put_manifest(
-            platform_site.manifest(
-                1,
-                [
-                    platform_site.route_row(
-                        'post', '/post/', 'desk', 'unsafe'
-                    ),
-                    platform_site.route_row(
-                        'book', '/book/', 'book', 'unsafe', max_attempts=3
-                    ),
-                ],
-                [PLAIN, KEYED],
-            )
+        await self.site.start(
+            [
+                platform_site.route_row('post', '/post/', 'desk', 'unsafe'),
+                platform_site.route_row(
+                    'book', '/book/', 'book', 'unsafe', max_attempts=3
+                ),
+            ],
+            [PLAIN, KEYED],
         )
 
     async def _start(self, service, script):
@@ -177,20 +171,12 @@
         stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(stack.aclose)
         site = platform_site.Site(stack)
-        await site.start_store()
-        site.put_manifest(
-            platform_site.manifest(
-                1,
-                [
-                    platform_site.route_row(
-                        'post', '/post/', 'desk', 'unsafe'
-                    ),
-                    platform_site.route_row(
-                        'files', '/files/', 'files', 'safe'
-                    ),
-                ],
-                [PLAIN, ['files', '/healthz', 100, None]],
-            )
+        await site.start(
+            [
+                platform_site.route_row('post', '/post/', 'desk', 'unsafe'),
+                platform_site.route_row('files', '/files/', 'files', 'safe'),
+            ],
+            [PLAIN, ['files', '/healthz', 100, None]],
         )
         targets = (('desk', _serve_slowly), ('files', _serve_flood))
         for number, (service, serve) in enumerate(targets):
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import re
 import typing
 
@@ -15,14 +14,13 @@
 from amaranthcrank.router import buffer_budget
 from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import model
+from amaranthcrank.router import request_writer
 from amaranthcrank.router import sockets
 
 # No working target sends a larger status line and headers.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 TOO_LONG = 'the answer is too long'
-# Longer requests are handed to the transport in parts of this size.
-WRITE_BYTES = 64 * 1024
 # Interim (1xx) responses, and responses to earlier requests, accepted before
 # the awaited response.
 MAX_SKIPPED_RESPONSES = 16
@@ -148,9 +146,7 @@
         self._sent_request: h11.Request | None = None
         self._response_head: h11.Response | None = None
         self._body: list[bytes] = []
-        # The rest of the request, in parts.
-        self._unsent: collections.deque[memoryview] = collections.deque()
-        self._is_write_paused = False
+        self._writer = request_writer.RequestWriter()
         self._skipped_responses = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -205,7 +201,7 @@
     @property
     def is_request_sent(self) -> bool:
         """Whether all of the request was handed to the transport."""
-        return not self._unsent
+        return self._writer.is_done
 
     @property
     def is_new(self) -> bool:
@@ -215,7 +211,7 @@
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
         self.reusable = False
-        self._unsent.clear()
+        self._writer.discard()
         if self.transport is not None:
             self.transport.abort()
 
@@ -254,7 +250,7 @@
         if self.transport.is_closing():
             # Nothing would ever end the wait.
             self._fail('connection lost before sending', disconnected=True)
-        self._send(parts)
+        self._writer.write(self.transport, parts)
         try:
             return await self._waiter
         except asyncio.CancelledError:
@@ -267,7 +263,7 @@
     def _encode(
         self, request: h11.Request, body: bytes | bytearray
     ) -> list[bytes | bytearray]:
-        """Return the parts of a request; a long body is not copied."""
+        """Return the parts of a request; the body is not copied."""
         events: list[typing.Any] = [request]
         if body:
             events.append(h11.Data(data=body))
@@ -275,37 +271,15 @@
         parts: list[bytes | bytearray] = []
         for event in events:
             parts += self._http.send_with_data_passthrough(event) or ()
-        if sum(len(part) for part in parts) <= WRITE_BYTES:
-            return [b''.join(parts)]
         return parts
 
-    def _send(self, parts: list[bytes | bytearray]) -> None:
-        self._unsent.extend(memoryview(part) for part in parts)
-        self._send_more()
-
-    def _send_more(self) -> None:
-        """Send until the transport is full.
-
-        The transport copies what it cannot send at once.
-        """
-        assert self.transport is not None
-        while self._unsent and not self._is_write_paused:
-            if self.transport.is_closing():
-                self._unsent.clear()
-                return
-            part = self._unsent.popleft()
-            self.transport.write(part[:WRITE_BYTES])
-            if len(part) > WRITE_BYTES:
-                self._unsent.appendleft(part[WRITE_BYTES:])
-
     def pause_writing(self) -> None:
         """Keep the rest of the request until the server has read more."""
-        self._is_write_paused = True
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Send more of the request."""
-        self._is_write_paused = False
-        self._send_more()
+        self._writer.resume()
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -434,7 +408,7 @@
             self.idle_limit_s = min(MAX_IDLE_S, max(0.0, limit_s))
 
     def _prepare_next_request(self) -> None:
-        if self._unsent:
+        if not self._writer.is_done:
             # Answered early; the server expects the rest of the body next.
             self.reusable = False
         try:
--- a/amaranthcrank/router/shutdown_limits_test.py
+++ b/amaranthcrank/router/shutdown_limits_test.py
@@ -38,7 +38,6 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.site = platform_site.Site(self.stack)
-        await self.site.start_store()
         routes = [
             platform_site.route_row(
                 'post', '/post/', 'desk', 'unsafe', timeout_ms=20_000
@@ -51,7 +50,7 @@
             ['desk', '/healthz', 100, None],
             ['book', '/healthz', 100, True],
         ]
-        self.site.put_manifest(platform_site.manifest(1, routes, services))
+        await self.site.start(routes, services)
         self.target = await self.site.add_target('i-1', 'desk')
         self.owner = await self.site.add_target('i-2', 'book', keyed=True)
         self.router = await self.site.add_router('host-1')
--- a/amaranthcrank/router/target_notices_test.py
+++ b/amaranthcrank/router/target_notices_test.py
@@ -125,15 +125,12 @@
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.site = platform_site.Site(self.stack)
-        await self.site.start_store()
         routes = [
             platform_site.route_row('read', '/read/', 'desk'),
             platform_site.route_row('post', '/post/', 'desk', 'unsafe'),
             platform_site.route_row('book', '/book/', 'book', 'unsafe', 0),
         ]
-        self.site.put_manifest(
-            platform_site.manifest(1, routes, [PLAIN, KEYED])
-        )
+        await self.site.start(routes, [PLAIN, KEYED])
         self.first = await self.site.add_target('i-1', 'desk')
         self.second = await self.site.add_target('i-2', 'desk')
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -128,6 +128,15 @@
         self._pool = connection_pool.Pool(loop.time)
         stack.callback(self._pool.close)
 
+    async def start(
+        self,
+        routes: typing.Sequence[typing.Sequence[typing.Any]],
+        services: typing.Sequence[typing.Sequence[typing.Any]],
+    ) -> None:
+        """Start the store with a manifest of these routes and services."""
+        await self.start_store()
+        self.put_manifest(manifest(1, routes, services))
+
     async def start_store(self) -> None:
         """Start the store's server."""
         await self.store.listen(self._store_address)
