Do not let the load of the machine decide three tests

- InvalidResponseTest.test_endless_response: time-out after 20 s for endless trailers.
Its server wrote 11 bytes a call; asyncio logged 40.6 s for this one task (6.4 s on a calm machine).
It writes 300 such lines a call now: the same bytes in a tenth of a second.

--- a/amaranthcrank/router/crash_checks_test.py
+++ b/amaranthcrank/router/crash_checks_test.py
@@ -80,8 +80,12 @@
             self.router.crashes.record_crash(fingerprint, target.entry.holder)
         response = await self._call('/post/9', 'a1')
         self.assertEqual(response.status, 503)
-        for number in range(3 * TARGETS):
-            await self._call('/post/1', f'b{number}')
+        # Which target gets a request is random.
+        number = 0
+        async with asyncio.timeout(8.0):
+            while self.router.crashes.is_blocked(fingerprint):
+                number += 1
+                await self._call('/post/1', f'b{number}')
         response = await self._call('/post/9', 'a2')
         self.assertEqual(response.status, 200)
 
--- a/amaranthcrank/router/http_client_test.py
+++ b/amaranthcrank/router/http_client_test.py
@@ -273,7 +273,8 @@
             (chunked, b'1000\r\n' + line + b'\r\n'),
             (chunked, line),
             (chunked + b'1;', line),
-            (chunked + b'0\r\n', b'x-more: y\r\n'),
+            # Many at once: each write is a call of the system.
+            (chunked + b'0\r\n', b'x-more: y\r\n' * 300),
             (chunked + b'0\r\n', b'x-more: ' + line),
         ):
             with self.subTest(first=first, repeated=repeated[:20]):
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -324,9 +324,14 @@
         Each attempt to renew extended the time for which a crashed owner was
         taken to hold its keys, though nothing was sent.
         """
-        waited_s = await self._wait_for_move_after_loss(key_calls.REFUSED)
-        expiry_s = HOLD_S * key_calls.CLOCK_RATE_FACTOR + key_calls.MARGIN_S
-        self.assertLess(waited_s, expiry_s + 0.3)
+        self._start()
+        await self._wait(self._is_assigned)
+        await self._wait(lambda: len(self.calls.grants_to(1)) > 1)
+        refused = mock.AsyncMock(return_value=(key_calls.REFUSED, None))
+        held_until = self.calls.held_until('i-1/1')
+        with mock.patch.object(self.calls, '_post', refused):
+            await self._wait(lambda: refused.await_count > 5)
+        self.assertEqual(self.calls.held_until('i-1/1'), held_until)
 
     async def test_owner_that_is_reached_again_keeps_its_keys(self):
         """Guards against moves, and cold keys, after a short cut."""
