Check a target that resets when it is full only once in a while

Cause: each check after a reset opened a connection and kept it, also to targets that reset because they are full, again and again.

Change: a target that was found to listen is not checked again for 2 s, and the connection is closed. A refusal is reported as before.

Test: test_target_that_resets_but_still_listens demands one connection for five resets, and none kept (before: five, one kept).

--- a/amaranthcrank/router/crash_checks.py
+++ b/amaranthcrank/router/crash_checks.py
@@ -14,6 +14,9 @@
 # A process that crashes may close its connections before its listening socket.
 CHECK_DELAY_S = 0.1
 CONNECT_TIMEOUT_S = 0.25
+# A target that listens has reset the connection because it is full. It is not
+# checked again for this time, as each check costs it a connection.
+RECHECK_INTERVAL_S = 2.0
 
 
 class CrashChecks:
@@ -27,7 +30,7 @@
         """Create the checks.
 
         Args:
-          pool: Keeps the connections that are opened.
+          pool: Opens the connections.
           on_refused: Called with each target that refused to connect.
         """
         self._pool = pool
@@ -35,7 +38,7 @@
         self._task_by_holder: dict[str, asyncio.Task[None]] = {}
 
     def start(self, target: target_state.Target) -> None:
-        """Check a target soon, unless a check of it is in progress."""
+        """Check a target soon, unless it was checked a short while ago."""
         holder = target.entry.holder
         if holder in self._task_by_holder:
             return
@@ -52,4 +55,5 @@
             if error.refused:
                 self._on_refused(target)
             return
-        self._pool.release(address, connection)
+        connection.abort()
+        await asyncio.sleep(RECHECK_INTERVAL_S)
--- a/amaranthcrank/router/crash_checks_test.py
+++ b/amaranthcrank/router/crash_checks_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from amaranthcrank.router import crash_reports
 from standins import platform_site
@@ -62,16 +63,25 @@
         self.assertEqual(response.status, 200)
 
     async def test_target_that_resets_but_still_listens(self):
-        """Guards against a crash report on a target that is only full."""
+        """Guards against a crash report on a target that is only full.
+
+        Each check costs a full target a connection, so there is one in a
+        while, and its connection is not kept.
+        """
         target = self.site.target_by_id['i-0']
         record = self.router.targets.by_id['i-0']
         fingerprint = crash_reports.fingerprint(b'POST', b'/post/1', b'')
-        record.record_reset(fingerprint, asyncio.get_running_loop().time())
-        self.router.sender._checks.start(record)
-        await asyncio.sleep(0.3)
+        pool = self.router.pool
+        with mock.patch.object(pool, 'acquire', wraps=pool.acquire) as acquire:
+            for _ in range(5):
+                now = asyncio.get_running_loop().time()
+                record.record_reset(fingerprint, now)
+                self.router.sender._checks.start(record)
+                await asyncio.sleep(0.15)
+        addresses = [call.args[0] for call in acquire.call_args_list]
         self.assertEqual(self.router.crashes.count(fingerprint), 0)
-        # The connection that the check opened is kept for requests.
-        self.assertEqual(len(target.server.connections), 1)
+        self.assertEqual(len(target.server.connections), 0)
+        self.assertEqual(addresses.count(record.entry.address), 1)
 
     async def test_report_is_withdrawn_when_the_target_answers(self):
         """Guards against blocking requests after a short cut."""
