Remember that an owner has restarted

What callers would see: keys held by a restarted target with the fencing token of its former life.

Ruled out: the wait for the registration of an owner that was out of reach (the entry was there, and this controller had not found it out of reach).

Change: a holder whose later incarnation was seen is never granted keys again, and its entry is not read again.

Test: test_restart_that_was_known_before (failed before: granted).

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -101,6 +101,8 @@
         self._registration_s = registration_s
         # Holders that could not be reached, and since when they are again.
         self._reached_at_by_lost_holder: dict[str, float | None] = {}
+        # Holders whose later incarnation is known.
+        self._restarted: set[str] = set()
         self._notices = notices
 
     def assume_prior_grants(self, grant_max_s: float) -> None:
@@ -212,6 +214,9 @@
             was reached all the time is not suspected, so that owners keep
             their keys while the store is unavailable.
         """
+        if holder in self._restarted:
+            # A later read of the entry may fail.
+            raise _RestartedError
         is_lost = holder in self._reached_at_by_lost_holder
         if is_lost:
             now = clock.now()
@@ -222,6 +227,7 @@
                 raise _UnconfirmedError
         has_restarted = await self._has_restarted(holder)
         if has_restarted:
+            self._restarted.add(holder)
             raise _RestartedError
         if is_lost and has_restarted is None:
             raise _UnconfirmedError
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -184,6 +184,18 @@
         self.has_restarted.return_value = None
         self.assertEqual(await self._grant(), key_calls.GRANTED)
 
+    async def test_restart_that_was_known_before(self):
+        """Guards against two incarnations with the same fencing token.
+
+        A new controller read that an owner had restarted. Its next read got
+        no answer, and the renewal was sent (found by the soak, seed 304).
+        """
+        self.has_restarted.return_value = True
+        self.assertEqual(await self._grant(), key_calls.OTHER_SERVER)
+        self.has_restarted.return_value = None
+        self.assertEqual(await self._grant(), key_calls.OTHER_SERVER)
+        self.assertEqual(self.arrived, 0)
+
     async def test_restart_is_checked_on_new_connections_only(self):
         # Each check is a call to the store.
         for _ in range(3):
