--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from amaranthcrank.router import admission
+from amaranthcrank.router import demand
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
@@ -12,6 +13,7 @@
 from amaranthcrank.router import service_times
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
+from amaranthcrank.router import target_selection
 from amaranthcrank.router import wait_order
 from standins import virtual_time
 
@@ -61,10 +63,9 @@
 
     async def _acquire(self, rank=1, key=None, goal_s=0.5, deadline_s=2.0):
         return await self.admission.acquire(
-            'desk',
-            self._priority(rank, goal_s, deadline_s),
-            key,
-            frozenset(),
+            demand.Demand(
+                'desk', self._priority(rank, goal_s, deadline_s), key
+            )
         )
 
     async def _tick(self):
@@ -127,7 +128,7 @@
         waiting = [asyncio.create_task(self._acquire()) for _ in range(6)]
         await asyncio.sleep(0.01)
         began_at = self.now()
-        with self.assertRaises(admission.RefusedError):
+        with self.assertRaises(demand.RefusedError):
             await self._acquire()
         self.assertLess(self.now() - began_at, 0.05)
         for task in waiting:
@@ -267,7 +268,7 @@
     async def test_unreachable_owner_is_refused_at_once(self):
         # This host cannot reach an owner that other hosts can reach.
         self.owner.record_unreachable(self.now(), silent=True)
-        with self.assertRaises(admission.RefusedError):
+        with self.assertRaises(demand.RefusedError):
             await self._acquire(key=5)
 
     async def test_queue_of_a_busy_key_is_bounded(self):
@@ -277,7 +278,7 @@
         self.owner.waiting_elsewhere = 40
         self.times.record('desk', 'r', 0.3)
         began_at = self.now()
-        with self.assertRaises(admission.RefusedError):
+        with self.assertRaises(demand.RefusedError):
             await self._acquire(2, key=5)
         self.assertLess(self.now() - began_at, 0.05)
 
@@ -289,12 +290,14 @@
         """
         for drain_s in (2.0, 3.0):
             used_s = drain_s * target_feed.BATCH_DRAIN_SHARE
-            used_s += drain_s * admission.DRAINING_SEND_SHARE
+            used_s += drain_s * target_selection.DRAINING_SEND_SHARE
             used_s += sender.CONNECT_TIMEOUT_S
             self.assertLessEqual(used_s + BUSY_LINK_S, drain_s)
 
     async def test_owner_past_its_drain_time_gets_nothing(self):
-        send_window_s = admission.DRAINING_SEND_SHARE * self.targets.drain_s
+        send_window_s = (
+            target_selection.DRAINING_SEND_SHARE * self.targets.drain_s
+        )
         self.owner.draining_since = self.now() - send_window_s - 0.1
         task = asyncio.create_task(self._acquire(key=5))
         await asyncio.sleep(0.02)
--- a/amaranthcrank/router/faulty_targets_test.py
+++ b/amaranthcrank/router/faulty_targets_test.py
@@ -105,7 +105,7 @@
 
     async def _wait_for_owner(self, key):
         async with asyncio.timeout(8.0):
-            while self.router.admission.owner('book', key) is None:
+            while self.router.admission.selection.owner('book', key) is None:
                 await asyncio.sleep(0.02)
 
     async def test_stale_refusal_without_an_id(self):
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -9,6 +9,7 @@
 from amaranthcrank.router import admission
 from amaranthcrank.router import call as calls
 from amaranthcrank.router import crash_reports
+from amaranthcrank.router import demand
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
@@ -165,12 +166,12 @@
         while True:
             try:
                 attempt = await self._attempt(call, progress)
-            except admission.RefusedError as error:
+            except demand.RefusedError as error:
                 return self._reply_unserved(call, progress, error)
             if not attempt.reason and attempt.response is not None:
                 return self._pass_through(call, attempt.response, progress)
             if not self._may_retry(call, attempt, progress):
-                error = admission.RefusedError(
+                error = demand.RefusedError(
                     attempt.reason, FAILED_RETRY_AFTER_S
                 )
                 return self._reply_unserved(call, progress, error)
@@ -185,7 +186,7 @@
         """Wait for a target and send the request to it.
 
         Raises:
-          admission.RefusedError: No target will be free in time.
+          demand.RefusedError: No target will be free in time.
         """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
@@ -218,7 +219,7 @@
             call.route.rank, call.goal_at, call.deadline_at
         )
         return await self._admission.acquire(
-            call.service, priority, call.key, excluded
+            demand.Demand(call.service, priority, call.key, excluded)
         )
 
     def _may_retry(
@@ -264,7 +265,7 @@
         self,
         call: calls.Call,
         progress: calls.Progress,
-        error: admission.RefusedError,
+        error: demand.RefusedError,
     ) -> http_server.Response:
         """Return the response to a request that no target answered."""
         now = asyncio.get_running_loop().time()
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -362,7 +362,7 @@
                 in_domain if usage is None else usage.in_flight
             )
             target.waiting_elsewhere = 0 if usage is None else usage.waiting
-        self._admission.domain_hosts = max(
+        self._admission.selection.domain_hosts = max(
             MIN_DOMAIN_HOSTS, self.domain_load.hosts
         )
 
--- a/amaranthcrank/router/host_reports_test.py
+++ b/amaranthcrank/router/host_reports_test.py
@@ -46,7 +46,9 @@
             record_resignation=lambda: None,
         )
         request_queue = types.SimpleNamespace(
-            assign_waiting=self.assigned_services.append, waiting_by_owner=dict
+            assign_waiting=self.assigned_services.append,
+            waiting_by_owner=dict,
+            selection=types.SimpleNamespace(domain_hosts=2),
         )
         reports = host_reports.HostReports(
             messenger,
@@ -177,6 +179,5 @@
         self.second._report_owner_usage(self.now)
         self.deliver(self.first, 'h-2')
         self.deliver(self.second, 'h-1')
-        self.second._admission.domain_hosts = 2
         self.second.apply_load()
         self.assertEqual(target.in_flight_elsewhere, 2)
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -28,6 +28,7 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import metrics
 from amaranthcrank.router import model
+from amaranthcrank.router import options
 from amaranthcrank.router import outage_grace
 from amaranthcrank.router import peers
 from amaranthcrank.router import reader_election
@@ -68,10 +69,12 @@
         settings: model.HostSettings,
         path: str,
         log_descriptor: int = STANDARD_OUTPUT,
+        process_options: options.Options = options.Options(),
     ) -> None:
         """Create the parts without opening sockets."""
         clock = asyncio.get_running_loop().time
         self.settings = settings
+        self.options = process_options
         self.settings_path = path
         self.stopping = asyncio.Event()
         self.log = event_log.EventLog(settings.host_id, log_descriptor)
@@ -454,9 +457,12 @@
             self.metrics.set_gauge(name, value)
 
 
-async def _main(settings: model.HostSettings, path: str) -> None:
+async def _main(
+    settings: model.HostSettings, path: str, process_options: options.Options
+) -> None:
     async with contextlib.AsyncExitStack() as stack:
-        await Router(settings, path).run(stack)
+        router = Router(settings, path, STANDARD_OUTPUT, process_options)
+        await router.run(stack)
 
 
 def main() -> int:
@@ -464,6 +470,7 @@
     # Without a handler SIGHUP would end the process. A reload that is ignored
     # here is not lost, because the settings are read below.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    process_options = options.parse(sys.argv[1:])
     path = os.environ.get(names.SETTINGS_VARIABLE, '')
     try:
         with open(path, encoding='utf-8') as file:
@@ -471,7 +478,7 @@
     except (OSError, settings_file.SettingsError) as error:
         print(f'cannot use the settings file {path!r}: {error}', flush=True)
         return EXIT_BAD_SETTINGS
-    asyncio.run(_main(settings, path))
+    asyncio.run(_main(settings, path, process_options))
     return 0
 
 
--- a/amaranthcrank/router/shutdown_limits_test.py
+++ b/amaranthcrank/router/shutdown_limits_test.py
@@ -55,7 +55,7 @@
         self.owner = await self.site.add_target('i-2', 'book', keyed=True)
         self.router = await self.site.add_router('host-1')
         async with asyncio.timeout(8.0):
-            while self.router.admission.owner('book', 5) is None:
+            while self.router.admission.selection.owner('book', 5) is None:
                 await asyncio.sleep(0.02)
 
     async def _connect(self):
--- a/amaranthcrank/router/target_notices_test.py
+++ b/amaranthcrank/router/target_notices_test.py
@@ -194,7 +194,7 @@
         self.assertIn('a2', rest.ran)
 
     def _owner(self, router, key):
-        target = router.admission.owner('book', key)
+        target = router.admission.selection.owner('book', key)
         return '' if target is None else target.entry.target_id
 
     async def test_hold_off_is_kept(self):
--- /dev/null
+++ b/amaranthcrank/router/target_selection.py
@@ -0,0 +1,206 @@
+"""Selects the target of a request from the targets that may serve it."""
+
+import typing
+
+from amaranthcrank.router import demand as demands
+from amaranthcrank.router import directory
+from amaranthcrank.router import key_table
+from amaranthcrank.router import target_choice
+from amaranthcrank.router import target_state
+
+# A draining owner is still sent requests for this fraction of the drain time,
+# because its keys have not moved yet. The rest allows for the delay until the
+# drain is known to the host and for the transit time of the request.
+DRAINING_SEND_SHARE = 0.25
+# Number of hosts assumed to share a target of another failure domain, to which
+# all hosts may send.
+HOSTS_PER_REMOTE_TARGET = 64
+# Fraction of its response-time goal that a request waits for nearer capacity
+# before it may use a target of its own failure domain (no wait), of another
+# one in the region, and of another region.
+SPILLOVER_SHARE_BY_DISTANCE = (0.0, 0.15, 0.6)
+
+
+class SelectionPass(typing.NamedTuple):
+    """Values that stay the same during one assignment pass over a queue.
+
+    Attributes:
+      service_s: The typical service time of the service.
+      now: The event loop's time.
+      waiting_by_owner: Number of requests that wait at this host, by the id
+        of the owner of their key.
+    """
+
+    service_s: float
+    now: float
+    waiting_by_owner: dict[str, int]
+
+
+class TargetSelection:
+    """Knows which targets may serve a request, and chooses one.
+
+    Attributes:
+      domain_hosts: Number of hosts that share the targets of this failure
+        domain.
+    """
+
+    def __init__(
+        self,
+        targets: directory.Directory,
+        keys: key_table.KeyTable,
+        locality: target_choice.Locality,
+        random: typing.Callable[[], float],
+    ) -> None:
+        """Use the known targets.
+
+        Args:
+          targets: The known targets.
+          keys: The owners of keys.
+          locality: This host's failure domain and region.
+          random: Returns floats from 0 to below 1.
+        """
+        self.domain_hosts = 2
+        self._targets = targets
+        self._keys = keys
+        self._locality = locality
+        self._random = random
+
+    def owner(self, service: str, key: int) -> target_state.Target | None:
+        """Return the target that holds a key, or None while there is none."""
+        key_range = self._keys.find(service, key)
+        if key_range is None or key_range.moving:
+            return None
+        return self._targets.find(key_range.target_id, key_range.incarnation)
+
+    def is_allowed(
+        self, target: target_state.Target, demand: demands.Demand
+    ) -> bool:
+        """Return whether a target may serve a request at all."""
+        entry = target.entry
+        if entry.target_id in demand.excluded:
+            return False
+        if not demand.regions:
+            return True
+        region = self._locality.region_by_domain.get(entry.failure_domain)
+        return region in demand.regions
+
+    def allowed(self, demand: demands.Demand) -> list[target_state.Target]:
+        """Return the ready targets that may serve a request without key."""
+        return [
+            target
+            for target in self._targets.ready(demand.service)
+            if self.is_allowed(target, demand)
+        ]
+
+    def concurrency(self, demand: demands.Demand, now: float) -> int:
+        """Return how many requests this host may have in flight at once."""
+        concurrency = 0
+        for target in self.allowed(demand):
+            if target.is_paused(now):
+                continue
+            if self._distance(target) == 0:
+                concurrency += target_choice.per_host_limit(
+                    target.entry.slots, self.domain_hosts
+                )
+                continue
+            concurrency += 1
+        return concurrency
+
+    def held_off_until(self, demand: demands.Demand) -> float:
+        """Return until when no allowed target wants requests."""
+        if not self._targets.any_held_off:
+            return 0.0
+        if demand.key is not None:
+            target = self.owner(demand.service, demand.key)
+            return 0.0 if target is None else target.held_off_until
+        return min(
+            (target.held_off_until for target in self.allowed(demand)),
+            default=0.0,
+        )
+
+    def choose(
+        self,
+        selection_pass: SelectionPass,
+        demand: demands.Demand,
+        queued_at: float,
+    ) -> target_state.Target | None:
+        """Return a target with capacity for a request, or None.
+
+        Args:
+          selection_pass: The values of the assignment pass.
+          demand: What the request asks for.
+          queued_at: When it was queued, in event loop time.
+        """
+        if demand.key is not None:
+            return self._owner_with_capacity(
+                selection_pass, demand, demand.key
+            )
+        now = selection_pass.now
+        targets = self.allowed(demand)
+        waited_s = now - queued_at
+        goal_s = demand.priority.goal_at - queued_at
+        for distance, share in enumerate(SPILLOVER_SHARE_BY_DISTANCE):
+            candidates = [
+                target
+                for target in targets
+                if self._distance(target) == distance
+            ]
+            hosts = (
+                self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET
+            )
+            if (
+                distance
+                and waited_s < share * goal_s
+                and self._has_nearer_target(targets, distance, now)
+            ):
+                return None
+            chosen = target_choice.choose(
+                candidates, selection_pass.service_s, now, hosts, self._random
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _has_nearer_target(
+        self, targets: list[target_state.Target], distance: int, now: float
+    ) -> bool:
+        """Return whether a nearer target is not paused."""
+        for target in targets:
+            if self._distance(target) < distance:
+                if not target.is_paused(now):
+                    return True
+        return False
+
+    def _owner_with_capacity(
+        self,
+        selection_pass: SelectionPass,
+        demand: demands.Demand,
+        key: int,
+    ) -> target_state.Target | None:
+        """Return the owner of a key if it has capacity."""
+        now = selection_pass.now
+        target = self.owner(demand.service, key)
+        if target is None:
+            return None
+        draining_since = target.draining_since
+        send_window_s = DRAINING_SEND_SHARE * self._targets.drain_s
+        if draining_since is not None and now > draining_since + send_window_s:
+            return None
+        rank = demand.priority.rank
+        interval_s = target_choice.owner_interval_s(
+            target,
+            selection_pass.service_s,
+            selection_pass.waiting_by_owner.get(target.entry.target_id, 0),
+        )
+        if not target_choice.owner_has_capacity(
+            target, now, rank, interval_s, self.domain_hosts, self._random
+        ):
+            return None
+        if rank and target_choice.is_contended(target, self.domain_hosts):
+            target.pacer.take_turn(now, interval_s, self._random)
+        return target
+
+    def _distance(self, target: target_state.Target) -> int:
+        return target_choice.distance(
+            self._locality, target.entry.failure_domain
+        )
