--- a/amaranthcrank/router/demand.py
+++ b/amaranthcrank/router/demand.py
@@ -4,8 +4,6 @@
 
 from amaranthcrank.router import wait_order
 
-ANY_REGION: frozenset[str] = frozenset()
-
 
 class Demand(typing.NamedTuple):
     """A request for a slot of a target.
@@ -15,14 +13,14 @@
       priority: Determines its position in the queue.
       key: Its key, or None for a service without keys.
       excluded: Ids of the targets that it was already sent to.
-      regions: The regions that may serve it; ANY_REGION if all may.
+      regions: The regions that may serve it; None if all may.
     """
 
     service: str
     priority: wait_order.Priority
     key: int | None = None
     excluded: frozenset[str] = frozenset()
-    regions: frozenset[str] = ANY_REGION
+    regions: frozenset[str] | None = None
 
 
 class RefusedError(Exception):
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -79,7 +79,7 @@
         entry = target.entry
         if entry.target_id in demand.excluded:
             return False
-        if not demand.regions:
+        if demand.regions is None:
             return True
         region = self._locality.region_by_domain.get(entry.failure_domain)
         return region in demand.regions
