List the targets and shared objects at a start with stale reads

Change: the first lists are serializable reads, which cost a tenth. They may be seconds old; a watch from the lowest revision of the pages follows at once and brings what is missing. Later lists, tickets, key maps of the controller and the lease are read as before. Result: tests of store, store_sync and shared_feed pass.

--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -111,9 +111,17 @@
         self._address = address
         self._host = f'{address.ip}:{address.port}'.encode()
 
-    async def list_all(self, kind: str, timeout_s: float) -> Listing:
+    async def list_all(
+        self, kind: str, timeout_s: float, allow_stale: bool = False
+    ) -> Listing:
         """List all objects of a kind, page by page.
 
+        Args:
+          kind: The kind.
+          timeout_s: The time limit of each call.
+          allow_stale: Whether the pages may be seconds old, which costs a
+            tenth. A watch from the listing's revision brings what is missing.
+
         Raises:
           StoreError: The store did not answer or refused the call.
         """
@@ -121,11 +129,12 @@
         revision = 0
         after = ''
         while True:
-            query = f'?after={_quote(after)}' if after else ''
+            query = _list_query(after, allow_stale)
             _, body = await self._request('GET', kind + query, None, timeout_s)
-            # A watch from the revision of the first page includes changes
-            # made while later pages were read.
-            revision = revision or _revision(body)
+            # A watch from the lowest revision of a page includes changes made
+            # while the other pages were read.
+            page_revision = _revision(body)
+            revision = min(revision or page_revision, page_revision)
             items = _list_field(body, 'items')
             last_before = after
             for item in items:
@@ -323,6 +332,15 @@
     return value
 
 
+def _list_query(after: str, allow_stale: bool) -> str:
+    fields = []
+    if after:
+        fields.append(f'after={_quote(after)}')
+    if allow_stale:
+        fields.append('serializable=1')
+    return '?' + '&'.join(fields) if fields else ''
+
+
 def _raw_name_of(item: typing.Any) -> str:
     try:
         name = item['metadata']['name']
--- a/amaranthcrank/router/shared_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -59,13 +59,17 @@
         """Follow key maps and the other hosts until cancelled.
 
         Each read lists the complete state: a watch would transfer every
-        version of a map that changes every second.
+        version of a map that changes every second. The first list may be
+        stale, as heartbeats name the newest revisions soon after.
         """
+        allow_stale = True
         reachability = store_sync.Reachability(names.SHARED_KIND, self._log)
         while True:
             try:
                 listing = await self._client.list_all(
-                    names.SHARED_KIND, store_sync.CALL_TIMEOUT_S
+                    names.SHARED_KIND,
+                    store_sync.CALL_TIMEOUT_S,
+                    allow_stale,
                 )
             except (
                 store.StoreError,
@@ -76,6 +80,7 @@
                 reachability.record_failure(str(error), silent)
                 await self._backoff.wait()
                 continue
+            allow_stale = False
             reachability.record_answer()
             self._backoff.reset()
             for name, item in listing.item_by_name.items():
--- a/amaranthcrank/router/shared_feed_test.py
+++ b/amaranthcrank/router/shared_feed_test.py
@@ -25,9 +25,11 @@
     def __init__(self):
         self.is_unavailable = False
         self.calls = 0
+        self.stale_calls = 0
 
-    async def list_all(self, kind, timeout_s):
+    async def list_all(self, kind, timeout_s, allow_stale):
         self.calls += 1
+        self.stale_calls += allow_stale
         if self.is_unavailable:
             raise store.StoreError('unreachable')
         part = model.KeyRange(0, 65535, 'i-1', 1, 1, False, '')
--- a/amaranthcrank/router/store_sync.py
+++ b/amaranthcrank/router/store_sync.py
@@ -207,6 +207,7 @@
         election: reader_election.ReaderElection,
         pause: Pause,
         retry_gate: RetryGate,
+        stale_start: bool = False,
     ) -> None:
         """Set up a follower of one kind.
 
@@ -220,8 +221,11 @@
           pause: Awaited after each successful read, with whether there were
             changes.
           retry_gate: Awaited before each retry of a failed read.
+          stale_start: Whether the first list may be seconds old, which costs
+            less; the watch that follows at once brings what is missing.
         """
         self.revision: int | None = None
+        self._allow_stale = stale_start
         self.election = election
         self._client = client
         self._kind = kind
@@ -308,7 +312,10 @@
         return bool(changes)
 
     async def _read_list(self) -> None:
-        listing = await self._client.list_all(self._kind, CALL_TIMEOUT_S)
+        listing = await self._client.list_all(
+            self._kind, CALL_TIMEOUT_S, self._allow_stale
+        )
+        self._allow_stale = False
         self._reachability.record_answer()
         self._must_list = False
         self._is_new = True
--- a/amaranthcrank/router/store_sync_test.py
+++ b/amaranthcrank/router/store_sync_test.py
@@ -20,9 +20,11 @@
     def __init__(self):
         self.is_unavailable = True
         self.calls_by_kind = {}
+        self.allowed_stale = []
 
-    async def list_all(self, kind, timeout_s):
+    async def list_all(self, kind, timeout_s, allow_stale):
         await self._count(kind)
+        self.allowed_stale.append(allow_stale)
         return store.Listing({}, 1)
 
     async def watch(self, kind, revision, wait_s, timeout_s):
@@ -88,6 +90,32 @@
         self.assertGreaterEqual(waited_s, store_sync.MAX_GATE_S - 0.01)
 
 
+class StaleStartTest(unittest.IsolatedAsyncioTestCase):
+    """All hosts of a fleet list the targets when they start."""
+
+    async def test_only_the_first_list_may_be_stale(self):
+        # A later list replaces what a broken watch has missed, and a stale
+        # one could bring back targets that are gone.
+        client = _Client()
+        client.is_unavailable = False
+        follower = store_sync.Follower(
+            client,
+            'any',
+            store_sync.Sink(lambda *read: None, lambda *read: None),
+            store_sync.Reachability('any', _Log()),
+            _Log(),
+            reader_election.ReaderElection(
+                'h-1', lambda: 1, time.monotonic, lambda: 0.0
+            ),
+            store_sync.pause_after_changes(lambda: 0.0),
+            store_sync.no_gate,
+            stale_start=True,
+        )
+        await follower._read_list()
+        await follower._read_list()
+        self.assertEqual(client.allowed_stale, [True, False])
+
+
 class ReachabilityTest(unittest.TestCase):
     """The time of unreachability decides whether entries may have expired."""
 
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -78,6 +78,7 @@
             election,
             store_sync.pause_after_changes(self._batch_s),
             retry_gate,
+            stale_start=True,
         )
         self._reachability.on_unreachable.append(self._on_unreachable)
         self._catch_up = catch_up.CatchUp(
