Limit the targets of a route to its allowed regions

The routes of the configuration may name the regions whose targets serve them. Each host filters the targets of a request by the regions of its route at its arrival and in the newest ticket, for first attempts, retries, spillover and owners of keys. A request without an allowed target that is ready and reachable is refused at once. The controller assigns the keys of a service only to the union of the regions of its routes, if all of them are limited.

Requests that wait for one region no longer count in the expected wait of requests that may use others.

--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -103,9 +103,16 @@
         typer.echo(
             f'{route.name} {route.host}{route.prefix} {kind} rank '
             f'{route.rank} timeout {route.timeout_s:g} s to {parts}'
+            f'{_regions_text(route)}'
         )
 
 
+def _regions_text(route: model.Route) -> str:
+    if route.allowed_regions is None:
+        return ''
+    return f' in {" ".join(sorted(route.allowed_regions))}'
+
+
 def explain(
     request_id: typing.Annotated[
         str, typer.Argument(help='Id of the request.')
--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -133,6 +133,34 @@
         )
         self.assertTrue(ticket.service_by_name['s'].keyed)
 
+    def _decode_regions(self, value):
+        row = platform_site.route_row('r', '/a/', 's')
+        row[platform_site.ROUTE_COLUMNS.index('allowedRegions')] = value
+        spec = platform_site.manifest(1, [row], [['s', '/healthz', 110, None]])
+        return manifest.decode(spec).routes[0].allowed_regions
+
+    def test_allowed_regions(self):
+        self.assertEqual(
+            self._decode_regions(['south', 'west', 'south']),
+            frozenset({'south', 'west'}),
+        )
+        for value in (None, []):
+            self.assertIsNone(self._decode_regions(value))
+
+    def test_routes_without_the_column(self):
+        spec = platform_site.manifest(
+            1, [platform_site.route_row('r', '/a/', 's')[:9]], []
+        )
+        spec['routes']['columns'] = platform_site.ROUTE_COLUMNS[:9]
+        self.assertIsNone(manifest.decode(spec).routes[0].allowed_regions)
+
+    def test_malformed_regions(self):
+        """Guards against a limit that is read as no limit, or as letters."""
+        for value in ('south', '', 0, False, 7, {}, ['south', None], [['a']]):
+            with self.subTest(value=value):
+                with self.assertRaises(manifest.ManifestError):
+                    self._decode_regions(value)
+
     def test_malformed_manifest(self):
         for spec in (None, {}, {'version': 3}, {'version': 'r1'}):
             with self.assertRaises(manifest.ManifestError):
--- a/amaranthcrank/platform/manifest.py
+++ b/amaranthcrank/platform/manifest.py
@@ -95,9 +95,21 @@
         rank=int(row.get('priority', 0)),
         max_attempts=int(row.get('maxAttempts', 1)),
         weighted_services=tuple(parts),
+        allowed_regions=_regions(row),
     )
 
 
+def _regions(row: _Row) -> frozenset[str] | None:
+    """Return the regions that may serve a route, or None if all may."""
+    value = row.get('allowedRegions', [])
+    if not isinstance(value, list):
+        raise TypeError('allowedRegions is not a list')
+    for region in value:
+        if not isinstance(region, str):
+            raise TypeError('allowedRegions has an entry that is not a text')
+    return frozenset(value) or None
+
+
 def _text(row: _Row, field: str) -> str:
     value = row[field]
     if not isinstance(value, str):
--- a/amaranthcrank/router/admission.py
+++ b/amaranthcrank/router/admission.py
@@ -7,6 +7,7 @@
 from amaranthcrank.router import demand as demands
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_table
+from amaranthcrank.router import model
 from amaranthcrank.router import service_times
 from amaranthcrank.router import shutdown_limits
 from amaranthcrank.router import target_choice
@@ -121,6 +122,25 @@
         self._shutdown = limits
         self.assign_all_waiting()
 
+    def limit_regions(
+        self, regions: typing.Callable[[model.Route], demands.Regions]
+    ) -> None:
+        """Limit waiting requests to the regions of a new ticket as well.
+
+        Args:
+          regions: Returns the regions of a route of an older ticket.
+        """
+        for queue in self._waiting_by_service.values():
+            for waiter in queue:
+                route = waiter.demand.route
+                if route is None:
+                    continue
+                limit = demands.intersect(
+                    waiter.demand.regions, regions(route)
+                )
+                waiter.demand = waiter.demand._replace(regions=limit)
+        self.assign_all_waiting()
+
     def assign_all_waiting(self) -> None:
         """Assign waiting requests of all services to targets."""
         for service in list(self._waiting_by_service):
@@ -213,7 +233,12 @@
         return admission_checks.QueueState(
             self._clock(),
             self._times.of_service(demand.service),
-            [waiter.demand.priority for waiter in waiters],
+            len(waiters),
+            [
+                waiter.demand.priority
+                for waiter in waiters
+                if demands.may_compete(demand.regions, waiter.demand.regions)
+            ],
             {} if demand.key is None else self.waiting_by_owner(),
         )
 
--- a/amaranthcrank/router/admission_checks.py
+++ b/amaranthcrank/router/admission_checks.py
@@ -16,6 +16,9 @@
 # Basis of Retry-After if the owner cannot be reached from this host: another
 # host may be able to reach it.
 UNREACHABLE_RETRY_AFTER_S = 0.15
+# Basis of Retry-After if no target may serve the request. Other hosts know the
+# same targets, and a start of a target or a move of keys takes seconds.
+NO_TARGET_RETRY_AFTER_S = 1.0
 # Basis of Retry-After while this host shuts down: other hosts serve.
 SHUTDOWN_RETRY_AFTER_S = 0.1
 
@@ -26,13 +29,15 @@
     Attributes:
       now: The event loop's time.
       service_s: The typical service time.
-      waiting: The priorities of the waiting requests.
+      total: Number of waiting requests.
+      waiting: The priorities of those that may use the same targets.
       waiting_by_owner: Number of waiting requests of all services, by the id
         of the owner of their key.
     """
 
     now: float
     service_s: float
+    total: int
     waiting: typing.Sequence[wait_order.Priority]
     waiting_by_owner: typing.Mapping[str, int]
 
@@ -58,7 +63,7 @@
     service_s = queue.service_s
     if now + service_s * 0.5 > demand.priority.deadline_at:
         raise demands.RefusedError('too little time left', service_s)
-    if len(queue.waiting) >= MAX_WAITING:
+    if queue.total >= MAX_WAITING:
         raise demands.RefusedError('too many waiting', service_s)
     if demand.key is not None:
         _check_owner(selection, demand, demand.key, queue, timeout_at)
@@ -79,7 +84,7 @@
     """Return why a request cannot be sent before its timeout, or None.
 
     This may become known while the request waits: the host shuts down, or the
-    targets that may serve it want no requests for a time.
+    targets that may serve it are gone or want no requests for a time.
 
     Args:
       selection: Knows the targets that may serve the request.
@@ -97,6 +102,10 @@
             return demands.RefusedError(
                 'the host stops', SHUTDOWN_RETRY_AFTER_S
             )
+    if not selection.is_servable(demand, now):
+        return demands.RefusedError(
+            'no target may serve the request', NO_TARGET_RETRY_AFTER_S
+        )
     held_off_until = selection.held_off_until(demand)
     if held_off_until > max(now, timeout_at):
         return demands.RefusedError(
--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -61,10 +61,24 @@
         now = self.now()
         return wait_order.Priority(rank, now + goal_s, now + deadline_s)
 
-    async def _acquire(self, rank=1, key=None, goal_s=0.5, deadline_s=2.0):
+    async def _acquire(
+        self,
+        rank=1,
+        key=None,
+        goal_s=0.5,
+        deadline_s=2.0,
+        regions=None,
+        route=None,
+        excluded=frozenset(),
+    ):
         return await self.admission.acquire(
             demand.Demand(
-                'desk', self._priority(rank, goal_s, deadline_s), key
+                'desk',
+                self._priority(rank, goal_s, deadline_s),
+                key,
+                excluded,
+                regions,
+                route,
             )
         )
 
@@ -203,6 +217,130 @@
         self.assertEqual(names, {'healthy'})
 
 
+class RegionTest(_AdmissionTest):
+    """A request must not reach a target outside the regions of its route."""
+
+    NORTH = frozenset({'n'})
+    SOUTH = frozenset({'s'})
+
+    async def _refused_at_once(self, **fields):
+        began_at = self.now()
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(**fields)
+        self.assertLess(self.now() - began_at, 0.05)
+
+    async def test_far_region_is_used_at_once(self):
+        """Guards against a nearer target of another region."""
+        self.targets.replace_all(
+            [_entry('near'), _entry('next', 'b'), _entry('far', 'c')]
+        )
+        began_at = self.now()
+        for _ in range(3):
+            target = await self._acquire(regions=self.SOUTH)
+            self.assertEqual(target.entry.target_id, 'far')
+            self.admission.release(target)
+        self.assertLess(self.now() - began_at, 0.05)
+
+    async def test_no_spillover_out_of_the_region(self):
+        """Guards against spillover while the allowed targets are full."""
+        self.targets.replace_all([_entry('near', slots=1), _entry('far', 'c')])
+        ticking = asyncio.create_task(self._tick())
+        self.addCleanup(ticking.cancel)
+        await self._acquire(regions=self.NORTH)
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(regions=self.NORTH, goal_s=0.1, deadline_s=0.6)
+        self.assertEqual(self.targets.by_id['far'].in_flight, 0)
+
+    async def test_retry_stays_in_the_region(self):
+        self.targets.replace_all([_entry('near'), _entry('far', 'c')])
+        await self._refused_at_once(
+            regions=self.NORTH, excluded=frozenset({'near'})
+        )
+
+    async def test_no_target_in_the_region(self):
+        self.targets.replace_all([_entry('near')])
+        await self._refused_at_once(regions=self.SOUTH)
+        await self._refused_at_once(regions=frozenset())
+
+    async def test_unknown_domain_is_in_no_region(self):
+        self.targets.replace_all([_entry('lost', 'z')])
+        await self._refused_at_once(regions=self.NORTH)
+
+    async def test_allowed_targets_are_draining(self):
+        self.targets.replace_all(
+            [_entry('far', 'c')._replace(state=model.DRAINING), _entry('near')]
+        )
+        await self._refused_at_once(regions=self.SOUTH)
+
+    async def test_unreachable_region(self):
+        """Guards against waits for a region behind a broken link."""
+        self.targets.replace_all([_entry('near'), _entry('far', 'c')])
+        far = self.targets.by_id['far']
+        far.record_unreachable(self.now(), silent=True)
+        await self._refused_at_once(regions=self.SOUTH)
+
+    async def test_last_target_leaves_while_requests_wait(self):
+        self.targets.replace_all([_entry('near'), _entry('far', 'c', slots=1)])
+        await self._acquire(regions=self.SOUTH)
+        waiting = asyncio.create_task(self._acquire(regions=self.SOUTH))
+        await asyncio.sleep(0.01)
+        self.assertFalse(waiting.done())
+        self.targets.remove('far')
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(waiting.exception(), demand.RefusedError)
+
+    async def test_new_ticket_limits_waiting_requests(self):
+        """Guards against requests sent to regions that are forbidden now."""
+        route = _route(self.NORTH)
+        self.targets.replace_all(
+            [_entry('near', slots=1), _entry('far', 'c', slots=1)]
+        )
+        held = [await self._acquire(regions=r) for r in (None, self.SOUTH)]
+        tasks = [
+            asyncio.create_task(
+                self._acquire(regions=self.NORTH, route=route)
+            ),
+            asyncio.create_task(self._acquire(route=_route(None, 'free'))),
+        ]
+        await asyncio.sleep(0.01)
+        self.admission.limit_regions(lambda _: self.SOUTH)
+        await asyncio.sleep(0.01)
+        # The first request may use no region at all now.
+        self.assertIsInstance(tasks[0].exception(), demand.RefusedError)
+        self.assertFalse(tasks[1].done())
+        for target in held:
+            self.admission.release(target)
+        await asyncio.sleep(0.01)
+        self.assertEqual(tasks[1].result().entry.target_id, 'far')
+
+    async def test_full_region_does_not_refuse_other_requests(self):
+        """Guards against refusals while other regions have free slots.
+
+        Many requests wait for a region that is full.
+        """
+        self.targets.replace_all([_entry('near'), _entry('far', 'c', slots=1)])
+        self.times.record('desk', 'r', 0.4)
+        await self._acquire(regions=self.SOUTH)
+        tasks = [
+            asyncio.create_task(
+                self._acquire(0, regions=self.SOUTH, deadline_s=9.0)
+            )
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0.01)
+        for _ in range(3):
+            target = await self._acquire(goal_s=0.1, deadline_s=0.7)
+            self.assertEqual(target.entry.target_id, 'near')
+        for task in tasks:
+            task.cancel()
+
+
+def _route(regions, name='r'):
+    return model.Route(
+        name, 'a.example', '/', True, 1.0, 0.5, 1, 2, (), regions
+    )
+
+
 class KeyedTest(_AdmissionTest):
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -225,6 +363,31 @@
         await asyncio.sleep(0.01)
         self.assertIs(task.result(), self.owner)
 
+    async def test_owner_outside_the_regions(self):
+        """Guards against keyed requests sent to another region's owner."""
+        for rank in (0, 1):
+            began_at = self.now()
+            with self.assertRaises(demand.RefusedError):
+                await self._acquire(rank, key=5, regions=frozenset({'s'}))
+            self.assertLess(self.now() - began_at, 0.05)
+        self.assertEqual(self.owner.in_flight, 0)
+        target = await self._acquire(key=5, regions=frozenset({'n'}))
+        self.assertIs(target, self.owner)
+
+    async def test_keys_move_out_of_the_regions(self):
+        """Guards against requests that waited for a move to another region."""
+        self.targets.replace_all([_entry('i-1'), _entry('i-2', 'c')])
+        self._put_map(moving=True, revision=2)
+        waiting = asyncio.create_task(
+            self._acquire(key=5, regions=frozenset({'s'}))
+        )
+        await asyncio.sleep(0.01)
+        self.assertFalse(waiting.done())
+        self._put_map(moving=False, revision=3)
+        self.admission.assign_waiting('desk')
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(waiting.exception(), demand.RefusedError)
+
     async def test_urgent_overtakes_bulk_of_other_hosts(self):
         # Bulk requests of all hosts fill an owner. Urgent requests may use the
         # owner's own queue.
--- a/amaranthcrank/router/demand.py
+++ b/amaranthcrank/router/demand.py
@@ -2,8 +2,11 @@
 
 import typing
 
+from amaranthcrank.router import model
 from amaranthcrank.router import wait_order
 
+Regions = frozenset[str] | None
+
 
 class Demand(typing.NamedTuple):
     """A request for a slot of a target.
@@ -13,14 +16,36 @@
       priority: Determines its position in the queue.
       key: Its key, or None for a service without keys.
       excluded: Ids of the targets that it was already sent to.
-      regions: The regions that may serve it; None if all may.
+      regions: The regions that may serve it; None if all may, empty if none.
+      route: Its route at its arrival, or None.
     """
 
     service: str
     priority: wait_order.Priority
     key: int | None = None
     excluded: frozenset[str] = frozenset()
-    regions: frozenset[str] | None = None
+    regions: Regions = None
+    route: model.Route | None = None
+
+
+def intersect(first: Regions, second: Regions) -> Regions:
+    """Return the regions that both limits allow; None is no limit."""
+    if first is None or second is None:
+        return second if first is None else first
+    return first & second
+
+
+def may_compete(first: Regions, second: Regions) -> bool:
+    """Return whether a request waits behind another of the same service.
+
+    Args:
+      first: The regions of the request.
+      second: The regions of the other, which is waiting. If it is limited to
+        regions, an unlimited request can be served in the others.
+    """
+    if second is None:
+        return True
+    return first is not None and not first.isdisjoint(second)
 
 
 class RefusedError(Exception):
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -218,8 +218,15 @@
         priority = wait_order.Priority(
             call.route.rank, call.goal_at, call.deadline_at
         )
+        route = call.route
+        regions = route.allowed_regions
+        if self.table is not None:
+            # The ticket may have changed since an earlier attempt.
+            regions = demand.intersect(regions, self.table.regions(route))
         return await self._admission.acquire(
-            demand.Demand(call.service, priority, call.key, excluded)
+            demand.Demand(
+                call.service, priority, call.key, excluded, regions, route
+            )
         )
 
     def _may_retry(
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -52,6 +52,8 @@
       load: The recent load by key, as all hosts report it.
       contended_services: The services with an owner that is likely to have a
         queue.
+      domains_by_service: The failure domains whose targets may own keys, for
+        services whose routes are all limited to regions.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         ) = None
         self.load = key_load.KeyLoad()
         self.contended_services: frozenset[str] = frozenset()
+        self.domains_by_service: dict[str, frozenset[str]] = {}
         self._store = key_map_store.KeyMapStore(client, lease, log)
         self._lease = lease
         self._calls = calls
@@ -254,8 +257,11 @@
     ) -> tuple[key_plan.Move, ...]:
         owners = []
         unreachable = set()
+        domains = self.domains_by_service.get(service)
         for target in self._targets.ready(service):
             entry = target.entry
+            if domains is not None and entry.failure_domain not in domains:
+                continue
             if self._refused_holders.is_refused(entry.holder):
                 if self._keeps_keys(entry.holder):
                     unreachable.add(entry.holder)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -246,6 +246,32 @@
         for _, body in self.calls.grants_to(2)[-1:]:
             self.assertTrue(_grant_of(body).fence)
 
+    async def test_owners_are_in_the_allowed_domains(self):
+        """Guards against keys whose owner no route of the service may use."""
+        other = _entry(2)._replace(failure_domain='c')
+        self.targets.put(other)
+        self.store.entry_by_id['i-2'] = other
+        self._start()
+        self.controller.domains_by_service = {'book': frozenset({'c'})}
+        await self._wait(self._is_assigned)
+        self.assertEqual(self._owners(), {'i-2'})
+        # A new ticket allows the other region only: its keys are handed over.
+        self.controller.domains_by_service = {'book': frozenset({'a'})}
+        await self._wait(lambda: self._owners() == {'i-1'})
+        await self._wait(self._is_assigned)
+        released = [
+            port
+            for _, port, path, _ in self.calls.sent
+            if path == names.RELEASE_PATH
+        ]
+        self.assertIn(2, released)
+
+    async def test_no_target_in_the_allowed_domains(self):
+        self._start()
+        self.controller.domains_by_service = {'book': frozenset()}
+        await asyncio.sleep(0.3)
+        self.assertFalse(self._is_assigned())
+
     async def test_handover_is_passed_on(self):
         await self._lose_first()
         await self._wait(self._first_grant_of_moved_keys)
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -30,6 +30,7 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import options
 from amaranthcrank.router import outage_grace
+from amaranthcrank.router import owner_domains
 from amaranthcrank.router import peers
 from amaranthcrank.router import reader_election
 from amaranthcrank.router import retry_rules
@@ -378,7 +379,12 @@
             self.reports.broadcast_resignation()
 
     def _apply_ticket(self, ticket: model.Ticket) -> None:
-        self.forwarder.table = route_table.RouteTable(ticket)
+        table = route_table.RouteTable(ticket)
+        self.forwarder.table = table
+        self.controller.domains_by_service = owner_domains.by_service(
+            ticket, self.settings.region_by_domain
+        )
+        self.admission.limit_regions(table.regions)
         self.server.limits = ticket.limits
         self.controller.keyed_services = tuple(
             service.name
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -98,6 +98,8 @@
       rank: The priority; 0 is the most urgent.
       max_attempts: The most targets that one request is sent to.
       weighted_services: The services that serve the route, with weights.
+      allowed_regions: The regions whose targets may serve the route; None if
+        all may.
     """
 
     name: str
@@ -109,6 +111,7 @@
     rank: int
     max_attempts: int
     weighted_services: tuple[WeightedService, ...]
+    allowed_regions: frozenset[str] | None = None
 
 
 class Service(typing.NamedTuple):
--- a/amaranthcrank/router/route_table.py
+++ b/amaranthcrank/router/route_table.py
@@ -14,6 +14,10 @@
         """Sort the routes of a ticket by prefix length, longest first."""
         self.ticket = ticket
         self._routes_by_host: dict[str, list[model.Route]] = {}
+        self._route_by_name = {route.name: route for route in ticket.routes}
+        self._route_by_match = {
+            (route.host, route.prefix): route for route in ticket.routes
+        }
         for route in ticket.routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
         for routes in self._routes_by_host.values():
@@ -33,6 +37,18 @@
                 return route
         return None
 
+    def regions(self, former: model.Route) -> frozenset[str] | None:
+        """Return the regions that may serve a route of an older ticket.
+
+        A route that was renamed is found by what it matches. A route that
+        does not exist any more has no limit here.
+        """
+        route = self._route_by_name.get(former.name)
+        if route is None:
+            match = (former.host, former.prefix)
+            route = self._route_by_match.get(match)
+        return None if route is None else route.allowed_regions
+
 
 def _prefix_length(route: model.Route) -> int:
     return len(route.prefix)
--- a/amaranthcrank/router/route_table_test.py
+++ b/amaranthcrank/router/route_table_test.py
@@ -26,6 +26,24 @@
     return route_table.RouteTable(model.Ticket(1, routes, {}, limits))
 
 
+class RegionsTest(unittest.TestCase):
+    """Waiting requests must be limited by the newest ticket as well."""
+
+    SOUTH = frozenset({'south'})
+
+    def test_route_of_an_older_ticket(self):
+        former = _route()
+        same = _route(prefix='/y/')._replace(allowed_regions=self.SOUTH)
+        renamed = _route('new')._replace(allowed_regions=self.SOUTH)
+        for route in (same, renamed):
+            table = _table(route, _route('other', prefix='/z/'))
+            self.assertEqual(table.regions(former), self.SOUTH)
+
+    def test_removed_route(self):
+        table = _table(_route('other', prefix='/z/'))
+        self.assertIsNone(table.regions(_route()))
+
+
 class FindTest(unittest.TestCase):
     def test_longest_prefix_wins(self):
         # A shorter prefix that is listed first must not hide a longer one.
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -92,6 +92,25 @@
             if self.is_allowed(target, demand)
         ]
 
+    def is_servable(self, demand: demands.Demand, now: float) -> bool:
+        """Return whether a request that is limited may have a target at all.
+
+        Requests that may use any region wait for a target instead.
+        """
+        if demand.regions is None:
+            return True
+        if not demand.regions:
+            return False
+        if demand.key is not None:
+            owner = self.owner(demand.service, demand.key)
+            if owner is not None:
+                return self.is_allowed(owner, demand)
+        return any(
+            not target.is_silent(now)
+            for target in self._targets.ready(demand.service)
+            if self.is_allowed(target, demand)
+        )
+
     def concurrency(self, demand: demands.Demand, now: float) -> int:
         """Return how many requests this host may have in flight at once."""
         concurrency = 0
@@ -180,7 +199,7 @@
         """Return the owner of a key if it has capacity."""
         now = selection_pass.now
         target = self.owner(demand.service, key)
-        if target is None:
+        if target is None or not self.is_allowed(target, demand):
             return None
         draining_since = target.draining_since
         send_window_s = DRAINING_SEND_SHARE * self._targets.drain_s
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -21,6 +21,8 @@
 HOST = 'desk.example'
 IP = '127.0.0.1'
 READY_TIMEOUT_S = 10.0
+# Routers run in domain `a`.
+REGION_BY_DOMAIN = {'a': 'north', 'b': 'north', 'c': 'south'}
 FIRST_PORT = 10_000
 LAST_PORT = 30_000
 
@@ -35,6 +37,7 @@
     'service',
     'maxAttempts',
     'weightedClusters',
+    'allowedRegions',
 ]
 SERVICE_COLUMNS = ['name', 'healthPath', 'maxConnections', 'sharded']
 
@@ -88,6 +91,7 @@
     priority: int = 1,
     timeout_ms: int = 2000,
     max_attempts: int = 2,
+    allowed_regions: typing.Sequence[str] | None = None,
 ) -> list[typing.Any]:
     """Return the row of a route in a manifest."""
     return [
@@ -101,6 +105,7 @@
         service,
         max_attempts,
         None,
+        None if allowed_regions is None else list(allowed_regions),
     ]
 
 
@@ -143,7 +148,11 @@
         self._stack.callback(self.store.server.close)
 
     async def add_target(
-        self, target_id: str, service: str, keyed: bool = False
+        self,
+        target_id: str,
+        service: str,
+        keyed: bool = False,
+        domain: str = 'a',
     ) -> platform_target.PlatformTarget:
         """Start a target and register it in the store."""
         target = platform_target.PlatformTarget(target_id, keyed)
@@ -153,7 +162,7 @@
         self.target_by_id[target_id] = target
         self.address_by_id[target_id] = address
         self.store.put(
-            'servers', target_id, target.entry(service, address, 'a')
+            'servers', target_id, target.entry(service, address, domain)
         )
         return target
 
@@ -215,7 +224,7 @@
             ip=IP,
             failure_domain='a',
             region='north',
-            region_by_domain={'a': 'north'},
+            region_by_domain=REGION_BY_DOMAIN,
             listen_address=model.Address(IP, free_port()),
             readiness_address=model.Address(IP, free_port()),
             peer_port=free_port(),
