Follow the evacuated failure domains

With terms.bounds.evacMs, hosts follow the kind evacuations of the store, with an election of their own in each domain. The reader sends the complete set to its domain after each read and a change to all hosts. A host that cannot reach the store polls others. The targets of evacuated domains are not ready: they get no new requests, waiting requests are reassigned, and the controller hands over the keys of their owners. An owner is sent requests for its keys for a quarter of the time. If no target of a service is left, its requests are refused at once.

--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -51,6 +51,13 @@
             with self.assertRaises(settings_file.SettingsError, msg=line):
                 settings_file.parse(SETTINGS.replace(line, ''))
 
+    def test_evacuation_time(self):
+        self.assertIsNone(settings_file.parse(SETTINGS).bounds.evacuation_s)
+        text = SETTINGS + 'terms.bounds.evacMs=5000\n'
+        self.assertEqual(settings_file.parse(text).bounds.evacuation_s, 5.0)
+        with self.assertRaises(settings_file.SettingsError):
+            settings_file.parse(text.replace('5000', ''))
+
     def test_malformed_values(self):
         for old, new in (
             ('10.200.1.7:8384', 'store'),
--- a/amaranthcrank/platform/names.py
+++ b/amaranthcrank/platform/names.py
@@ -25,6 +25,8 @@
 TARGETS_KIND = 'servers'
 TICKET_KIND = 'config'
 TICKET_NAME = 'main'
+# The name of an object is the failure domain that is evacuated.
+EVACUATIONS_KIND = 'evacuations'
 # Kinds defined by the router. All objects that every host follows are of one
 # kind, so that a single watch suffices. The lease has a kind of its own
 # because only candidates for it read it.
--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -9,8 +9,10 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
+from amaranthcrank.router import reader_election
 from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
+from amaranthcrank.router import store_sync
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import target_selection
@@ -31,6 +33,7 @@
     )
 
 
+EVACUATION_S = 5.0
 # Round-trip time over a congested link.
 BUSY_LINK_S = 0.4
 TURN_SEEDS = 100
@@ -44,7 +47,7 @@
         rng = random.Random(self.seed)
         self.now = loop.time
         self.targets = directory.Directory(
-            loop.time, 2.0, lambda *_, **__: None
+            loop.time, 2.0, lambda *_, **__: None, EVACUATION_S
         )
         self.keys = key_table.KeyTable()
         self.times = service_times.ServiceTimes()
@@ -217,6 +220,60 @@
         self.assertEqual(names, {'healthy'})
 
 
+class EvacuationTest(_AdmissionTest):
+    """A failure domain is evacuated while requests wait and arrive."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.targets.replace_all([_entry('i-1', slots=1), _entry('i-2', 'b')])
+
+    async def test_new_requests_go_to_other_domains(self):
+        self.targets.evacuate(['a'], 0.0)
+        began_at = self.now()
+        target = await self._acquire()
+        self.assertEqual(target.entry.target_id, 'i-2')
+        self.assertLess(self.now() - began_at, 0.05)
+
+    async def test_waiting_requests_are_reassigned(self):
+        """Guards against requests that wait for a target that they lost."""
+        held = await self._acquire()
+        self.assertEqual(held.entry.target_id, 'i-1')
+        waiting = asyncio.create_task(self._acquire())
+        await asyncio.sleep(0.01)
+        self.assertFalse(waiting.done())
+        self.targets.evacuate(['a'], 0.0)
+        await asyncio.sleep(0.01)
+        self.assertEqual(waiting.result().entry.target_id, 'i-2')
+
+    async def test_all_domains(self):
+        """Guards against waits that end as refusals."""
+        held = await self._acquire()
+        waiting = asyncio.create_task(self._acquire())
+        await asyncio.sleep(0.01)
+        self.targets.evacuate(['a', 'b'], 0.0)
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(waiting.exception(), demand.RefusedError)
+        began_at = self.now()
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire()
+        self.assertLess(self.now() - began_at, 0.05)
+        self.admission.release(held)
+
+    async def test_restored_domain(self):
+        self.targets.evacuate(['a', 'b'], 0.0)
+        self.targets.evacuate(['b'], 0.0)
+        target = await self._acquire()
+        self.assertEqual(target.entry.target_id, 'i-1')
+
+    async def test_regions_and_evacuations(self):
+        """Guards against a request that leaves its region to be served."""
+        self.targets.replace_all([_entry('i-1'), _entry('far', 'c')])
+        self.targets.evacuate(['c'], 0.0)
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(regions=frozenset({'s'}))
+        self.assertEqual(self.targets.by_id['i-1'].in_flight, 0)
+
+
 class RegionTest(_AdmissionTest):
     """A request must not reach a target outside the regions of its route."""
 
@@ -457,6 +514,46 @@
             used_s += sender.CONNECT_TIMEOUT_S
             self.assertLessEqual(used_s + BUSY_LINK_S, drain_s)
 
+    def test_requests_reach_an_evacuated_owner_in_time(self):
+        """Guards against requests that arrive after an evacuation's time.
+
+        The reader of the domain is lost when the evacuation is acknowledged,
+        and the next one reads the store after its time-out.
+        """
+        used_s = reader_election.MAX_READER_TIMEOUT_S
+        used_s += store_sync.ELECTION_CHECK_S + BUSY_LINK_S
+        used_s += EVACUATION_S * target_selection.EVACUATED_SEND_SHARE
+        used_s += sender.CONNECT_TIMEOUT_S
+        self.assertLessEqual(used_s + BUSY_LINK_S, EVACUATION_S)
+
+    async def test_owner_in_an_evacuated_domain(self):
+        """Guards against requests that arrive after an evacuation's time.
+
+        Its keys have not moved yet, so the owner is used for a part of it.
+        """
+        self.targets.put(_entry('i-2', 'b'))
+        self.targets.evacuate(['a'], 0.0)
+        self.assertIs(await self._acquire(key=5), self.owner)
+        send_window_s = EVACUATION_S * target_selection.EVACUATED_SEND_SHARE
+        self.targets.evacuate([], 0.0)
+        self.targets.evacuate(['a'], send_window_s + 0.1)
+        task = asyncio.create_task(self._acquire(key=5))
+        await asyncio.sleep(0.02)
+        # The keys may still move to the other target.
+        self.assertFalse(task.done())
+        task.cancel()
+
+    async def test_owner_without_a_successor(self):
+        """Guards against waits that end as refusals."""
+        self.targets.evacuate(['a'], 0.0)
+        self.assertIs(await self._acquire(key=5), self.owner)
+        self.targets.evacuate([], 0.0)
+        self.targets.evacuate(['a'], EVACUATION_S)
+        began_at = self.now()
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(key=5)
+        self.assertLess(self.now() - began_at, 0.05)
+
     async def test_owner_past_its_drain_time_gets_nothing(self):
         send_window_s = (
             target_selection.DRAINING_SEND_SHARE * self.targets.drain_s
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -50,6 +50,11 @@
       listeners: Called after each change.
       loaded: Whether the list of entries was read from the store once.
       drain_s: How long a draining target keeps serving.
+      evacuation_s: How long after the evacuation of a failure domain its
+        targets may still receive requests.
+      evacuated_since_by_domain: The evacuated failure domains, with the
+        earliest time at which the evacuation may have begun, in event loop
+        time.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         clock: typing.Callable[[], float],
         drain_s: float,
         log: typing.Callable[..., None],
+        evacuation_s: float = 0.0,
     ) -> None:
         """Create a directory without targets.
 
@@ -64,12 +70,16 @@
           clock: Returns the event loop's time.
           drain_s: How long a draining target keeps serving.
           log: Logs an event.
+          evacuation_s: How long after the evacuation of a failure domain its
+            targets may still receive requests.
         """
         self.by_id: dict[str, target_state.Target] = {}
         self.by_service: dict[str, list[target_state.Target]] = {}
         self.listeners: list[typing.Callable[[], None]] = []
         self.loaded = False
         self.drain_s = drain_s
+        self.evacuation_s = evacuation_s
+        self.evacuated_since_by_domain: dict[str, float] = {}
         self._departure_by_holder: dict[str, Departure] = {}
         # What incarnations of targets said about themselves. It is kept when
         # their entry is removed, as the entry may come back.
@@ -227,12 +237,66 @@
 
     def ready(self, service: str) -> list[target_state.Target]:
         """Return the targets of a service that accept requests."""
+        targets = self.by_service.get(service, ())
+        evacuated = self.evacuated_since_by_domain
+        if not evacuated:
+            return [
+                target
+                for target in targets
+                if target.entry.state == model.READY
+            ]
         return [
             target
-            for target in self.by_service.get(service, ())
+            for target in targets
             if target.entry.state == model.READY
+            and target.entry.failure_domain not in evacuated
         ]
 
+    def ready_slots(self) -> int:
+        """Return the number of slots of all targets that accept requests."""
+        return sum(
+            target.entry.slots
+            for service in self.by_service
+            for target in self.ready(service)
+        )
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether evacuations leave a service without a target."""
+        evacuated = self.evacuated_since_by_domain
+        if not evacuated or self.ready(service):
+            return False
+        return any(
+            target.entry.failure_domain in evacuated
+            for target in self.by_service.get(service, ())
+        )
+
+    def evacuate(
+        self, domains: typing.Collection[str], stale_s: float
+    ) -> bool:
+        """Replace the set of evacuated failure domains.
+
+        Args:
+          domains: All evacuated domains.
+          stale_s: For how long changes may have been missed. A domain that is
+            new in the set may have been evacuated as long ago.
+
+        Returns:
+          Whether the set has changed.
+        """
+        known = self.evacuated_since_by_domain
+        if known.keys() == set(domains):
+            return False
+        since = self._clock() - stale_s
+        for domain in sorted(known.keys() - set(domains)):
+            self._log('domain_restored', domain=domain)
+        for domain in sorted(set(domains) - known.keys()):
+            self._log('domain_evacuated', domain=domain)
+        self.evacuated_since_by_domain = {
+            domain: known.get(domain, since) for domain in domains
+        }
+        self.notify_listeners()
+        return True
+
     def find(
         self, target_id: str, incarnation: int
     ) -> target_state.Target | None:
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -20,6 +20,85 @@
     )
 
 
+class EvacuationTest(unittest.TestCase):
+    """Targets of evacuated failure domains must get nothing new."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.events = []
+        self.directory = directory.Directory(
+            lambda: self.now, 2.0, self._record
+        )
+        self.directory.replace_all(
+            [entry('i-1'), entry('i-2')._replace(failure_domain='b')]
+        )
+        self.changes = 0
+        self.directory.listeners.append(self._count_change)
+        self.events.clear()
+
+    def _record(self, event, **fields):
+        self.events.append((event, fields.get('domain')))
+
+    def _count_change(self):
+        self.changes += 1
+
+    def _ready(self):
+        targets = self.directory.ready('desk')
+        return sorted(target.entry.target_id for target in targets)
+
+    def test_several_domains(self):
+        self.directory.evacuate(['a'], 0.0)
+        self.assertEqual(self._ready(), ['i-2'])
+        self.assertFalse(self.directory.is_evacuated('desk'))
+        self.directory.evacuate(['a', 'b'], 0.0)
+        self.assertEqual(self._ready(), [])
+        self.assertEqual(self.directory.ready_slots(), 0)
+        self.assertTrue(self.directory.is_evacuated('desk'))
+        self.directory.evacuate(['b'], 0.0)
+        self.assertEqual(self._ready(), ['i-1'])
+        self.assertEqual(
+            self.events,
+            [
+                ('domain_evacuated', 'a'),
+                ('domain_evacuated', 'b'),
+                ('domain_restored', 'a'),
+            ],
+        )
+
+    def test_unchanged_set_costs_nothing(self):
+        """Guards against assignment passes after each read of the store."""
+        self.assertTrue(self.directory.evacuate(['a'], 0.0))
+        self.assertFalse(self.directory.evacuate(['a'], 0.0))
+        self.assertEqual(self.changes, 1)
+
+    def test_targets_that_join_later(self):
+        self.directory.evacuate(['a'], 0.0)
+        self.directory.put(entry('i-3'))
+        self.assertEqual(self._ready(), ['i-2'])
+
+    def test_start_of_an_evacuation(self):
+        """Guards against a new start of the time in which owners get keys.
+
+        A host that has missed changes cannot know how long ago the domain was
+        evacuated, and an evacuation goes on when another one begins.
+        """
+        self.directory.evacuate(['a'], 3.0)
+        self.now += 1.0
+        self.directory.evacuate(['a', 'b'], 0.0)
+        self.assertEqual(
+            self.directory.evacuated_since_by_domain, {'a': 97.0, 'b': 101.0}
+        )
+        self.directory.evacuate([], 0.0)
+        self.directory.evacuate(['a'], 0.0)
+        self.assertEqual(
+            self.directory.evacuated_since_by_domain, {'a': 101.0}
+        )
+
+    def test_service_without_targets(self):
+        self.directory.evacuate(['a'], 0.0)
+        self.assertFalse(self.directory.is_evacuated('other'))
+
+
 class DirectoryTest(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -266,6 +266,25 @@
         ]
         self.assertIn(2, released)
 
+    async def test_owners_in_an_evacuated_domain(self):
+        """Guards against keys that stay with owners that get no requests."""
+        other = _entry(2)._replace(failure_domain='c')
+        self.targets.put(other)
+        self.store.entry_by_id['i-2'] = other
+        self._start()
+        await self._wait(self._is_assigned)
+        self.assertEqual(self._owners(), {'i-1', 'i-2'})
+        began_at = clock.now()
+        self.targets.evacuate(['a'], 0.0)
+        await self._wait(lambda: self._owners() == {'i-2'})
+        await self._wait(self._is_assigned)
+        # The keys were released; their grants did not have to expire.
+        self.assertLess(clock.now() - began_at, HOLD_S)
+        # Without any other target, keys keep their owners.
+        self.targets.evacuate(['a', 'c'], 0.0)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self._owners(), {'i-2'})
+
     async def test_no_target_in_the_allowed_domains(self):
         self._start()
         self.controller.domains_by_service = {'book': frozenset()}
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -19,6 +19,7 @@
 from amaranthcrank.router import departure_queries
 from amaranthcrank.router import directory
 from amaranthcrank.router import entry_reads
+from amaranthcrank.router import evacuation_feed
 from amaranthcrank.router import event_log
 from amaranthcrank.router import forwarder
 from amaranthcrank.router import host_reports
@@ -91,7 +92,10 @@
         settings = self.settings
         bounds = settings.bounds
         self.targets = directory.Directory(
-            clock, bounds.drain_s, self.log.event
+            clock,
+            bounds.drain_s,
+            self.log.event,
+            bounds.evacuation_s or 0.0,
         )
         self.keys = key_table.KeyTable()
         self.times = service_times.ServiceTimes()
@@ -206,6 +210,16 @@
             self._new_election(clock),
             self.grace,
         )
+        self.evacuation_feed = None
+        if settings.bounds.evacuation_s is not None:
+            self.evacuation_feed = evacuation_feed.EvacuationFeed(
+                self.store,
+                self.targets,
+                self.peers,
+                self.log,
+                self.retry_gate,
+                self._new_election(clock),
+            )
         self.shared_feed = shared_feed.SharedFeed(
             self.store,
             self.keys,
@@ -281,7 +295,7 @@
         )
 
     def _jobs(self) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
-        return [
+        jobs = [
             self.ticket_feed.follow(),
             self.target_feed.follow(),
             self.shared_feed.follow(),
@@ -293,6 +307,9 @@
             self._run_maintenance(),
             self._watch_settings(),
         ]
+        if self.evacuation_feed is not None:
+            jobs.append(self.evacuation_feed.follow())
+        return jobs
 
     def _on_job_end(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or task.exception() is None:
@@ -314,7 +331,9 @@
         """Whether the load balancer should send callers to this host."""
         if self.stopping.is_set() or self.forwarder.table is None:
             return False
-        return self.targets.loaded
+        if not self.targets.loaded:
+            return False
+        return self.evacuation_feed is None or self.evacuation_feed.may_serve()
 
     async def handle_probe(
         self, request: http_server.Request
@@ -452,6 +471,8 @@
             'busy_requests': self.server.active_requests,
             'caller_connections': len(self.server.connections),
             'targets': len(self.targets.by_id),
+            'ready_slots': self.targets.ready_slots(),
+            'evacuated_domains': len(self.targets.evacuated_since_by_domain),
             'store_calls': self.store.calls,
             'opened_connections': self.pool.opened_connections,
             'evicted_responses': self.pool.buffer_budget.evicted,
--- a/amaranthcrank/router/message_checks.py
+++ b/amaranthcrank/router/message_checks.py
@@ -39,6 +39,12 @@
     return entry_checks.is_integer(value, least, entry_checks.MAX_INTEGER)
 
 
+def _is_revision_or_unknown(value: typing.Any) -> bool:
+    # A host that has not read the kind yet has -1.
+    least = -1
+    return entry_checks.is_integer(value, least, entry_checks.MAX_INTEGER)
+
+
 def _is_none(value: typing.Any) -> bool:
     return value is None
 
@@ -141,6 +147,7 @@
 _is_revision = entry_checks.is_revision
 _is_target_id = entry_checks.is_target_id
 _HELLO_FIELDS = _fields(_is_name, _is_port, _is_name)
+_EVACUATED_DOMAINS = _fields(_is_revision, _optional(_list_of(_is_name)))
 _is_usage = _dict_of(_is_target_id, _fields(_is_count, _is_count))
 
 _CHECK_BY_KIND: dict[int, _Check] = {
@@ -190,4 +197,7 @@
     message_kinds.TICKET_AFTER: _is_number_of_ticket,
     message_kinds.NEWER_TICKET: _is_number_of_ticket,
     message_kinds.LEAVING: entry_checks.is_holder,
+    message_kinds.EVACUATIONS: _EVACUATED_DOMAINS,
+    message_kinds.EVACUATIONS_CHANGED: _EVACUATED_DOMAINS,
+    message_kinds.EVACUATIONS_AFTER: _is_revision_or_unknown,
 }
--- a/amaranthcrank/router/message_checks_test.py
+++ b/amaranthcrank/router/message_checks_test.py
@@ -52,6 +52,9 @@
     message_kinds.TICKET_AFTER: -1,
     message_kinds.NEWER_TICKET: 3,
     message_kinds.LEAVING: 'i-1/5',
+    message_kinds.EVACUATIONS: [7, ['a', 'b']],
+    message_kinds.EVACUATIONS_CHANGED: [7, []],
+    message_kinds.EVACUATIONS_AFTER: -1,
 }
 
 
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -30,6 +30,8 @@
       retry_window_s: The window over which retries are counted.
       retry_floor: Retries allowed in addition to the ratio, over all hosts.
       grant_max_s: The longest duration of a grant of keys.
+      evacuation_s: How long after the evacuation of a failure domain its
+        targets may still receive requests; None if domains are not evacuated.
     """
 
     drain_s: float
@@ -39,6 +41,7 @@
     retry_window_s: float
     retry_floor: float
     grant_max_s: float
+    evacuation_s: float | None = None
 
 
 class HostSettings(typing.NamedTuple):
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -12,6 +12,9 @@
 # because its keys have not moved yet. The rest allows for the delay until the
 # drain is known to the host and for the transit time of the request.
 DRAINING_SEND_SHARE = 0.25
+# A keyed owner in an evacuated failure domain is still sent requests for this
+# fraction of the time within which the evacuation takes effect.
+EVACUATED_SEND_SHARE = 0.25
 # Number of hosts assumed to share a target of another failure domain, to which
 # all hosts may send.
 HOSTS_PER_REMOTE_TARGET = 64
@@ -93,18 +96,21 @@
         ]
 
     def is_servable(self, demand: demands.Demand, now: float) -> bool:
-        """Return whether a request that is limited may have a target at all.
+        """Return whether regions and evacuations leave a request a target.
 
-        Requests that may use any region wait for a target instead.
+        Requests that they do not concern wait for a target instead.
         """
         if demand.regions is None:
-            return True
-        if not demand.regions:
+            if not self._targets.is_evacuated(demand.service):
+                return True
+        elif not demand.regions:
             return False
         if demand.key is not None:
             owner = self.owner(demand.service, demand.key)
-            if owner is not None:
-                return self.is_allowed(owner, demand)
+            if owner is not None and not self.is_allowed(owner, demand):
+                return False
+            if owner is not None and self._accepts_keyed(owner, now):
+                return True
         return any(
             not target.is_silent(now)
             for target in self._targets.ready(demand.service)
@@ -201,9 +207,7 @@
         target = self.owner(demand.service, key)
         if target is None or not self.is_allowed(target, demand):
             return None
-        draining_since = target.draining_since
-        send_window_s = DRAINING_SEND_SHARE * self._targets.drain_s
-        if draining_since is not None and now > draining_since + send_window_s:
+        if not self._accepts_keyed(target, now):
             return None
         rank = demand.priority.rank
         interval_s = target_choice.owner_interval_s(
@@ -219,6 +223,21 @@
             target.pacer.take_turn(now, interval_s, self._random)
         return target
 
+    def _accepts_keyed(self, target: target_state.Target, now: float) -> bool:
+        """Return whether an owner may be sent requests for its keys."""
+        targets = self._targets
+        draining_since = target.draining_since
+        if draining_since is not None:
+            if now > draining_since + DRAINING_SEND_SHARE * targets.drain_s:
+                return False
+        evacuated_since = targets.evacuated_since_by_domain.get(
+            target.entry.failure_domain
+        )
+        if evacuated_since is None:
+            return True
+        send_window_s = EVACUATED_SEND_SHARE * targets.evacuation_s
+        return now <= evacuated_since + send_window_s
+
     def _distance(self, target: target_state.Target) -> int:
         return target_choice.distance(
             self._locality, target.entry.failure_domain
--- a/standins/domain_hosts.py
+++ b/standins/domain_hosts.py
@@ -57,6 +57,10 @@
         for host_id in self.by_id:
             self.send(host_id, kind, content)
 
+    def send_to_all(self, kind: int, content: typing.Any) -> None:
+        """Deliver a message to all other hosts."""
+        self.send_in_domain(kind, content)
+
     def send(self, host_id: str, kind: int, content: typing.Any) -> None:
         """Deliver a message to one other host."""
         messenger = self._messenger_by_id[host_id]
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -118,6 +118,8 @@
       address_by_id: The address of each target.
       routers: The routers.
       tasks: The task that runs each router, in the order of routers.
+      evacuation_s: The time within which evacuations take effect; None if
+        routers do not follow them.
     """
 
     def __init__(self, stack: contextlib.AsyncExitStack) -> None:
@@ -127,6 +129,7 @@
         self.address_by_id: dict[str, model.Address] = {}
         self.routers: list[main.Router] = []
         self.tasks: list[asyncio.Task[None]] = []
+        self.evacuation_s: float | None = None
         self._stack = stack
         self._store_address = model.Address(IP, free_port())
         loop = asyncio.get_running_loop()
@@ -233,7 +236,9 @@
             heartbeat_s=0.5,
             max_descriptors=1000,
             memory_bytes=300 * 1024 * 1024,
-            bounds=model.Bounds(2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0),
+            bounds=model.Bounds(
+                2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0, self.evacuation_s
+            ),
         )
 
 
