--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -1,6 +1,7 @@
 """Commands that read the platform's store and the logs of hosts."""
 
 import asyncio
+import collections
 import sys
 import typing
 
@@ -47,6 +48,7 @@
       keys: The owners of keys.
       hosts: The ids of the hosts.
       controller: The host that assigns keys to targets, '' if none does.
+      evacuated: The evacuated failure domains.
     """
 
     ticket: model.Ticket | None
@@ -54,15 +56,18 @@
     keys: key_table.KeyTable
     hosts: tuple[str, ...]
     controller: str
+    evacuated: tuple[str, ...]
 
 
 @app.command()
 def status(store_address: _StoreOption) -> None:
-    """Show the ticket, the hosts, the controller and the targets."""
+    """Show the ticket, hosts, controller, evacuations and targets."""
     snapshot = _read_snapshot(store_address)
     number = snapshot.ticket.number if snapshot.ticket else 'none'
     typer.echo(f'ticket {number}, controller {snapshot.controller or "none"}')
     typer.echo(f'hosts {" ".join(snapshot.hosts)}')
+    for line in evacuation_lines(snapshot):
+        typer.echo(line)
     for target in sorted(snapshot.targets, key=lambda each: each.service):
         address = f'{target.address.ip}:{target.address.port}'
         typer.echo(
@@ -71,6 +76,33 @@
         )
 
 
+def evacuation_lines(snapshot: Snapshot) -> list[str]:
+    """Return a line for each evacuated domain, with the keys left in it."""
+    domain_by_id = {
+        target.target_id: target.failure_domain for target in snapshot.targets
+    }
+    keys_by_domain: collections.Counter[str] = collections.Counter()
+    for key_map in snapshot.keys.map_by_service.values():
+        for key_range in key_map.ranges:
+            holders = [key_range.holder, *key_range.former_holders.split()]
+            # While a range moves, its former holders may still hold its keys.
+            for domain in {
+                domain_by_id.get(model.split_holder(holder)[0])
+                for holder in holders
+            }:
+                if domain is not None:
+                    count = key_range.last - key_range.first + 1
+                    keys_by_domain[domain] += count
+    lines = []
+    for domain in sorted(snapshot.evacuated):
+        targets = list(domain_by_id.values()).count(domain)
+        lines.append(
+            f'evacuated {domain}: {targets} targets own '
+            f'{keys_by_domain[domain]} keys'
+        )
+    return lines
+
+
 @app.command()
 def owner(service: str, key: int, store_address: _StoreOption) -> None:
     """Show the target that owns a key."""
@@ -163,6 +195,7 @@
         targets = await client.list_all(names.TARGETS_KIND, TIMEOUT_S)
         shared = await client.list_all(names.SHARED_KIND, TIMEOUT_S)
         leases = await client.list_all(names.LEASES_KIND, TIMEOUT_S)
+        evacuations = await _list_evacuations(client)
     finally:
         pool.close()
     holders = [
@@ -179,9 +212,20 @@
             if name.startswith(names.HOST_PREFIX)
         ),
         ''.join(holders),
+        evacuations,
     )
 
 
+async def _list_evacuations(client: store.Client) -> tuple[str, ...]:
+    """Return the evacuated domains; a store need not have this kind."""
+    try:
+        listing = await client.list_all(names.EVACUATIONS_KIND, TIMEOUT_S)
+    except store.StoreError as error:
+        typer.echo(f'cannot read the evacuations: {error}', err=True)
+        return ()
+    return tuple(listing.item_by_name)
+
+
 def _decode_ticket(item: typing.Any) -> model.Ticket | None:
     if not item:
         return None
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -169,6 +169,15 @@
         )
         return target
 
+    def evacuate(self, *domains: str) -> None:
+        """Evacuate failure domains, as the operator would."""
+        for domain in domains:
+            self.store.put('evacuations', domain, {'spec': {}})
+
+    def restore(self, domain: str) -> None:
+        """End the evacuation of a failure domain."""
+        self.store.remove('evacuations', domain)
+
     def put_manifest(self, spec: dict[str, typing.Any]) -> None:
         """Write a manifest to the store, as the operator would."""
         self.store.put('config', 'main', {'spec': spec})
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import json
 import typing
 import urllib.parse
@@ -28,6 +29,8 @@
 
     Attributes:
       fault: BUSY, SILENT, LOSES_ANSWERS or '' for none.
+      failing_kinds: Kinds whose reads are refused.
+      reads_by_kind: How many lists and watches of each kind arrived.
       writes: How many write calls arrived.
       revision: The revision of the last change of any object.
     """
@@ -35,6 +38,8 @@
     def __init__(self) -> None:
         """Create an empty store at revision 10."""
         self.fault = ''
+        self.failing_kinds: set[str] = set()
+        self.reads_by_kind: collections.Counter[str] = collections.Counter()
         self.writes = 0
         self.revision = 10
         self._item_by_path: dict[tuple[str, str], _Item] = {}
@@ -117,6 +122,9 @@
     async def _read(
         self, kind: str, name: str, fields: dict[str, str]
     ) -> http_server.Response:
+        self.reads_by_kind[kind] += 1
+        if kind in self.failing_kinds:
+            return http_server.Response(503, [], b'')
         if 'watch' in fields:
             return await self._watch(kind, fields)
         if name:
