--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -9,8 +9,10 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
+from amaranthcrank.router import reader_election
 from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
+from amaranthcrank.router import store_sync
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import target_selection
@@ -31,6 +33,7 @@
     )
 
 
+EVACUATION_S = 5.0
 # Round-trip time over a congested link.
 BUSY_LINK_S = 0.4
 TURN_SEEDS = 100
@@ -44,7 +47,7 @@
         rng = random.Random(self.seed)
         self.now = loop.time
         self.targets = directory.Directory(
-            loop.time, 2.0, lambda *_, **__: None
+            loop.time, 2.0, lambda *_, **__: None, EVACUATION_S
         )
         self.keys = key_table.KeyTable()
         self.times = service_times.ServiceTimes()
@@ -61,10 +64,24 @@
         now = self.now()
         return wait_order.Priority(rank, now + goal_s, now + deadline_s)
 
-    async def _acquire(self, rank=1, key=None, goal_s=0.5, deadline_s=2.0):
+    async def _acquire(
+        self,
+        rank=1,
+        key=None,
+        goal_s=0.5,
+        deadline_s=2.0,
+        regions=None,
+        route=None,
+        excluded=frozenset(),
+    ):
         return await self.admission.acquire(
             demand.Demand(
-                'desk', self._priority(rank, goal_s, deadline_s), key
+                'desk',
+                self._priority(rank, goal_s, deadline_s),
+                key,
+                excluded,
+                regions,
+                route,
             )
         )
 
@@ -203,6 +220,187 @@
         self.assertEqual(names, {'healthy'})
 
 
+class EvacuationTest(_AdmissionTest):
+    """A failure domain is evacuated while requests wait and arrive."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.targets.replace_all([_entry('i-1', slots=1), _entry('i-2', 'b')])
+
+    async def test_new_requests_go_to_other_domains(self):
+        self.targets.evacuate(['a'], 0.0)
+        began_at = self.now()
+        target = await self._acquire()
+        self.assertEqual(target.entry.target_id, 'i-2')
+        self.assertLess(self.now() - began_at, 0.05)
+
+    async def test_waiting_requests_are_reassigned(self):
+        """Guards against requests that wait for a target that they lost."""
+        held = await self._acquire()
+        self.assertEqual(held.entry.target_id, 'i-1')
+        waiting = asyncio.create_task(self._acquire())
+        await asyncio.sleep(0.01)
+        self.assertFalse(waiting.done())
+        self.targets.evacuate(['a'], 0.0)
+        await asyncio.sleep(0.01)
+        self.assertEqual(waiting.result().entry.target_id, 'i-2')
+
+    async def test_all_domains(self):
+        """Guards against waits that end as refusals."""
+        held = await self._acquire()
+        waiting = asyncio.create_task(self._acquire())
+        await asyncio.sleep(0.01)
+        self.targets.evacuate(['a', 'b'], 0.0)
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(waiting.exception(), demand.RefusedError)
+        began_at = self.now()
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire()
+        self.assertLess(self.now() - began_at, 0.05)
+        self.admission.release(held)
+
+    async def test_restored_domain(self):
+        self.targets.evacuate(['a', 'b'], 0.0)
+        self.targets.evacuate(['b'], 0.0)
+        target = await self._acquire()
+        self.assertEqual(target.entry.target_id, 'i-1')
+
+    async def test_regions_and_evacuations(self):
+        """Guards against a request that leaves its region to be served."""
+        self.targets.replace_all([_entry('i-1'), _entry('far', 'c')])
+        self.targets.evacuate(['c'], 0.0)
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(regions=frozenset({'s'}))
+        self.assertEqual(self.targets.by_id['i-1'].in_flight, 0)
+
+
+class RegionTest(_AdmissionTest):
+    """A request must not reach a target outside the regions of its route."""
+
+    NORTH = frozenset({'n'})
+    SOUTH = frozenset({'s'})
+
+    async def _refused_at_once(self, **fields):
+        began_at = self.now()
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(**fields)
+        self.assertLess(self.now() - began_at, 0.05)
+
+    async def test_far_region_is_used_at_once(self):
+        """Guards against a nearer target of another region."""
+        self.targets.replace_all(
+            [_entry('near'), _entry('next', 'b'), _entry('far', 'c')]
+        )
+        began_at = self.now()
+        for _ in range(3):
+            target = await self._acquire(regions=self.SOUTH)
+            self.assertEqual(target.entry.target_id, 'far')
+            self.admission.release(target)
+        self.assertLess(self.now() - began_at, 0.05)
+
+    async def test_no_spillover_out_of_the_region(self):
+        """Guards against spillover while the allowed targets are full."""
+        self.targets.replace_all([_entry('near', slots=1), _entry('far', 'c')])
+        ticking = asyncio.create_task(self._tick())
+        self.addCleanup(ticking.cancel)
+        await self._acquire(regions=self.NORTH)
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(regions=self.NORTH, goal_s=0.1, deadline_s=0.6)
+        self.assertEqual(self.targets.by_id['far'].in_flight, 0)
+
+    async def test_retry_stays_in_the_region(self):
+        self.targets.replace_all([_entry('near'), _entry('far', 'c')])
+        await self._refused_at_once(
+            regions=self.NORTH, excluded=frozenset({'near'})
+        )
+
+    async def test_no_target_in_the_region(self):
+        self.targets.replace_all([_entry('near')])
+        await self._refused_at_once(regions=self.SOUTH)
+        await self._refused_at_once(regions=frozenset())
+
+    async def test_unknown_domain_is_in_no_region(self):
+        self.targets.replace_all([_entry('lost', 'z')])
+        await self._refused_at_once(regions=self.NORTH)
+
+    async def test_allowed_targets_are_draining(self):
+        self.targets.replace_all(
+            [_entry('far', 'c')._replace(state=model.DRAINING), _entry('near')]
+        )
+        await self._refused_at_once(regions=self.SOUTH)
+
+    async def test_unreachable_region(self):
+        """Guards against waits for a region behind a broken link."""
+        self.targets.replace_all([_entry('near'), _entry('far', 'c')])
+        far = self.targets.by_id['far']
+        far.record_unreachable(self.now(), silent=True)
+        await self._refused_at_once(regions=self.SOUTH)
+
+    async def test_last_target_leaves_while_requests_wait(self):
+        self.targets.replace_all([_entry('near'), _entry('far', 'c', slots=1)])
+        await self._acquire(regions=self.SOUTH)
+        waiting = asyncio.create_task(self._acquire(regions=self.SOUTH))
+        await asyncio.sleep(0.01)
+        self.assertFalse(waiting.done())
+        self.targets.remove('far')
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(waiting.exception(), demand.RefusedError)
+
+    async def test_new_ticket_limits_waiting_requests(self):
+        """Guards against requests sent to regions that are forbidden now."""
+        route = _route(self.NORTH)
+        self.targets.replace_all(
+            [_entry('near', slots=1), _entry('far', 'c', slots=1)]
+        )
+        held = [await self._acquire(regions=r) for r in (None, self.SOUTH)]
+        tasks = [
+            asyncio.create_task(
+                self._acquire(regions=self.NORTH, route=route)
+            ),
+            asyncio.create_task(self._acquire(route=_route(None, 'free'))),
+        ]
+        await asyncio.sleep(0.01)
+        self.admission.limit_regions(lambda _: self.SOUTH)
+        await asyncio.sleep(0.01)
+        # The first request may use no region at all now.
+        self.assertIsInstance(tasks[0].exception(), demand.RefusedError)
+        self.assertFalse(tasks[1].done())
+        for target in held:
+            self.admission.release(target)
+        await asyncio.sleep(0.01)
+        self.assertEqual(tasks[1].result().entry.target_id, 'far')
+
+    async def test_full_region_does_not_refuse_other_requests(self):
+        """Guards against refusals while other regions have free slots.
+
+        Many requests wait for a region that is full.
+        """
+        self.targets.replace_all([_entry('near'), _entry('far', 'c', slots=1)])
+        self.times.record('desk', 'r', 0.4)
+        await self._acquire(regions=self.SOUTH)
+        tasks = [
+            asyncio.create_task(
+                self._acquire(
+                    0, regions=self.SOUTH, goal_s=8.0, deadline_s=9.0
+                )
+            )
+            for _ in range(12)
+        ]
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.admission.total_waiting(), 12)
+        for _ in range(3):
+            target = await self._acquire(goal_s=0.3, deadline_s=0.7)
+            self.assertEqual(target.entry.target_id, 'near')
+        for task in tasks:
+            task.cancel()
+
+
+def _route(regions, name='r'):
+    return model.Route(
+        name, 'a.example', '/', True, 1.0, 0.5, 1, 2, (), regions
+    )
+
+
 class KeyedTest(_AdmissionTest):
     async def asyncSetUp(self):
         await super().asyncSetUp()
@@ -225,6 +423,45 @@
         await asyncio.sleep(0.01)
         self.assertIs(task.result(), self.owner)
 
+    async def test_owner_outside_the_regions(self):
+        """Guards against keyed requests sent to another region's owner."""
+        for rank in (0, 1):
+            began_at = self.now()
+            with self.assertRaises(demand.RefusedError):
+                await self._acquire(rank, key=5, regions=frozenset({'s'}))
+            self.assertLess(self.now() - began_at, 0.05)
+        self.assertEqual(self.owner.in_flight, 0)
+        target = await self._acquire(key=5, regions=frozenset({'n'}))
+        self.assertIs(target, self.owner)
+
+    async def test_selection_itself_checks_the_regions(self):
+        """Guards against a path to the selection without a check before."""
+        selection_pass = target_selection.SelectionPass(0.1, self.now(), {})
+        wanted = demand.Demand('desk', self._priority(), 5)
+        for regions, owner in (
+            (frozenset({'s'}), None),
+            (frozenset(), None),
+            (frozenset({'n'}), self.owner),
+        ):
+            chosen = self.admission.selection.choose(
+                selection_pass, wanted._replace(regions=regions), self.now()
+            )
+            self.assertIs(chosen, owner)
+
+    async def test_keys_move_out_of_the_regions(self):
+        """Guards against requests that waited for a move to another region."""
+        self.targets.replace_all([_entry('i-1'), _entry('i-2', 'c')])
+        self._put_map(moving=True, revision=2)
+        waiting = asyncio.create_task(
+            self._acquire(key=5, regions=frozenset({'s'}))
+        )
+        await asyncio.sleep(0.01)
+        self.assertFalse(waiting.done())
+        self._put_map(moving=False, revision=3)
+        self.admission.assign_waiting('desk')
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(waiting.exception(), demand.RefusedError)
+
     async def test_urgent_overtakes_bulk_of_other_hosts(self):
         # Bulk requests of all hosts fill an owner. Urgent requests may use the
         # owner's own queue.
@@ -294,6 +531,46 @@
             used_s += sender.CONNECT_TIMEOUT_S
             self.assertLessEqual(used_s + BUSY_LINK_S, drain_s)
 
+    def test_requests_reach_an_evacuated_owner_in_time(self):
+        """Guards against requests that arrive after an evacuation's time.
+
+        The reader of the domain is lost when the evacuation is acknowledged,
+        and the next one reads the store after its time-out.
+        """
+        used_s = reader_election.MAX_READER_TIMEOUT_S
+        used_s += store_sync.ELECTION_CHECK_S + BUSY_LINK_S
+        used_s += EVACUATION_S * target_selection.EVACUATED_SEND_SHARE
+        used_s += sender.CONNECT_TIMEOUT_S
+        self.assertLessEqual(used_s + BUSY_LINK_S, EVACUATION_S)
+
+    async def test_owner_in_an_evacuated_domain(self):
+        """Guards against requests that arrive after an evacuation's time.
+
+        Its keys have not moved yet, so the owner is used for a part of it.
+        """
+        self.targets.put(_entry('i-2', 'b'))
+        self.targets.evacuate(['a'], 0.0)
+        self.assertIs(await self._acquire(key=5), self.owner)
+        send_window_s = EVACUATION_S * target_selection.EVACUATED_SEND_SHARE
+        self.targets.evacuate([], 0.0)
+        self.targets.evacuate(['a'], send_window_s + 0.1)
+        task = asyncio.create_task(self._acquire(key=5))
+        await asyncio.sleep(0.02)
+        # The keys may still move to the other target.
+        self.assertFalse(task.done())
+        task.cancel()
+
+    async def test_owner_without_a_successor(self):
+        """Guards against waits that end as refusals."""
+        self.targets.evacuate(['a'], 0.0)
+        self.assertIs(await self._acquire(key=5), self.owner)
+        self.targets.evacuate([], 0.0)
+        self.targets.evacuate(['a'], EVACUATION_S)
+        began_at = self.now()
+        with self.assertRaises(demand.RefusedError):
+            await self._acquire(key=5)
+        self.assertLess(self.now() - began_at, 0.05)
+
     async def test_owner_past_its_drain_time_gets_nothing(self):
         send_window_s = (
             target_selection.DRAINING_SEND_SHARE * self.targets.drain_s
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -30,6 +30,8 @@
       retry_window_s: The window over which retries are counted.
       retry_floor: Retries allowed in addition to the ratio, over all hosts.
       grant_max_s: The longest duration of a grant of keys.
+      evacuation_s: How long after the evacuation of a failure domain its
+        targets may still receive requests; None if domains are not evacuated.
     """
 
     drain_s: float
@@ -39,6 +41,7 @@
     retry_window_s: float
     retry_floor: float
     grant_max_s: float
+    evacuation_s: float | None = None
 
 
 class HostSettings(typing.NamedTuple):
@@ -98,6 +101,8 @@
       rank: The priority; 0 is the most urgent.
       max_attempts: The most targets that one request is sent to.
       weighted_services: The services that serve the route, with weights.
+      allowed_regions: The regions whose targets may serve the route; None if
+        all may.
     """
 
     name: str
@@ -109,6 +114,7 @@
     rank: int
     max_attempts: int
     weighted_services: tuple[WeightedService, ...]
+    allowed_regions: frozenset[str] | None = None
 
 
 class Service(typing.NamedTuple):
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -21,6 +21,8 @@
 HOST = 'desk.example'
 IP = '127.0.0.1'
 READY_TIMEOUT_S = 10.0
+# Routers run in domain `a`.
+REGION_BY_DOMAIN = {'a': 'north', 'b': 'north', 'c': 'south'}
 FIRST_PORT = 10_000
 LAST_PORT = 30_000
 
@@ -35,6 +37,7 @@
     'service',
     'maxAttempts',
     'weightedClusters',
+    'allowedRegions',
 ]
 SERVICE_COLUMNS = ['name', 'healthPath', 'maxConnections', 'sharded']
 
@@ -88,6 +91,7 @@
     priority: int = 1,
     timeout_ms: int = 2000,
     max_attempts: int = 2,
+    allowed_regions: typing.Sequence[str] | None = None,
 ) -> list[typing.Any]:
     """Return the row of a route in a manifest."""
     return [
@@ -101,6 +105,7 @@
         service,
         max_attempts,
         None,
+        None if allowed_regions is None else list(allowed_regions),
     ]
 
 
@@ -113,6 +118,8 @@
       address_by_id: The address of each target.
       routers: The routers.
       tasks: The task that runs each router, in the order of routers.
+      evacuation_s: The time within which evacuations take effect; None if
+        routers do not follow them.
     """
 
     def __init__(self, stack: contextlib.AsyncExitStack) -> None:
@@ -122,6 +129,7 @@
         self.address_by_id: dict[str, model.Address] = {}
         self.routers: list[main.Router] = []
         self.tasks: list[asyncio.Task[None]] = []
+        self.evacuation_s: float | None = None
         self._stack = stack
         self._store_address = model.Address(IP, free_port())
         loop = asyncio.get_running_loop()
@@ -143,7 +151,11 @@
         self._stack.callback(self.store.server.close)
 
     async def add_target(
-        self, target_id: str, service: str, keyed: bool = False
+        self,
+        target_id: str,
+        service: str,
+        keyed: bool = False,
+        domain: str = 'a',
     ) -> platform_target.PlatformTarget:
         """Start a target and register it in the store."""
         target = platform_target.PlatformTarget(target_id, keyed)
@@ -153,10 +165,19 @@
         self.target_by_id[target_id] = target
         self.address_by_id[target_id] = address
         self.store.put(
-            'servers', target_id, target.entry(service, address, 'a')
+            'servers', target_id, target.entry(service, address, domain)
         )
         return target
 
+    def evacuate(self, *domains: str) -> None:
+        """Evacuate failure domains, as the operator would."""
+        for domain in domains:
+            self.store.put('evacuations', domain, {'spec': {}})
+
+    def restore(self, domain: str) -> None:
+        """End the evacuation of a failure domain."""
+        self.store.remove('evacuations', domain)
+
     def put_manifest(self, spec: dict[str, typing.Any]) -> None:
         """Write a manifest to the store, as the operator would."""
         self.store.put('config', 'main', {'spec': spec})
@@ -215,7 +236,7 @@
             ip=IP,
             failure_domain='a',
             region='north',
-            region_by_domain={'a': 'north'},
+            region_by_domain=REGION_BY_DOMAIN,
             listen_address=model.Address(IP, free_port()),
             readiness_address=model.Address(IP, free_port()),
             peer_port=free_port(),
@@ -224,7 +245,9 @@
             heartbeat_s=0.5,
             max_descriptors=1000,
             memory_bytes=300 * 1024 * 1024,
-            bounds=model.Bounds(2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0),
+            bounds=model.Bounds(
+                2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0, self.evacuation_s
+            ),
         )
 
 
