Limit requests to cold targets

A cold target crashes if all hosts send to it as to a warm one. Each cold target without keys is assigned to one host of its domain, and hosts take random turns at cold owners of keys. The controller gives cold targets no more load than that.

--- a/amaranthcrank/platform/manifest.py
+++ b/amaranthcrank/platform/manifest.py
@@ -4,6 +4,7 @@
 The number of the version becomes the number of the ticket.
 """
 
+import math
 import typing
 
 from amaranthcrank.router import model
@@ -75,6 +76,8 @@
         name=_text(row, 'name'),
         max_connections=int(row.get('maxConnections', 100)),
         keyed=bool(row.get('sharded', False)),
+        warm_up_s=_amount(row, 'warmupS') or 0.0,
+        cold_per_s=_amount(row, 'coldPerS'),
     )
 
 
@@ -98,6 +101,18 @@
     )
 
 
+def _amount(row: _Row, field: str) -> float | None:
+    """Return a number of at least 0; None without the field."""
+    value = row.get(field)
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'{field} is not a number')
+    if not 0 <= value < math.inf:
+        raise ValueError(f'{field} is not a number from 0')
+    return float(value)
+
+
 def _text(row: _Row, field: str) -> str:
     value = row[field]
     if not isinstance(value, str):
--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -1,6 +1,7 @@
 """Parsing of the settings file that the platform gives to a process."""
 
 import ipaddress
+import math
 import re
 
 from amaranthcrank.router import model
@@ -73,9 +74,20 @@
         retry_window_s=float(fields[prefix + 'budgetWindowS']),
         retry_floor=float(fields[prefix + 'budgetMinRetries']),
         grant_max_s=float(fields[prefix + 'holdMaxMs']) / 1000,
+        cold_overshoot=_optional_amount(fields, prefix + 'coldOvershoot'),
+        cold_slack=_optional_amount(fields, prefix + 'coldSlack'),
     )
 
 
+def _optional_amount(fields: dict[str, str], name: str) -> float | None:
+    if name not in fields:
+        return None
+    value = float(fields[name])
+    if not 0 <= value < math.inf:
+        raise ValueError(f'{name} is not a number from 0')
+    return value
+
+
 def parse_address(text: str) -> model.Address:
     """Parse `ip:port`.
 
--- a/amaranthcrank/router/admission_checks.py
+++ b/amaranthcrank/router/admission_checks.py
@@ -16,6 +16,7 @@
 # Basis of Retry-After if the owner cannot be reached from this host: another
 # host may be able to reach it.
 UNREACHABLE_RETRY_AFTER_S = 0.15
+COLD_REASON = 'the targets are cold'
 # Basis of Retry-After while this host shuts down: other hosts serve.
 SHUTDOWN_RETRY_AFTER_S = 0.1
 
@@ -97,6 +98,9 @@
             return demands.RefusedError(
                 'the host stops', SHUTDOWN_RETRY_AFTER_S
             )
+    cold_wait_s = selection.cold_wait_s(demand, 0, now)
+    if now + cold_wait_s > max(now, timeout_at):
+        return demands.RefusedError(COLD_REASON, cold_wait_s)
     held_off_until = selection.held_off_until(demand)
     if held_off_until > max(now, timeout_at):
         return demands.RefusedError(
@@ -123,6 +127,9 @@
             ahead += 1
     if not ahead:
         return 0.0
+    cold_wait_s = selection.cold_wait_s(demand, ahead, queue.now)
+    if cold_wait_s:
+        return cold_wait_s
     return wait_order.expected_wait_s(
         ahead, queue.service_s, selection.concurrency(demand, queue.now)
     )
@@ -154,6 +161,9 @@
         # The most urgent rank overtakes all waiting requests.
         return
     ahead = queue.waiting_by_owner.get(target.entry.target_id, 0)
+    cold_wait_s = selection.cold_wait_s(demand, ahead, queue.now)
+    if queue.now + cold_wait_s > timeout_at:
+        raise demands.RefusedError(COLD_REASON, cold_wait_s)
     ahead += target.waiting_elsewhere
     if not ahead:
         return
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -50,6 +50,8 @@
       listeners: Called after each change.
       loaded: Whether the list of entries was read from the store once.
       drain_s: How long a draining target keeps serving.
+      cold_services: The services whose targets may say in responses that they
+        are cold.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.listeners: list[typing.Callable[[], None]] = []
         self.loaded = False
         self.drain_s = drain_s
+        self.cold_services: frozenset[str] = frozenset()
         self._departure_by_holder: dict[str, Departure] = {}
         # What incarnations of targets said about themselves. It is kept when
         # their entry is removed, as the entry may come back.
@@ -196,6 +199,18 @@
         self._log('target_held_off', target=holder, hold_off_s=hold_off_s)
         self.notify_listeners()
 
+    def record_warm_up(self, holder: str, warm_up_s: float) -> None:
+        """Record that a target said for how much longer it is cold.
+
+        Args:
+          holder: The incarnation of the target, as `id/incarnation`.
+          warm_up_s: For how long, in seconds.
+        """
+        target = self.find(*model.split_holder(holder))
+        if target is None or target.entry.service not in self.cold_services:
+            return
+        target.cold_until_by_response = self._clock() + warm_up_s
+
     @property
     def any_held_off(self) -> bool:
         """Whether any target wants no request from this host now."""
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -7,11 +7,13 @@
 """
 
 import asyncio
+import math
 import time
 import typing
 
 from amaranthcrank.platform import store
 from amaranthcrank.router import clock
+from amaranthcrank.router import cold_owners
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import directory
 from amaranthcrank.router import event_log
@@ -49,6 +51,8 @@
         completed.
       on_map_written: Called with the former and the new key map after a
         write to the store.
+      cold_load_s: Returns the work per second that a target may get;
+        infinite if it is not cold.
       load: The recent load by key, as all hosts report it.
       contended_services: The services with an owner that is likely to have a
         queue.
@@ -72,6 +76,9 @@
         self.on_map_written: (
             typing.Callable[[model.KeyMap, model.KeyMap], None] | None
         ) = None
+        self.cold_load_s: typing.Callable[[target_state.Target], float] = (
+            lambda target: math.inf
+        )
         self.load = key_load.KeyLoad()
         self.contended_services: frozenset[str] = frozenset()
         self._store = key_map_store.KeyMapStore(client, lease, log)
@@ -253,6 +260,7 @@
         self, service: str, ranges: tuple[model.KeyRange, ...]
     ) -> tuple[key_plan.Move, ...]:
         owners = []
+        cold_load_s_by_id = {}
         unreachable = set()
         for target in self._targets.ready(service):
             entry = target.entry
@@ -267,10 +275,16 @@
                     entry.slots * key_load.WINDOW_S / self._slowness(target),
                 )
             )
+            cold_load_s = self.cold_load_s(target)
+            if cold_load_s < math.inf:
+                cold_load_s_by_id[entry.target_id] = cold_load_s
         owners.sort()
         now = time.monotonic()
         if not ranges and not self._is_stable(service, owners, now):
             return ()
+        owners = cold_owners.limit_cold(
+            owners, cold_load_s_by_id, key_load.WINDOW_S
+        )
         load = self.load.window(service)
         held = self._held_keys_by_service.setdefault(
             service, held_keys.HeldKeys()
@@ -291,7 +305,9 @@
             for owner in owners
         }
         return tuple(
-            move for move in moves if _is_reassignment(ranges, move, live)
+            move
+            for move in moves
+            if key_ranges.is_reassignment(ranges, move, live)
         )
 
     def _keeps_keys(self, holder: str) -> bool:
@@ -432,17 +448,3 @@
                 self._refused_holders.add(holder)
                 return
             await asyncio.sleep(STEP_INTERVAL_S)
-
-
-def _is_reassignment(
-    ranges: tuple[model.KeyRange, ...],
-    move: key_plan.Move,
-    live: set[str],
-) -> bool:
-    """Return whether the owners of all keys of a move are gone."""
-    for key_range in ranges:
-        if key_range.last < move.first or move.last < key_range.first:
-            continue
-        if key_range.holder in live:
-            return False
-    return True
--- a/amaranthcrank/router/key_plan.py
+++ b/amaranthcrank/router/key_plan.py
@@ -42,11 +42,13 @@
       target_id: The id of the target.
       incarnation: The incarnation of the target.
       capacity_s: The work that it can do in the window of the load, seconds.
+      is_cold: Whether it gets keys only if the warm targets are overloaded.
     """
 
     target_id: str
     incarnation: int
     capacity_s: float
+    is_cold: bool = False
 
 
 class Move(typing.NamedTuple):
@@ -249,7 +251,8 @@
     while queue:
         first, last = queue.pop(0)
         owner = min(
-            owners, key=lambda candidate: _utilisation(candidate, load_by_id)
+            _receivers(owners, load_by_id),
+            key=lambda candidate: _utilisation(candidate, load_by_id),
         )
         headroom = mean * owner.capacity_s - load_by_id[owner.target_id]
         piece_load = load.estimated(first, last)
@@ -275,6 +278,20 @@
     return low
 
 
+def _receivers(
+    owners: typing.Sequence[Owner], load_by_id: dict[str, float]
+) -> typing.Sequence[Owner]:
+    """Return the targets that may get keys.
+
+    Cold targets get keys only if no warm target can do more work.
+    """
+    warm = [owner for owner in owners if not owner.is_cold]
+    for owner in warm:
+        if _utilisation(owner, load_by_id) < OVERLOAD_UTILISATION:
+            return warm
+    return owners
+
+
 def _utilisation(owner: Owner, load_by_id: dict[str, float]) -> float:
     return load_by_id[owner.target_id] / owner.capacity_s
 
@@ -302,8 +319,10 @@
             candidates,
             key=lambda candidate: _utilisation(candidate, load_by_id),
         )
+        receivers = _receivers(owners, load_by_id)
         receiver = min(
-            owners, key=lambda candidate: _utilisation(candidate, load_by_id)
+            receivers,
+            key=lambda candidate: _utilisation(candidate, load_by_id),
         )
         receiver_idle = load_by_id[receiver.target_id] == 0.0
         if not receiver_idle and _utilisation(donor, load_by_id) < limit:
@@ -323,7 +342,7 @@
             continue
         piece_load = load.estimated(*piece)
         if not receiver_idle:
-            receiver = _best_receiver(owners, piece_load, load_by_id)
+            receiver = _best_receiver(receivers, piece_load, load_by_id)
         if not receiver_idle and not _relieves(
             donor, receiver, piece_load, load_by_id
         ):
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -109,3 +109,17 @@
                 continue
         result.append(key_range)
     return tuple(result)
+
+
+def is_reassignment(
+    ranges: tuple[model.KeyRange, ...],
+    move: key_plan.Move,
+    live: set[str],
+) -> bool:
+    """Return whether the owners of all keys of a move are gone."""
+    for key_range in ranges:
+        if key_range.last < move.first or move.last < key_range.first:
+            continue
+        if key_range.holder in live:
+            return False
+    return True
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -13,6 +13,7 @@
 from amaranthcrank.platform import settings_file
 from amaranthcrank.platform import store
 from amaranthcrank.router import admission
+from amaranthcrank.router import cold_quota
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import crash_reports
@@ -42,6 +43,7 @@
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import target_notices
+from amaranthcrank.router import target_state
 from amaranthcrank.router import ticket_feed
 from amaranthcrank.router import upload_budget
 
@@ -110,6 +112,14 @@
             clock,
             random.random,
         )
+        self.cold_quota = cold_quota.ColdQuota(
+            settings.host_id,
+            settings.failure_domain,
+            random.random,
+            self.log.event,
+            self.metrics.add,
+        )
+        self.admission.selection.cold_quota = self.cold_quota
         self.notices = target_notices.TargetNotices(
             self.targets, self.pool, self.peers
         )
@@ -232,6 +242,7 @@
         self.sender.on_crash = self.reports.broadcast_crash
         self.sender.on_crash_cleared = self.reports.broadcast_crash_cleared
         self.sender.on_crash_withdrawn = self.reports.broadcast_crash_withdrawn
+        self.controller.cold_load_s = self._cold_load_s
         self.controller.on_move_completed = (
             self.reports.broadcast_move_completed
         )
@@ -386,6 +397,31 @@
             if service.keyed
         )
 
+        self.cold_quota.limits_by_service = cold_quota.limits_by_service(
+            ticket.service_by_name.values(), self.settings.bounds
+        )
+        self.targets.cold_services = frozenset(
+            self.cold_quota.limits_by_service
+        )
+
+    def _cold_load_s(self, target: target_state.Target) -> float:
+        return self.cold_quota.owner_load_s(
+            target,
+            self.times.of_service(target.entry.service),
+            asyncio.get_running_loop().time(),
+        )
+
+    def _refresh_cold_quota(self) -> None:
+        if not self.cold_quota.limits_by_service:
+            return
+        now = asyncio.get_running_loop().time()
+        if self.shared_feed.has_joined:
+            membership = cold_quota.Membership(
+                self.peers.ids_in_domain(), self.peers.count_all()
+            )
+            self.cold_quota.set_membership(membership, now)
+        self.cold_quota.refresh(self.targets.by_id.values(), now)
+
     async def _register(self) -> None:
         """Register this host and announce it to the others."""
         await self.shared_feed.register()
@@ -437,6 +473,7 @@
             self.targets.drop_expired()
             self.pool.close_expired()
             self.reports.apply_load()
+            self._refresh_cold_quota()
             self.budget.hosts = self.peers.count_all()
             self.log.flush()
 
@@ -446,6 +483,7 @@
             'busy_requests': self.server.active_requests,
             'caller_connections': len(self.server.connections),
             'targets': len(self.targets.by_id),
+            'cold_targets': self.cold_quota.cold_targets,
             'store_calls': self.store.calls,
             'opened_connections': self.pool.opened_connections,
             'evicted_responses': self.pool.buffer_budget.evicted,
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -30,6 +30,9 @@
       retry_window_s: The window over which retries are counted.
       retry_floor: Retries allowed in addition to the ratio, over all hosts.
       grant_max_s: The longest duration of a grant of keys.
+      cold_overshoot: The multiple of the rate of a cold target, and
+      cold_slack: the number of requests in addition, that all hosts together
+        may send it in any one second. None: cold targets are not limited.
     """
 
     drain_s: float
@@ -39,6 +42,8 @@
     retry_window_s: float
     retry_floor: float
     grant_max_s: float
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 class HostSettings(typing.NamedTuple):
@@ -119,11 +124,16 @@
       max_connections: The most connections that one target accepts from all
         callers together.
       keyed: Whether each key of the service is owned by a single target.
+      warm_up_s: How long a target is cold after its start.
+      cold_per_s: The rate of requests that a cold target bears; None or 0 if
+        it is not limited.
     """
 
     name: str
     max_connections: int
     keyed: bool
+    warm_up_s: float = 0.0
+    cold_per_s: float | None = None
 
 
 class CallerLimits(typing.NamedTuple):
--- a/amaranthcrank/router/peers.py
+++ b/amaranthcrank/router/peers.py
@@ -102,6 +102,15 @@
         """Return the number of hosts, including this one."""
         return 1 + len(self.by_id)
 
+    def ids_in_domain(self) -> frozenset[str]:
+        """Return the hosts of the failure domain, with this one."""
+        found = {
+            peer.host_id
+            for peer in self.by_id.values()
+            if peer.failure_domain == self._failure_domain
+        }
+        return frozenset(found | {self._host_id})
+
     def count_in_domain(self) -> int:
         """Return the number of hosts of the failure domain, with this one."""
         return 1 + sum(
--- a/amaranthcrank/router/sender.py
+++ b/amaranthcrank/router/sender.py
@@ -101,6 +101,7 @@
         except http_client.ConnectError as error:
             target.record_unreachable(loop.time(), not error.refused)
             if error.refused:
+                target.refused_at = loop.time()
                 self._report_crashes(target)
             self._pool.drop(target.entry.address)
             return Attempt(
--- a/amaranthcrank/router/shared_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -20,7 +20,12 @@
 
 
 class SharedFeed:
-    """Reads key maps and hosts from the store, and registers this host."""
+    """Reads key maps and hosts from the store, and registers this host.
+
+    Attributes:
+      has_joined: Whether the hosts were read since this host is registered.
+        Of any two hosts that join, the later one then knows the other.
+    """
 
     def __init__(
         self,
@@ -45,6 +50,8 @@
           on_key_map: Called with the service whose key map changed.
           read_schedule: Decides when the store is read again.
         """
+        self.has_joined = False
+        self._is_registered = False
         self._client = client
         self._keys = keys
         self._peer_by_id = peer_by_id
@@ -63,6 +70,7 @@
         """
         reachability = store_sync.Reachability(names.SHARED_KIND, self._log)
         while True:
+            was_registered = self._is_registered
             try:
                 listing = await self._client.list_all(
                     names.SHARED_KIND, store_sync.CALL_TIMEOUT_S
@@ -80,11 +88,16 @@
             self._backoff.reset()
             for name, item in listing.item_by_name.items():
                 self._apply(name, item)
+            self.has_joined = self.has_joined or was_registered
             self._read_schedule.record_read()
             await self._read_schedule.wait()
 
     async def register(self) -> None:
         """Register the address at which this host receives datagrams."""
+        await self._register()
+        self._is_registered = True
+
+    async def _register(self) -> None:
         spec = entries.encode_peer(self._own)
         name = names.HOST_PREFIX + self._own.host_id
         while True:
--- a/amaranthcrank/router/target_notices.py
+++ b/amaranthcrank/router/target_notices.py
@@ -52,6 +52,8 @@
             notice = notices.decode(status, headers)
             if notice.hold_off_s:
                 self._targets.hold_off(holder, notice.hold_off_s)
+            if notice.warm_up_s is not None:
+                self._targets.record_warm_up(holder, notice.warm_up_s)
             if not notice.is_leaving:
                 return
             self._pool.drop(address)
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from amaranthcrank.router import cold_quota
 from amaranthcrank.router import demand as demands
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_table
@@ -42,6 +43,8 @@
     Attributes:
       domain_hosts: Number of hosts that share the targets of this failure
         domain.
+      cold_quota: Limits the requests to cold targets; None: they are not
+        limited.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
           random: Returns floats from 0 to below 1.
         """
         self.domain_hosts = 2
+        self.cold_quota: cold_quota.ColdQuota | None = None
         self._targets = targets
         self._keys = keys
         self._locality = locality
@@ -95,9 +99,12 @@
     def concurrency(self, demand: demands.Demand, now: float) -> int:
         """Return how many requests this host may have in flight at once."""
         concurrency = 0
+        quota = self._quota(demand.service)
         for target in self.allowed(demand):
             if target.is_paused(now):
                 continue
+            if quota is not None and quota.is_limited(target, now):
+                continue
             if self._distance(target) == 0:
                 concurrency += target_choice.per_host_limit(
                     target.entry.slots, self.domain_hosts
@@ -106,6 +113,36 @@
             concurrency += 1
         return concurrency
 
+    def cold_wait_s(
+        self, demand: demands.Demand, ahead: int, now: float
+    ) -> float:
+        """Return the wait of a request if only cold targets may serve it.
+
+        Args:
+          demand: What the request asks for.
+          ahead: Number of requests of this host that are sent before it.
+          now: The event loop's time.
+
+        Returns:
+          The time until the first of these targets may get the request, or
+          is warm; 0 if another target may serve it.
+        """
+        quota = self._quota(demand.service)
+        if quota is None or not quota.cold_targets:
+            return 0.0
+        if demand.key is not None:
+            owner = self.owner(demand.service, demand.key)
+            if owner is None:
+                return 0.0
+            return quota.wait_s(owner, True, ahead, now)
+        return min(
+            (
+                quota.wait_s(target, False, ahead, now)
+                for target in self.allowed(demand)
+            ),
+            default=0.0,
+        )
+
     def held_off_until(self, demand: demands.Demand) -> float:
         """Return until when no allowed target wants requests."""
         if not self._targets.any_held_off:
@@ -136,7 +173,8 @@
                 selection_pass, demand, demand.key
             )
         now = selection_pass.now
-        targets = self.allowed(demand)
+        targets = self._without_held_back(self.allowed(demand), demand, now)
+        quota = self._quota(demand.service)
         waited_s = now - queued_at
         goal_s = demand.priority.goal_at - queued_at
         for distance, share in enumerate(SPILLOVER_SHARE_BY_DISTANCE):
@@ -158,9 +196,37 @@
                 candidates, selection_pass.service_s, now, hosts, self._random
             )
             if chosen is not None:
+                if quota is not None:
+                    quota.record_send(chosen, now)
                 return chosen
         return None
 
+    def _quota(self, service: str) -> cold_quota.ColdQuota | None:
+        """Return the quota if the cold targets of a service are limited."""
+        quota = self.cold_quota
+        if quota is None or service not in quota.limits_by_service:
+            return None
+        return quota
+
+    def _without_held_back(
+        self,
+        targets: list[target_state.Target],
+        demand: demands.Demand,
+        now: float,
+    ) -> list[target_state.Target]:
+        """Leave out the cold targets that this host may not send to now."""
+        quota = self._quota(demand.service)
+        if quota is None:
+            return targets
+        usable = [
+            target
+            for target in targets
+            if quota.next_send_at(target, now) <= now
+        ]
+        if len(usable) < len(targets):
+            quota.record_hold()
+        return usable
+
     def _has_nearer_target(
         self, targets: list[target_state.Target], distance: int, now: float
     ) -> bool:
@@ -192,10 +258,19 @@
             selection_pass.service_s,
             selection_pass.waiting_by_owner.get(target.entry.target_id, 0),
         )
+        quota = self._quota(demand.service)
+        if quota is not None and quota.is_limited(target, now):
+            if quota.next_turn_at(target, now) > now:
+                quota.record_hold()
+                return None
+            # The turns at a cold owner replace those at a contended one.
+            interval_s = 0.0
         if not target_choice.owner_has_capacity(
             target, now, rank, interval_s, self.domain_hosts, self._random
         ):
             return None
+        if quota is not None:
+            quota.use_turn(target, now)
         if rank and target_choice.is_contended(target, self.domain_hosts):
             target.pacer.take_turn(now, interval_s, self._random)
         return target
--- a/amaranthcrank/router/target_state.py
+++ b/amaranthcrank/router/target_state.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import math
 
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
@@ -47,7 +48,10 @@
       paused_until: No request is sent before this time, in event loop time.
       held_off_until: The target wants no request from this host before this
         time, in event loop time.
-      cold_until: End of its warm-up, in event loop time.
+      cold_until: End of its warm-up by its entry, in event loop time.
+      cold_until_by_response: End of its warm-up by its last response that
+        says so, in event loop time.
+      refused_at: When it last refused a connection, in event loop time.
       missing_until: Until when it is kept without an entry in the store, or
         None if it has one.
       draining_since: The earliest time at which it may have started to drain,
@@ -79,6 +83,8 @@
         self.paused_until = 0.0
         self.held_off_until = 0.0
         self.cold_until = now + entry.cold_s
+        self.cold_until_by_response = -math.inf
+        self.refused_at = -math.inf
         self.missing_until: float | None = None
         self.draining_since = draining_since
         self._silent = False
@@ -95,7 +101,12 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether it is still warming up."""
-        return now < self.cold_until
+        return now < self.cold_end
+
+    @property
+    def cold_end(self) -> float:
+        """The end of its warm-up, in event loop time."""
+        return max(self.cold_until, self.cold_until_by_response)
 
     def is_paused(self, now: float) -> bool:
         """Return whether no request may be sent to it now."""
