Tests of cold targets in admission, plans and a site; no margin without a cold time

Each update of an entry without a warm-up set the end of the cold time to the present, and the margin of 0.3 s kept requests from warm targets.

Ran admission, key_plan, target_notices, key_controller, path, decoding and cold_site tests: all pass.

--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -51,6 +51,20 @@
             with self.assertRaises(settings_file.SettingsError, msg=line):
                 settings_file.parse(SETTINGS.replace(line, ''))
 
+    def test_cold_bounds_are_optional(self):
+        # Without both bounds cold targets are not limited.
+        bounds = settings_file.parse(SETTINGS).bounds
+        self.assertIsNone(bounds.cold_overshoot)
+        self.assertIsNone(bounds.cold_slack)
+        prefix = 'terms.bounds.'
+        text = f'{prefix}coldOvershoot=1.5\n{prefix}coldSlack=8\n'
+        bounds = settings_file.parse(SETTINGS + text).bounds
+        self.assertEqual(bounds.cold_overshoot, 1.5)
+        self.assertEqual(bounds.cold_slack, 8.0)
+        for value in ('', '-1', 'nan', 'inf', 'some'):
+            with self.assertRaises(settings_file.SettingsError, msg=value):
+                settings_file.parse(f'{SETTINGS}{prefix}coldSlack={value}')
+
     def test_malformed_values(self):
         for old, new in (
             ('10.200.1.7:8384', 'store'),
@@ -133,6 +147,25 @@
         )
         self.assertTrue(ticket.service_by_name['s'].keyed)
 
+    def _service(self, *values):
+        spec = platform_site.manifest(1, [], [['s', '/healthz', 9, *values]])
+        return manifest.decode(spec).service_by_name['s']
+
+    def test_cold_targets(self):
+        service = self._service(True, 3.0, 4.1)
+        self.assertEqual(service.warm_up_s, 3.0)
+        self.assertEqual(service.cold_per_s, 4.1)
+        for values in ((True,), (True, None, None)):
+            service = self._service(*values)
+            self.assertIsNone(service.cold_per_s)
+        self.assertEqual(self._service(True, 3, 0).cold_per_s, 0.0)
+
+    def test_malformed_rates_of_cold_targets(self):
+        # A rate that is not understood must not turn the limit off.
+        for value in ('4', True, -1, float('nan'), float('inf'), [4.1]):
+            with self.assertRaises(manifest.ManifestError, msg=value):
+                self._service(True, 3.0, value)
+
     def test_malformed_manifest(self):
         for spec in (None, {}, {'version': 3}, {'version': 'r1'}):
             with self.assertRaises(manifest.ManifestError):
--- a/amaranthcrank/router/cold_quota_test.py
+++ b/amaranthcrank/router/cold_quota_test.py
@@ -291,6 +291,11 @@
         self.assertTrue(self.quota.is_limited(target, 3.25))
         self.assertFalse(self.quota.is_limited(target, 3.31))
 
+    def test_target_that_is_not_cold_has_no_margin(self):
+        # Otherwise each update of its entry would keep requests from it.
+        target = _target(cold_s=0.0)
+        self.assertFalse(self.quota.is_limited(target, 0.0))
+
     def test_response_says_that_the_target_is_cold_again(self):
         target = _target(cold_s=0.0)
         self.assertFalse(self.quota.is_limited(target, 1.0))
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -209,7 +209,9 @@
         target = self.find(*model.split_holder(holder))
         if target is None or target.entry.service not in self.cold_services:
             return
-        target.cold_until_by_response = self._clock() + warm_up_s
+        target.cold_until_by_response = target_state.cold_until(
+            self._clock(), warm_up_s
+        )
 
     @property
     def any_held_off(self) -> bool:
@@ -273,7 +275,7 @@
             self._log('target_known', **entry._asdict())
             return
         known.missing_until = None
-        known.cold_until = now + entry.cold_s
+        known.cold_until = target_state.cold_until(now, entry.cold_s)
         self._set_entry(known, entry)
 
     def _set_entry(
--- a/amaranthcrank/router/key_plan_test.py
+++ b/amaranthcrank/router/key_plan_test.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from amaranthcrank.router import cold_owners
 from amaranthcrank.router import key_plan
 from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
@@ -53,6 +54,50 @@
 IDLE = key_plan.Load({})
 
 
+class ColdOwnerTest(unittest.TestCase):
+    def _limited(self, owners, cold_ids, load_s=0.4):
+        return cold_owners.limit_cold(
+            owners, dict.fromkeys(cold_ids, load_s), WINDOW_S
+        )
+
+    def test_capacity_is_limited(self):
+        first, second = self._limited(_owners(2), ['i-1'])
+        self.assertEqual(first, _owners(2)[0])
+        self.assertAlmostEqual(second.capacity_s, 1.2)
+        # A slow target does not get more than it can do.
+        owners = self._limited(_owners(1, slots=1), ['i-0'], load_s=5.0)
+        self.assertEqual(owners[0].capacity_s, WINDOW_S)
+
+    def test_keys_go_to_warm_targets(self):
+        # A target is lost while another one that has no keys is cold.
+        owners = _owners(3)
+        ranges = _assigned(owners, IDLE)
+        replaced = [
+            owners[0],
+            owners[1],
+            key_plan.Owner('i-new', 1, owners[0].capacity_s),
+        ]
+        moves = key_plan.plan(ranges, self._limited(replaced, ['i-new']), IDLE)
+        self.assertTrue(moves)
+        receivers = {move.owner.target_id for move in moves}
+        self.assertNotIn('i-new', receivers)
+
+    def test_all_targets_are_cold(self):
+        # After a start of the whole service, keys need owners all the same.
+        owners = self._limited(_owners(3), ['i-0', 'i-1', 'i-2'])
+        self.assertTrue(_covers_all_keys(_assigned(owners, IDLE)))
+
+    def test_load_leaves_a_target_that_became_cold(self):
+        work = {key: 0.001 for key in range(0, KEYS, 64)}
+        load = key_plan.Load(work)
+        owners = _owners(2)
+        ranges = _assigned(owners, load)
+        cold = self._limited(owners, ['i-0'], load_s=0.02)
+        moves = key_plan.plan(ranges, cold, load)
+        self.assertTrue(moves)
+        self.assertEqual({move.owner.target_id for move in moves}, {'i-1'})
+
+
 class PlanTest(unittest.TestCase):
     def test_all_keys_are_assigned(self):
         for count in (1, 3, 11, 93):
--- a/amaranthcrank/router/target_notices_test.py
+++ b/amaranthcrank/router/target_notices_test.py
@@ -50,6 +50,45 @@
         self.assertEqual(notice.hold_off_s, 0.0)
 
 
+class WarmUpTest(unittest.TestCase):
+    def test_decoding(self):
+        for value, seconds in (
+            (b'2500', 2.5),
+            (b' 0 ', 0.0),
+            (b'', None),
+            (b'-1', None),
+            (b'1.5', None),
+            (b'soon', None),
+            (b'9' * 10, None),
+            (b'9' * 9, notices.MAX_WARM_UP_S),
+        ):
+            notice = notices.decode(200, [(names.WARM_UP_MS, value)])
+            self.assertEqual(notice.warm_up_s, seconds, value)
+        self.assertIsNone(notices.decode(200, []).warm_up_s)
+
+    def test_only_services_with_the_feature(self):
+        # Other targets are sent requests as before, whatever they say.
+        targets = directory.Directory(lambda: 100.0, 2.0, lambda *_, **__: 0)
+        address = model.Address('10.0.0.1', 80)
+        entry = model.TargetEntry(
+            'i-1', 'desk', address, 'a', 3, model.READY, 0.0, 1
+        )
+        targets.replace_all([entry])
+        targets.record_warm_up('i-1/1', 3.0)
+        target = targets.by_id['i-1']
+        self.assertFalse(target.is_cold(100.0))
+        targets.cold_services = frozenset({'desk'})
+        targets.record_warm_up('i-1/2', 3.0)
+        self.assertFalse(target.is_cold(100.0))
+        targets.record_warm_up('i-1/1', 3.0)
+        self.assertTrue(target.is_cold(102.9))
+        # The entry was written before the target became cold again.
+        targets.put(entry)
+        self.assertTrue(target.is_cold(102.9))
+        targets.record_warm_up('i-1/1', 1.0)
+        self.assertFalse(target.is_cold(101.0))
+
+
 class DirectoryTest(unittest.TestCase):
     """A leaving target whose entry in the store does not say so."""
 
--- a/amaranthcrank/router/target_state.py
+++ b/amaranthcrank/router/target_state.py
@@ -31,6 +31,20 @@
 COLD_FACTOR = 2.0
 
 
+def cold_until(now: float, cold_s: float) -> float:
+    """Return the end of a warm-up that takes some more time.
+
+    Args:
+      now: The event loop's time.
+      cold_s: How much longer the target is cold; 0 if it is not.
+
+    Returns:
+      The time; negative infinity if the target is not cold, as there is no
+      cold time that a margin could extend.
+    """
+    return now + cold_s if cold_s else -math.inf
+
+
 class Target:
     """One incarnation of a target.
 
@@ -82,7 +96,7 @@
         self.failure_rate = 0.0
         self.paused_until = 0.0
         self.held_off_until = 0.0
-        self.cold_until = now + entry.cold_s
+        self.cold_until = cold_until(now, entry.cold_s)
         self.cold_until_by_response = -math.inf
         self.refused_at = -math.inf
         self.missing_until: float | None = None
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -36,7 +36,14 @@
     'maxAttempts',
     'weightedClusters',
 ]
-SERVICE_COLUMNS = ['name', 'healthPath', 'maxConnections', 'sharded']
+SERVICE_COLUMNS = [
+    'name',
+    'healthPath',
+    'maxConnections',
+    'sharded',
+    'warmupS',
+    'coldPerS',
+]
 
 
 def free_port() -> int:
@@ -113,6 +120,7 @@
       address_by_id: The address of each target.
       routers: The routers.
       tasks: The task that runs each router, in the order of routers.
+      bounds: The limits of routers that are added.
     """
 
     def __init__(self, stack: contextlib.AsyncExitStack) -> None:
@@ -122,6 +130,7 @@
         self.address_by_id: dict[str, model.Address] = {}
         self.routers: list[main.Router] = []
         self.tasks: list[asyncio.Task[None]] = []
+        self.bounds = model.Bounds(2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0)
         self._stack = stack
         self._store_address = model.Address(IP, free_port())
         loop = asyncio.get_running_loop()
@@ -224,7 +233,7 @@
             heartbeat_s=0.5,
             max_descriptors=1000,
             memory_bytes=300 * 1024 * 1024,
-            bounds=model.Bounds(2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0),
+            bounds=self.bounds,
         )
 
 
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -102,6 +102,9 @@
       is_leaving: Whether it says in each response that it is leaving.
       retry_after: The Retry-After of its refusals, or '' for none.
       refused: When it refused requests, monotonic seconds.
+      warm_up_ms: Its X-Warmup-Ms header, or '' for none.
+      server_load: Its X-Server-Load header, or '' for none.
+      ran_at: When it ran each request of `ran`, monotonic seconds.
       queue_length: How many requests it takes at once. It never responds to
         others, nor to anything later on their connections.
     """
@@ -119,7 +122,10 @@
         self.refused: list[float] = []
         self.queue_length = 1000
         self._running = 0
+        self.warm_up_ms = ''
+        self.server_load = ''
         self.ran: list[str] = []
+        self.ran_at: list[float] = []
         self.deadlines_ms: list[int] = []
         self.grants: list[Grant] = []
         self.released: list[tuple[int, int, int]] = []
@@ -156,6 +162,12 @@
         response = await self._respond(request)
         if self.is_leaving:
             response.headers.append((b'server-leaving', b'1'))
+        for name, value in (
+            (b'x-warmup-ms', self.warm_up_ms),
+            (b'x-server-load', self.server_load),
+        ):
+            if value:
+                response.headers.append((name, value.encode()))
         return response
 
     async def _respond(
@@ -183,6 +195,7 @@
         if self._running >= self.queue_length:
             await asyncio.Event().wait()
         self.ran.append(request_id.decode())
+        self.ran_at.append(time.monotonic())
         deadline = request.header(b'x-request-deadline') or b'0'
         self.deadlines_ms.append(int(deadline))
         self._running += 1
