Use the load and the pace that targets report

Targets of other domains could not be judged, as no datagram tells their load, and the momentary pace of a machine was learned as slowness. Reports count with a weight that decreases with their age. Where there are reports, a host compares three random candidates, so that hosts with the same reports do not all choose the same target. Without reports nothing changes.

--- a/amaranthcrank/platform/names.py
+++ b/amaranthcrank/platform/names.py
@@ -15,6 +15,8 @@
 # Set to LEAVING_VALUE in all responses of a target that is leaving.
 LEAVING = b'server-leaving'
 LEAVING_VALUE = b'1'
+# The load and the pace of a target: RUNNING,WAITING,SLOTS[,PACE].
+SERVER_LOAD = b'x-server-load'
 # How much longer a target is cold, in milliseconds.
 WARM_UP_MS = b'x-warmup-ms'
 
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -10,6 +10,7 @@
 import typing
 
 from amaranthcrank.router import model
+from amaranthcrank.router import reported_load
 from amaranthcrank.router import target_state
 
 # How long departures are remembered. No grant lasts longer, and hosts that
@@ -213,6 +214,17 @@
             self._clock(), warm_up_s
         )
 
+    def record_load(
+        self, holder: str, fields: reported_load.LoadFields
+    ) -> None:
+        """Record the load that an incarnation of a target reported."""
+        target = self.find(*model.split_holder(holder))
+        if target is None:
+            return
+        target.reported_load = reported_load.arrived(
+            fields, target.in_flight, self._clock()
+        )
+
     @property
     def any_held_off(self) -> bool:
         """Whether any target wants no request from this host now."""
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -490,6 +490,7 @@
             'is_controller': int(self.lease.is_held),
             'oversized_datagrams': self.peers.oversized,
             'malformed_datagrams': self.peers.malformed,
+            'malformed_loads': self.notices.malformed_loads,
         }
         for name, value in gauges.items():
             self.metrics.set_gauge(name, value)
--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -7,6 +7,7 @@
 import typing
 
 from amaranthcrank.router import pacing
+from amaranthcrank.router import reported_load
 from amaranthcrank.router import target_state
 
 # Cost of a failure rate of 1, in service times.
@@ -25,6 +26,10 @@
 # other than the most urgent rank therefore leave that many slots free.
 LARGE_DOMAIN_HOSTS = 8
 UNREPORTED_LOAD_SLOTS = 1
+# Among targets that report their load, a host compares only this many, chosen
+# at random. Hosts with the same reports would otherwise all choose the same
+# target.
+COMPARED_TARGETS = 3
 # Limit of requests in flight per host at an owner that is not contended.
 OWNER_PER_HOST_LIMIT = 2
 
@@ -52,25 +57,34 @@
     return 2
 
 
-def has_capacity(target: target_state.Target, now: float, hosts: int) -> bool:
+def has_capacity(
+    target: target_state.Target, typical_s: float, now: float, hosts: int
+) -> bool:
     """Return whether this host may send another request to a target.
 
     Args:
       target: The target.
+      typical_s: The typical service time.
       now: The event loop's time.
       hosts: Number of hosts that share the target and whose load is unknown.
     """
     if target.is_paused(now):
         return False
+    if reported_load.is_full(target.reported_load, typical_s, now):
+        return False
     slots = target.entry.slots
-    if (
-        target.in_flight + target.in_flight_elsewhere
-        >= slots + REQUESTS_BEYOND_SLOTS
-    ):
+    in_flight = target.in_flight + round(_elsewhere(target, now))
+    if in_flight >= slots + REQUESTS_BEYOND_SLOTS:
         return False
     return target.in_flight < per_host_limit(slots, hosts)
 
 
+def _elsewhere(target: target_state.Target, now: float) -> float:
+    return reported_load.elsewhere(
+        target.reported_load, target.in_flight_elsewhere, now
+    )
+
+
 def owner_interval_s(
     target: target_state.Target, typical_s: float, waiting: int
 ) -> float:
@@ -164,10 +178,8 @@
       typical_s: The typical service time.
       now: The event loop's time.
     """
-    service_s = typical_s * target.slowness
-    if target.is_cold(now):
-        service_s *= target_state.COLD_FACTOR
-    load = target.in_flight + target.in_flight_elsewhere + 1
+    service_s = typical_s * target.slowness * target.pace(now)
+    load = target.in_flight + _elsewhere(target, now) + 1
     cost = service_s * max(1.0, load / target.entry.slots)
     # Among targets with free slots, prefer the least utilised one.
     cost += 0.2 * service_s * load / target.entry.slots
@@ -192,11 +204,19 @@
         unknown.
       random: Returns floats from 0 to below 1; breaks ties.
     """
-    best = None
-    best_cost = 0.0
+    candidates = []
+    have_reports = False
     for target in targets:
-        if not has_capacity(target, now, hosts):
+        if not has_capacity(target, typical_s, now, hosts):
             continue
+        candidates.append(target)
+        if reported_load.is_recent(target.reported_load, now):
+            have_reports = True
+    if have_reports:
+        candidates = _sample(candidates, random)
+    best = None
+    best_cost = 0.0
+    for target in candidates:
         cost = expected_cost_s(target, typical_s, now) * (
             0.95 + 0.1 * random()
         )
@@ -204,3 +224,17 @@
             best = target
             best_cost = cost
     return best
+
+
+def _sample(
+    candidates: list[target_state.Target],
+    random: typing.Callable[[], float],
+) -> list[target_state.Target]:
+    """Return a few randomly chosen candidates."""
+    remaining = list(candidates)
+    chosen = []
+    while remaining and len(chosen) < COMPARED_TARGETS:
+        index = int(random() * len(remaining))
+        remaining[index], remaining[-1] = remaining[-1], remaining[index]
+        chosen.append(remaining.pop())
+    return chosen
--- a/amaranthcrank/router/target_notices.py
+++ b/amaranthcrank/router/target_notices.py
@@ -20,7 +20,11 @@
 
 
 class TargetNotices:
-    """Receives the heads of all responses of targets."""
+    """Receives the heads of all responses of targets.
+
+    Attributes:
+      malformed_loads: How many reports of load were ignored as malformed.
+    """
 
     def __init__(
         self,
@@ -35,6 +39,7 @@
           pool: Connections to a target that is leaving are closed.
           messenger: Exchanges datagrams with the other hosts.
         """
+        self.malformed_loads = 0
         self._targets = targets
         self._pool = pool
         self._messenger = messenger
@@ -54,6 +59,9 @@
                 self._targets.hold_off(holder, notice.hold_off_s)
             if notice.warm_up_s is not None:
                 self._targets.record_warm_up(holder, notice.warm_up_s)
+            if notice.load is not None:
+                self._targets.record_load(holder, notice.load)
+            self.malformed_loads += notice.is_load_malformed
             if not notice.is_leaving:
                 return
             self._pool.drop(address)
--- a/amaranthcrank/router/target_notices_test.py
+++ b/amaranthcrank/router/target_notices_test.py
@@ -236,6 +236,20 @@
         target = router.admission.selection.owner('book', key)
         return '' if target is None else target.entry.target_id
 
+    async def test_reported_load(self):
+        # Malformed reports are counted and change nothing.
+        router = await self.site.add_router('host-1')
+        self.first.server_load = '1,0,3,120'
+        self.second.server_load = '1,0,0'
+        for number in range(8):
+            response = await self._call(router, '/read/1', f'a{number}')
+            self.assertEqual(response.status, 200)
+        report = router.targets.by_id['i-1'].reported_load
+        self.assertEqual(report.fields, (1, 0, 3, 120))
+        self.assertIsNone(router.targets.by_id['i-2'].reported_load)
+        self.assertEqual(router.notices.malformed_loads, len(self.second.ran))
+        self.assertGreater(len(self.second.ran), 0)
+
     async def test_hold_off_is_kept(self):
         router = await self.site.add_router('host-1')
         self.first.refuses_requests = True
--- a/amaranthcrank/router/target_state.py
+++ b/amaranthcrank/router/target_state.py
@@ -8,6 +8,7 @@
 
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
+from amaranthcrank.router import reported_load
 
 # Weights of the newest sample in exponential moving averages.
 SLOWNESS_WEIGHT = 0.15
@@ -54,7 +55,9 @@
       in_flight_elsewhere: Requests of other hosts in flight to it, as far as
         known.
       waiting_elsewhere: Requests that wait for it at other hosts.
-      slowness: Its service time relative to the typical one of each route.
+      reported_load: The last report of its load, or None.
+      slowness: Its service time relative to the typical one of each route, at
+        its usual pace.
       pacer: Schedules the requests of this host while it is contended.
       failure_rate: Moving average of the share of failed requests, 0 to 1.
       keyed_paused_until: No keyed request is sent before this time, because
@@ -90,6 +93,7 @@
         self.in_flight = 0
         self.in_flight_elsewhere = 0
         self.waiting_elsewhere = 0
+        self.reported_load: reported_load.Report | None = None
         self.slowness = 1.0
         self.pacer = pacing.Pacer()
         self.keyed_paused_until = 0.0
@@ -117,6 +121,11 @@
         """Return whether it is still warming up."""
         return now < self.cold_end
 
+    def pace(self, now: float) -> float:
+        """Return the factor by which its work takes longer than usual."""
+        usual = COLD_FACTOR if self.is_cold(now) else 1.0
+        return reported_load.pace(self.reported_load, usual, now)
+
     @property
     def cold_end(self) -> float:
         """The end of its warm-up, in event loop time."""
@@ -139,8 +148,8 @@
         self._record_outcome(0.0, now)
         self._pause_s = FIRST_PAUSE_S
         self.paused_until = 0.0
-        if self.is_cold(now):
-            elapsed_s /= COLD_FACTOR
+        # Otherwise the pace would count twice: as slowness and by itself.
+        elapsed_s /= self.pace(now)
         sample = min(MAX_SLOWNESS, elapsed_s / max(typical_s, 0.001))
         self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
 
