--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -70,16 +70,20 @@
     """
     if target.is_paused(now):
         return False
-    if reported_load.is_full(target.reported_load, typical_s, now):
-        return False
+    elsewhere = target.in_flight_elsewhere
+    if target.reported_load is not None:
+        if reported_load.is_full(target.reported_load, typical_s, now):
+            return False
+        elsewhere = round(_elsewhere(target, now))
     slots = target.entry.slots
-    in_flight = target.in_flight + round(_elsewhere(target, now))
-    if in_flight >= slots + REQUESTS_BEYOND_SLOTS:
+    if target.in_flight + elsewhere >= slots + REQUESTS_BEYOND_SLOTS:
         return False
     return target.in_flight < per_host_limit(slots, hosts)
 
 
 def _elsewhere(target: target_state.Target, now: float) -> float:
+    if target.reported_load is None:
+        return target.in_flight_elsewhere
     return reported_load.elsewhere(
         target.reported_load, target.in_flight_elsewhere, now
     )
@@ -210,8 +214,9 @@
         if not has_capacity(target, typical_s, now, hosts):
             continue
         candidates.append(target)
-        if reported_load.is_recent(target.reported_load, now):
-            have_reports = True
+        if have_reports or target.reported_load is None:
+            continue
+        have_reports = reported_load.is_recent(target.reported_load, now)
     if have_reports:
         candidates = _sample(candidates, random)
     best = None
--- a/amaranthcrank/router/target_state.py
+++ b/amaranthcrank/router/target_state.py
@@ -119,11 +119,13 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether it is still warming up."""
-        return now < self.cold_end
+        return now < self.cold_until or now < self.cold_until_by_response
 
     def pace(self, now: float) -> float:
         """Return the factor by which its work takes longer than usual."""
         usual = COLD_FACTOR if self.is_cold(now) else 1.0
+        if self.reported_load is None:
+            return usual
         return reported_load.pace(self.reported_load, usual, now)
 
     @property
