--- a/amaranthcrank/router/cold_quota.py
+++ b/amaranthcrank/router/cold_quota.py
@@ -237,6 +237,15 @@
 
     def is_limited(self, target: target_state.Target, now: float) -> bool:
         """Return whether sends to a target are limited now."""
+        # It runs for each target of a service per choice, so the usual case
+        # is decided first, with few steps.
+        earlier = now - COLD_MARGIN_S
+        if (
+            earlier >= target.cold_until
+            and earlier >= target.cold_until_by_response
+            and target.refused_at < 0
+        ):
+            return False
         if target.entry.service not in self.limits_by_service:
             return False
         return now < self.warm_at(target)
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -218,14 +218,16 @@
         quota = self._quota(demand.service)
         if quota is None:
             return targets
-        usable = [
+        held_back = [
             target
             for target in targets
-            if quota.next_send_at(target, now) <= now
+            if quota.is_limited(target, now)
+            and quota.next_send_at(target, now) > now
         ]
-        if len(usable) < len(targets):
-            quota.record_hold()
-        return usable
+        if not held_back:
+            return targets
+        quota.record_hold()
+        return [target for target in targets if target not in held_back]
 
     def _has_nearer_target(
         self, targets: list[target_state.Target], distance: int, now: float
