--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -10,6 +10,7 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
 from amaranthcrank.router import reader_election
+from amaranthcrank.router import reported_load
 from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
 from amaranthcrank.router import store_sync
@@ -211,6 +212,21 @@
         names = {target.entry.target_id for target in picked}
         self.assertEqual(names, {'healthy'})
 
+    async def test_remote_target_that_reports_no_free_slot_gets_nothing(self):
+        # No datagram tells this host of the load in another region.
+        self.targets.replace_all([_entry('far', 'c'), _entry('next', 'c')])
+        self.times.record('desk', 'r', 0.4)
+        fields = reported_load.LoadFields(3, 1, 3, None)
+        self.targets.record_load('far/1', fields)
+        ticking = asyncio.create_task(self._tick())
+        self.addCleanup(ticking.cancel)
+        began_at = self.now()
+        target = await self._acquire()
+        self.assertEqual(target.entry.target_id, 'next')
+        target = await self._acquire(goal_s=1.5)
+        self.assertEqual(target.entry.target_id, 'far')
+        self.assertGreater(self.now() - began_at, 0.19)
+
     async def test_slow_target_gets_less(self):
         # One target takes five times as long as the other.
         self.targets.replace_all([_entry('slow'), _entry('healthy')])
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -10,6 +10,7 @@
 import typing
 
 from amaranthcrank.router import model
+from amaranthcrank.router import reported_load
 from amaranthcrank.router import target_state
 
 # How long departures are remembered. No grant lasts longer, and hosts that
@@ -55,6 +56,8 @@
       evacuated_since_by_domain: The evacuated failure domains, with the
         earliest time at which the evacuation may have begun, in event loop
         time.
+      cold_services: The services whose targets may say in responses that they
+        are cold.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         self.drain_s = drain_s
         self.evacuation_s = evacuation_s
         self.evacuated_since_by_domain: dict[str, float] = {}
+        self.cold_services: frozenset[str] = frozenset()
         self._departure_by_holder: dict[str, Departure] = {}
         # What incarnations of targets said about themselves. It is kept when
         # their entry is removed, as the entry may come back.
@@ -206,6 +210,31 @@
         self._log('target_held_off', target=holder, hold_off_s=hold_off_s)
         self.notify_listeners()
 
+    def record_warm_up(self, holder: str, warm_up_s: float) -> None:
+        """Record that a target said for how much longer it is cold.
+
+        Args:
+          holder: The incarnation of the target, as `id/incarnation`.
+          warm_up_s: For how long, in seconds.
+        """
+        target = self.find(*model.split_holder(holder))
+        if target is None or target.entry.service not in self.cold_services:
+            return
+        target.cold_until_by_response = target_state.cold_until(
+            self._clock(), warm_up_s
+        )
+
+    def record_load(
+        self, holder: str, fields: reported_load.LoadFields
+    ) -> None:
+        """Record the load that an incarnation of a target reported."""
+        target = self.find(*model.split_holder(holder))
+        if target is None:
+            return
+        target.reported_load = reported_load.arrived(
+            fields, target.in_flight, self._clock()
+        )
+
     @property
     def any_held_off(self) -> bool:
         """Whether any target wants no request from this host now."""
@@ -322,7 +351,7 @@
             self._log('target_known', **entry._asdict())
             return
         known.missing_until = None
-        known.cold_until = now + entry.cold_s
+        known.cold_until = target_state.cold_until(now, entry.cold_s)
         self._set_entry(known, entry)
 
     def _set_entry(
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -32,6 +32,9 @@
       grant_max_s: The longest duration of a grant of keys.
       evacuation_s: How long after the evacuation of a failure domain its
         targets may still receive requests; None if domains are not evacuated.
+      cold_overshoot: The multiple of the rate of a cold target, and
+      cold_slack: the number of requests in addition, that all hosts together
+        may send it in any one second. None: cold targets are not limited.
     """
 
     drain_s: float
@@ -42,6 +45,8 @@
     retry_floor: float
     grant_max_s: float
     evacuation_s: float | None = None
+    cold_overshoot: float | None = None
+    cold_slack: float | None = None
 
 
 class HostSettings(typing.NamedTuple):
@@ -125,11 +130,16 @@
       max_connections: The most connections that one target accepts from all
         callers together.
       keyed: Whether each key of the service is owned by a single target.
+      warm_up_s: How long a target is cold after its start.
+      cold_per_s: The rate of requests that a cold target bears; None or 0 if
+        it is not limited.
     """
 
     name: str
     max_connections: int
     keyed: bool
+    warm_up_s: float = 0.0
+    cold_per_s: float | None = None
 
 
 class CallerLimits(typing.NamedTuple):
--- a/amaranthcrank/router/target_state.py
+++ b/amaranthcrank/router/target_state.py
@@ -4,9 +4,11 @@
 """
 
 import collections
+import math
 
 from amaranthcrank.router import model
 from amaranthcrank.router import pacing
+from amaranthcrank.router import reported_load
 
 # Weights of the newest sample in exponential moving averages.
 SLOWNESS_WEIGHT = 0.15
@@ -30,6 +32,20 @@
 COLD_FACTOR = 2.0
 
 
+def cold_until(now: float, cold_s: float) -> float:
+    """Return the end of a warm-up that takes some more time.
+
+    Args:
+      now: The event loop's time.
+      cold_s: How much longer the target is cold; 0 if it is not.
+
+    Returns:
+      The time; negative infinity if the target is not cold, as there is no
+      cold time that a margin could extend.
+    """
+    return now + cold_s if cold_s else -math.inf
+
+
 class Target:
     """One incarnation of a target.
 
@@ -39,7 +55,9 @@
       in_flight_elsewhere: Requests of other hosts in flight to it, as far as
         known.
       waiting_elsewhere: Requests that wait for it at other hosts.
-      slowness: Its service time relative to the typical one of each route.
+      reported_load: The last report of its load, or None.
+      slowness: Its service time relative to the typical one of each route, at
+        its usual pace.
       pacer: Schedules the requests of this host while it is contended.
       failure_rate: Moving average of the share of failed requests, 0 to 1.
       keyed_paused_until: No keyed request is sent before this time, because
@@ -47,7 +65,10 @@
       paused_until: No request is sent before this time, in event loop time.
       held_off_until: The target wants no request from this host before this
         time, in event loop time.
-      cold_until: End of its warm-up, in event loop time.
+      cold_until: End of its warm-up by its entry, in event loop time.
+      cold_until_by_response: End of its warm-up by its last response that
+        says so, in event loop time.
+      refused_at: When it last refused a connection, in event loop time.
       missing_until: Until when it is kept without an entry in the store, or
         None if it has one.
       draining_since: The earliest time at which it may have started to drain,
@@ -72,13 +93,16 @@
         self.in_flight = 0
         self.in_flight_elsewhere = 0
         self.waiting_elsewhere = 0
+        self.reported_load: reported_load.Report | None = None
         self.slowness = 1.0
         self.pacer = pacing.Pacer()
         self.keyed_paused_until = 0.0
         self.failure_rate = 0.0
         self.paused_until = 0.0
         self.held_off_until = 0.0
-        self.cold_until = now + entry.cold_s
+        self.cold_until = cold_until(now, entry.cold_s)
+        self.cold_until_by_response = -math.inf
+        self.refused_at = -math.inf
         self.missing_until: float | None = None
         self.draining_since = draining_since
         self._silent = False
@@ -95,7 +119,19 @@
 
     def is_cold(self, now: float) -> bool:
         """Return whether it is still warming up."""
-        return now < self.cold_until
+        return now < self.cold_until or now < self.cold_until_by_response
+
+    def pace(self, now: float) -> float:
+        """Return the factor by which its work takes longer than usual."""
+        usual = COLD_FACTOR if self.is_cold(now) else 1.0
+        if self.reported_load is None:
+            return usual
+        return reported_load.pace(self.reported_load, usual, now)
+
+    @property
+    def cold_end(self) -> float:
+        """The end of its warm-up, in event loop time."""
+        return max(self.cold_until, self.cold_until_by_response)
 
     def is_paused(self, now: float) -> bool:
         """Return whether no request may be sent to it now."""
@@ -114,8 +150,8 @@
         self._record_outcome(0.0, now)
         self._pause_s = FIRST_PAUSE_S
         self.paused_until = 0.0
-        if self.is_cold(now):
-            elapsed_s /= COLD_FACTOR
+        # Otherwise the pace would count twice: as slowness and by itself.
+        elapsed_s /= self.pace(now)
         sample = min(MAX_SLOWNESS, elapsed_s / max(typical_s, 0.001))
         self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -39,7 +39,14 @@
     'weightedClusters',
     'allowedRegions',
 ]
-SERVICE_COLUMNS = ['name', 'healthPath', 'maxConnections', 'sharded']
+SERVICE_COLUMNS = [
+    'name',
+    'healthPath',
+    'maxConnections',
+    'sharded',
+    'warmupS',
+    'coldPerS',
+]
 
 
 def free_port() -> int:
@@ -120,6 +127,7 @@
       tasks: The task that runs each router, in the order of routers.
       evacuation_s: The time within which evacuations take effect; None if
         routers do not follow them.
+      bounds: The limits of routers that are added.
     """
 
     def __init__(self, stack: contextlib.AsyncExitStack) -> None:
@@ -130,6 +138,7 @@
         self.routers: list[main.Router] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.evacuation_s: float | None = None
+        self.bounds = model.Bounds(2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0)
         self._stack = stack
         self._store_address = model.Address(IP, free_port())
         loop = asyncio.get_running_loop()
@@ -245,9 +254,7 @@
             heartbeat_s=0.5,
             max_descriptors=1000,
             memory_bytes=300 * 1024 * 1024,
-            bounds=model.Bounds(
-                2.0, 3.0, 6.0, 0.2, 10.0, 60.0, 10.0, self.evacuation_s
-            ),
+            bounds=self.bounds._replace(evacuation_s=self.evacuation_s),
         )
 
 
