Hedge late requests at the forwarder

A late first attempt gets a second one at a target that has a free slot at once (Admission.try_acquire). The loser's connection is closed, and its time is recorded as a lower bound of its target's slowness.

--- a/amaranthcrank/router/admission.py
+++ b/amaranthcrank/router/admission.py
@@ -108,6 +108,29 @@
             return waiter.future.result()
         return await self._wait_for_target(waiter)
 
+    def try_acquire(
+        self, demand: demands.Demand
+    ) -> target_state.Target | None:
+        """Return a target with capacity now, or None, without waiting.
+
+        Waiting requests of the service go first: there is no target while
+        there are any. The caller must `release` the target later.
+        """
+        if self.waiting(demand.service):
+            return None
+        now = self._clock()
+        if self._refusal(demand, now) is not None:
+            return None
+        selection_pass = target_selection.SelectionPass(
+            self._times.of_service(demand.service),
+            now,
+            self._count_by_owner(demand.service),
+        )
+        target = self.selection.choose(selection_pass, demand, now)
+        if target is not None:
+            target.in_flight += 1
+        return target
+
     def release(self, target: target_state.Target) -> None:
         """Release the slot of a request and assign waiting requests."""
         target.in_flight -= 1
--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import pacing
 from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
+from amaranthcrank.router import shutdown_limits
 from amaranthcrank.router import target_choice
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import target_selection
@@ -203,6 +204,69 @@
         self.assertEqual(names, {'healthy'})
 
 
+class TryAcquireTest(_AdmissionTest):
+    """Requests that take a free slot or none, such as hedges."""
+
+    def _try(self, excluded=(), regions=None):
+        return self.admission.try_acquire(
+            demand.Demand(
+                'desk', self._priority(), None, frozenset(excluded), regions
+            )
+        )
+
+    async def test_free_slot_is_taken(self):
+        self.targets.replace_all([_entry('i-1')])
+        target = self._try()
+        self.assertEqual(target.in_flight, 1)
+        self.admission.release(target)
+        self.assertEqual(target.in_flight, 0)
+
+    async def test_full_targets(self):
+        # A hedge must not go into the targets' own queues.
+        self.targets.replace_all([_entry('i-1', slots=1)])
+        await self._acquire()
+        self.assertIsNone(self._try())
+        self.assertEqual(self.targets.by_id['i-1'].in_flight, 1)
+
+    async def test_waiting_requests_go_first(self):
+        # A request that waits for nearer capacity must not be overtaken.
+        self.targets.replace_all(
+            [_entry('near', slots=1), _entry('far', 'c', slots=3)]
+        )
+        await self._acquire()
+        waiting = asyncio.create_task(self._acquire())
+        await asyncio.sleep(0.001)
+        self.assertEqual(self.admission.waiting('desk'), 1)
+        self.assertIsNone(self._try(['near']))
+        waiting.cancel()
+
+    async def test_filters_apply(self):
+        # A hedge must not reach the target of the first attempt, another
+        # region than the allowed ones, or a draining target.
+        draining = _entry('i-3')._replace(state=model.DRAINING)
+        self.targets.replace_all([_entry('i-1'), _entry('i-2', 'c'), draining])
+        self.assertIsNone(self._try(['i-1', 'i-2']))
+        self.assertIsNone(self._try(['i-1'], frozenset(['n'])))
+        self.assertIsNone(self._try(regions=frozenset()))
+        target = self._try(regions=frozenset(['s']))
+        self.assertEqual(target.entry.target_id, 'i-2')
+
+    async def test_paused_targets(self):
+        # A target that does not respond gets no hedge.
+        self.targets.replace_all([_entry('i-1')])
+        self.targets.by_id['i-1'].record_unreachable(self.now())
+        self.assertIsNone(self._try())
+
+    async def test_shutdown(self):
+        # A request whose response would come after the end is not sent.
+        self.targets.replace_all([_entry('i-1')])
+        now = self.now()
+        self.admission.begin_shutdown(
+            shutdown_limits.ShutdownLimits(now, now + 0.1)
+        )
+        self.assertIsNone(self._try())
+
+
 class KeyedTest(_AdmissionTest):
     async def asyncSetUp(self):
         await super().asyncSetUp()
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import crash_reports
 from amaranthcrank.router import demand
 from amaranthcrank.router import event_log
+from amaranthcrank.router import hedged_attempts
 from amaranthcrank.router import http_client
 from amaranthcrank.router import http_server
 from amaranthcrank.router import metrics
@@ -19,7 +20,6 @@
 from amaranthcrank.router import route_table
 from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
-from amaranthcrank.router import target_state
 from amaranthcrank.router import wait_order
 
 # Delay before a keyed request is retried after its target did not hold the
@@ -50,6 +50,7 @@
         crashes: crash_reports.CrashReports,
         log: event_log.EventLog,
         counters: metrics.Registry,
+        hedging: hedged_attempts.HedgedAttempts | None = None,
     ) -> None:
         """Create a forwarder without routes.
 
@@ -61,6 +62,8 @@
           crashes: Determines which requests are blocked.
           log: Logs the result of each request.
           counters: Counts results.
+          hedging: Runs the attempts of requests that may be hedged; None if
+            none may.
         """
         self.table: route_table.RouteTable | None = None
         self.on_keyed_request: (
@@ -73,6 +76,7 @@
         self._crashes = crashes
         self._log = log
         self._metrics = counters
+        self._hedging = hedging
         self._splitter = route_table.TrafficSplitter()
         self._max_deadline_s_by_route: dict[str, float] = {}
 
@@ -176,7 +180,9 @@
                 )
                 return self._reply_unserved(call, progress, error)
             if call.key is None:
-                progress.excluded |= {progress.attempts[-1].target}
+                progress.excluded = frozenset(
+                    record.target for record in progress.attempts
+                )
                 continue
             await asyncio.sleep(MISDIRECTED_PAUSE_S)
 
@@ -190,8 +196,17 @@
         """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        target = await self._acquire(call, progress.excluded)
+        need = self._demand(call, progress.excluded)
+        target = await self._admission.acquire(need)
         sent_at = loop.time()
+        if (
+            self._hedging is not None
+            and call.key is None
+            and call.route.repeatable
+        ):
+            return await self._hedging.run(
+                call, progress, need, target, sent_at - began_at
+            )
         in_flight = target.in_flight
         try:
             attempt = await self._sender.send(call, target)
@@ -212,15 +227,13 @@
         )
         return attempt
 
-    async def _acquire(
+    def _demand(
         self, call: calls.Call, excluded: frozenset[str]
-    ) -> target_state.Target:
+    ) -> demand.Demand:
         priority = wait_order.Priority(
             call.route.rank, call.goal_at, call.deadline_at
         )
-        return await self._admission.acquire(
-            demand.Demand(call.service, priority, call.key, excluded)
-        )
+        return demand.Demand(call.service, priority, call.key, excluded)
 
     def _may_retry(
         self,
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -21,6 +21,7 @@
 from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
 from amaranthcrank.router import forwarder
+from amaranthcrank.router import hedged_attempts
 from amaranthcrank.router import host_reports
 from amaranthcrank.router import http_server
 from amaranthcrank.router import key_calls
@@ -124,6 +125,7 @@
             self.crashes,
             self.log,
             self.metrics,
+            self._new_hedging(),
         )
         self.server = http_server.Server(self.forwarder.handle)
         self.server.uploads.max_bytes = int(
@@ -131,6 +133,20 @@
         )
         self.probe_server = http_server.Server(self.handle_probe)
 
+    def _new_hedging(self) -> hedged_attempts.HedgedAttempts | None:
+        """Return what hedges requests, or None if the operator wants none."""
+        if not self.options.hedge_ratio:
+            return None
+        return hedged_attempts.HedgedAttempts(
+            self.admission,
+            self.sender,
+            self.budget,
+            self.times,
+            self.crashes,
+            self.metrics,
+            self.options.hedge_ratio,
+        )
+
     def _build_control(self, clock: typing.Callable[[], float]) -> None:
         settings = self.settings
         own = peers.Peer(
--- a/amaranthcrank/router/target_state.py
+++ b/amaranthcrank/router/target_state.py
@@ -119,6 +119,24 @@
         sample = min(MAX_SLOWNESS, elapsed_s / max(typical_s, 0.001))
         self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
 
+    def record_abandoned(
+        self, elapsed_s: float, typical_s: float, now: float
+    ) -> None:
+        """Record that a request was cancelled, as another target was faster.
+
+        How long it would have taken is not known, but not less than this.
+
+        Args:
+          elapsed_s: How long it ran.
+          typical_s: The typical service time of its route.
+          now: The event loop's time.
+        """
+        if self.is_cold(now):
+            elapsed_s /= COLD_FACTOR
+        sample = min(MAX_SLOWNESS, elapsed_s / max(typical_s, 0.001))
+        if sample > self.slowness:
+            self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
+
     def record_misdirected(self, now: float) -> None:
         """Record that it does not hold a key that it should hold."""
         self.keyed_paused_until = now + MISDIRECTED_PAUSE_S
--- a/amaranthcrank/router/target_state_test.py
+++ b/amaranthcrank/router/target_state_test.py
@@ -50,3 +50,18 @@
             self.target.record_success(0.4, 0.4, self.now)
             self.target.record_success(0.1, 0.1, self.now)
         self.assertAlmostEqual(self.target.slowness, 1.0)
+
+    def test_abandoned_requests_show_a_slow_target(self):
+        # If its requests are always cancelled for faster targets, none of
+        # them shows how slow it is.
+        for _ in range(30):
+            self.target.record_abandoned(0.4, 0.1, self.now)
+        self.assertAlmostEqual(self.target.slowness, 4.0, delta=0.1)
+
+    def test_abandoned_request_does_not_make_a_target_fast(self):
+        # The time until the cancellation is only a lower bound.
+        for _ in range(30):
+            self.target.record_success(0.4, 0.1, self.now)
+        slowness = self.target.slowness
+        self.target.record_abandoned(0.2, 0.1, self.now)
+        self.assertEqual(self.target.slowness, slowness)
