--- a/amaranthcrank/router/hedge_rules.py
+++ b/amaranthcrank/router/hedge_rules.py
@@ -19,8 +19,14 @@
 TARGET_FAILING = 'target_failing'
 BUDGET = 'budget'
 
-# On very fast routes the quantile is within the jitter of the event loop.
-MIN_DELAY_S = 0.02
+# Added to the quantile, which is rounded by up to 2%, and to which the event
+# loop adds some milliseconds. Otherwise most attempts of a service with nearly
+# constant service times would be late.
+DELAY_MARGIN_S = 0.01
+# Extra delay at a target for each unit of slowness above 1, in quantiles. The
+# slowness is a moving average: with a factor of 1, up to 7 of 10 requests of a
+# target 10 times as slow as others were hedged just before they responded.
+SLOWNESS_MARGIN = 1.5
 # The period over which the ratio of hedges to requests is kept. Hosts with
 # 2 requests a second may still send a hedge at a ratio of 2%.
 RATIO_WINDOW_S = 30.0
@@ -74,7 +80,8 @@
     """
     if quantile_s is None:
         return None
-    return max(MIN_DELAY_S, quantile_s * max(1.0, slowness))
+    factor = 1.0 + SLOWNESS_MARGIN * max(0.0, slowness - 1.0)
+    return quantile_s * factor + DELAY_MARGIN_S
 
 
 def is_final(status: int, reason: str) -> bool:
--- a/amaranthcrank/router/latency_quantiles.py
+++ b/amaranthcrank/router/latency_quantiles.py
@@ -4,6 +4,8 @@
 older samples lose weight relative to newer ones and need not be removed.
 """
 
+import math
+
 from hdrh import histogram
 
 QUANTILE_PERCENT = 95.0
@@ -60,7 +62,7 @@
         self._computed_at = -QUANTILE_LIFETIME_S
 
     def record(self, elapsed_s: float, now: float) -> None:
-        elapsed_ms = min(max(round(elapsed_s * 1000), 1), MAX_LATENCY_MS)
+        elapsed_ms = min(max(math.ceil(elapsed_s * 1000), 1), MAX_LATENCY_MS)
         self._histogram.record_value(elapsed_ms, self._weight(now))
 
     def quantile_s(self, now: float) -> float | None:
