--- a/amaranthcrank/router/hedged_attempts.py
+++ b/amaranthcrank/router/hedged_attempts.py
@@ -1,10 +1,15 @@
 """Sends a request to a target, and to a second one if the first is late.
 
 The first valid response is used, and the connection of the other attempt is
-closed at once. `hedge_rules` decides; this module keeps the attempts.
+closed at once. `hedge_rules` decides; this module runs the attempts.
+
+The first attempt runs in the task of the request, because a task of its own
+and a wait for it would cost each request 0.03 ms and more.
 """
 
 import asyncio
+import contextlib
+import typing
 
 from amaranthcrank.router import admission
 from amaranthcrank.router import call as calls
@@ -73,63 +78,59 @@
           target: The target of the first attempt; its slot is released here.
           waited_s: How long the request waited for the target.
         """
-        first = self._start(call, target, waited_s)
+        first = _Run(target, waited_s, is_hedge=False)
         runs = [first]
+        delay_s = self._delay_s(call, first)
         if not progress.attempts:
             self._limits.record_request(call.service, first.began_at)
-        try:
-            if await self._wait_until_late(call, first):
+        with contextlib.ExitStack() as stack:
+            stack.callback(_cancel_hedges, runs)
+            interruption = asyncio.timeout(None)
+
+            def start_hedge() -> None:
                 hedge = self._start_hedge(call, progress, demand, first)
                 if hedge is not None:
+                    hedge.on_end = interrupt_first
                     runs.append(hedge)
-            best = await _best_result(runs)
-        finally:
-            for run in runs:
-                run.task.cancel()
-        self._learn(call, runs)
-        _record(progress, runs, best)
-        if best.is_hedge and not best.task.result().reason:
-            self._metrics.add('hedges_won')
-        return best.task.result()
 
-    def _start(
-        self,
-        call: calls.Call,
-        target: target_state.Target,
-        waited_s: float,
-        is_hedge: bool = False,
-    ) -> '_Run':
-        """Start an attempt, which releases its slot at its end."""
+            def interrupt_first(hedge: _Run) -> None:
+                if first.ended_at is None and hedge.is_final:
+                    interruption.reschedule(hedge.ended_at)
+
+            if delay_s is not None:
+                loop = asyncio.get_running_loop()
+                stack.callback(loop.call_later(delay_s, start_hedge).cancel)
+            await self._run_first(call, first, interruption)
+            for hedge in runs[1:]:
+                if hedge.task is not None and not first.is_final:
+                    await asyncio.wait({hedge.task})
+        if delay_s is not None and first.is_final and not first.is_late:
+            self._limits.record_attempt(call.service, False, first.ended_at)
+        return self._finish(call, progress, runs)
+
+    async def _run_first(
+        self, call: calls.Call, first: '_Run', interruption: asyncio.Timeout
+    ) -> None:
+        """Run the first attempt until it ends or is interrupted."""
         loop = asyncio.get_running_loop()
-        task = loop.create_task(self._sender.send(call, target))
-        run = _Run(task, target, waited_s, is_hedge)
-
-        def finish(_: asyncio.Task[sender.Attempt]) -> None:
-            run.ended_at = loop.time()
-            self._admission.release(target)
-
-        # A task that is cancelled before its first step runs no `finally`.
-        task.add_done_callback(finish)
-        return run
+        try:
+            async with interruption:
+                first.attempt = await self._sender.send(call, first.target)
+        except TimeoutError:
+            if not interruption.expired():
+                raise
+        finally:
+            first.ended_at = loop.time()
+            self._admission.release(first.target)
 
-    async def _wait_until_late(self, call: calls.Call, first: '_Run') -> bool:
-        """Wait for the first attempt; return whether it is late."""
+    def _delay_s(self, call: calls.Call, first: '_Run') -> float | None:
+        """Return after how many seconds the first attempt is late."""
         now = first.began_at
-        target = first.target
-        slowness = target.slowness
-        if target.is_cold(now):
+        slowness = first.target.slowness
+        if first.target.is_cold(now):
             slowness *= target_state.COLD_FACTOR
-        delay_s = hedge_rules.delay_s(
-            self._latencies.quantile_s(call.route.name, now), slowness
-        )
-        done, _ = await asyncio.wait({first.task}, timeout=delay_s)
-        if delay_s is None:
-            return False
-        if not done or _is_final(first):
-            self._limits.record_attempt(
-                call.service, not done, asyncio.get_running_loop().time()
-            )
-        return not done
+        quantile_s = self._latencies.quantile_s(call.route.name, now)
+        return hedge_rules.delay_s(quantile_s, slowness)
 
     def _start_hedge(
         self,
@@ -140,6 +141,8 @@
     ) -> '_Run | None':
         """Start a second attempt, or return None if there may be none."""
         now = asyncio.get_running_loop().time()
+        first.is_late = True
+        self._limits.record_attempt(call.service, True, now)
         reason = self._limits.refusal(
             hedge_rules.LateAttempt(
                 call.service,
@@ -166,7 +169,7 @@
             return None
         self._limits.record_hedge(call.service, now)
         self._metrics.add('hedges_sent')
-        return self._start(call, target, now - first.began_at, is_hedge=True)
+        return self._start(call, target, now - first.began_at)
 
     def _check_target(
         self, call: calls.Call, target: target_state.Target | None, now: float
@@ -181,46 +184,97 @@
             return hedge_rules.BUDGET
         return ''
 
-    def _learn(self, call: calls.Call, runs: list['_Run']) -> None:
-        """Record the time of the first attempt, and of abandoned ones."""
+    def _start(
+        self, call: calls.Call, target: target_state.Target, waited_s: float
+    ) -> '_Run':
+        """Start a second attempt, which releases its slot at its end."""
+        loop = asyncio.get_running_loop()
+        hedge = _Run(target, waited_s, is_hedge=True)
+        hedge.task = loop.create_task(self._sender.send(call, target))
+
+        def finish(task: asyncio.Task[sender.Attempt]) -> None:
+            hedge.ended_at = loop.time()
+            self._admission.release(target)
+            if task.cancelled():
+                return
+            error = task.exception()
+            if error is not None:
+                # A fault of the program. The first attempt goes on.
+                loop.call_exception_handler(
+                    {'message': 'hedge failed', 'exception': error}
+                )
+                return
+            hedge.attempt = task.result()
+            if hedge.on_end is not None:
+                hedge.on_end(hedge)
+
+        # A task that is cancelled before its first step runs no `finally`.
+        hedge.task.add_done_callback(finish)
+        return hedge
+
+    def _finish(
+        self, call: calls.Call, progress: calls.Progress, runs: list['_Run']
+    ) -> sender.Attempt:
+        """Record the attempts and return the better result."""
         now = asyncio.get_running_loop().time()
         route = call.route.name
         for run in runs:
-            is_abandoned = not _has_result(run)
             elapsed_s = run.elapsed_s(now)
+            is_abandoned = run.attempt is None
             if is_abandoned:
                 typical_s = self._times.of_route(route)
                 run.target.record_abandoned(elapsed_s, typical_s, now)
-            if not run.is_hedge and (is_abandoned or _is_final(run)):
+            if not run.is_hedge and (is_abandoned or run.is_final):
                 self._latencies.record(route, elapsed_s, now)
+        best, attempt = _best_result(runs)
+        _record(progress, runs, best, now)
+        if best.is_hedge and not attempt.reason:
+            self._metrics.add('hedges_won')
+        return attempt
 
 
 class _Run:
     """An attempt that runs or has ended.
 
     Attributes:
-      task: Sends the request.
-      target: Its target, of which it holds a slot.
+      target: Its target, of which it holds a slot until it has ended.
       is_hedge: Whether it is the second attempt.
+      is_late: Whether it ran for longer than the delay.
       began_at: When it was started, in event loop time.
       ended_at: When it ended, or None.
+      attempt: Its result; None if it has none yet or was cancelled.
+      task: Sends the request; None for the first attempt.
+      on_end: Called with this once there is a result.
     """
 
     def __init__(
-        self,
-        task: asyncio.Task[sender.Attempt],
-        target: target_state.Target,
-        waited_s: float,
-        is_hedge: bool,
+        self, target: target_state.Target, waited_s: float, is_hedge: bool
     ) -> None:
-        self.task = task
         self.target = target
         self.is_hedge = is_hedge
+        self.is_late = False
         self.began_at = asyncio.get_running_loop().time()
         self.ended_at: float | None = None
+        self.attempt: sender.Attempt | None = None
+        self.task: asyncio.Task[sender.Attempt] | None = None
+        self.on_end: typing.Callable[[_Run], None] | None = None
         self._waited_s = waited_s
         self._in_flight = target.in_flight
 
+    @property
+    def status(self) -> int:
+        """The status of the response, or 0."""
+        if self.attempt is None or self.attempt.response is None:
+            return 0
+        return self.attempt.response.status
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the result ends the other attempt."""
+        if self.attempt is None:
+            return False
+        return hedge_rules.is_final(self.status, self.attempt.reason)
+
     def elapsed_s(self, now: float) -> float:
         """Return how long it has run, or ran."""
         ended_at = now if self.ended_at is None else self.ended_at
@@ -229,9 +283,8 @@
     def log_record(self, now: float) -> calls.AttemptRecord:
         """Return its record in the log of the request."""
         result = CANCELLED
-        if _has_result(self):
-            attempt = self.task.result()
-            result = attempt.reason or str(_status(attempt))
+        if self.attempt is not None:
+            result = self.attempt.reason or str(self.status)
         return calls.AttemptRecord(
             self.target.entry.target_id,
             round(self._waited_s * 1000),
@@ -243,51 +296,32 @@
         )
 
 
-async def _best_result(runs: list[_Run]) -> _Run:
-    """Wait for a valid response, or for all results; return the best one.
-
-    The first attempt is returned if both are equal.
-    """
-    pending = {run.task for run in runs if not run.task.done()}
-    while pending and not any(map(_is_final, runs)):
-        _, pending = await asyncio.wait(
-            pending, return_when=asyncio.FIRST_COMPLETED
-        )
-    return min((run for run in runs if run.task.done()), key=_preference)
-
-
-def _has_result(run: _Run) -> bool:
-    return run.task.done() and not run.task.cancelled()
-
-
-def _status(attempt: sender.Attempt) -> int:
-    return attempt.response.status if attempt.response else 0
-
-
-def _is_final(run: _Run) -> bool:
-    if not run.task.done():
-        return False
-    attempt = run.task.result()
-    return hedge_rules.is_final(_status(attempt), attempt.reason)
-
-
-def _preference(run: _Run) -> int:
-    attempt = run.task.result()
-    return hedge_rules.preference(
-        _status(attempt), attempt.reason, attempt.execution
+def _cancel_hedges(runs: list[_Run]) -> None:
+    for run in runs:
+        if run.task is not None:
+            run.task.cancel()
+
+
+def _best_result(runs: list[_Run]) -> tuple[_Run, sender.Attempt]:
+    """Return the better result; the first attempt if both are equal."""
+    results = [(run, run.attempt) for run in runs if run.attempt is not None]
+    return min(
+        results,
+        key=lambda pair: hedge_rules.preference(
+            pair[0].status, pair[1].reason, pair[1].execution
+        ),
     )
 
 
-def _record(progress: calls.Progress, runs: list[_Run], best: _Run) -> None:
+def _record(
+    progress: calls.Progress, runs: list[_Run], best: _Run, now: float
+) -> None:
     """Record the attempts of a request; the best result is the last one."""
-    now = asyncio.get_running_loop().time()
-    for run in runs:
-        progress.attempts.append(run.log_record(now))
-        if run is best:
-            continue
+    for run in sorted(runs, key=lambda run: run is best):
         execution = retry_rules.MAYBE_RUN
-        if _has_result(run):
-            execution = run.task.result().execution
-        progress.record_attempt(execution, None)
-    attempt = best.task.result()
-    progress.record_attempt(attempt.execution, attempt.response)
+        response = None
+        if run.attempt is not None:
+            execution = run.attempt.execution
+            response = run.attempt.response
+        progress.record_attempt(execution, response)
+    progress.attempts += [run.log_record(now) for run in runs]
