Handle requests that a caller sends ahead at the same time

Cause: the next request of a connection was read only after the response to the one before, so that it waited for whole service times while its deadline ran. Responses that the caller did not read were written without bound: one connection with 2000 requests of 50 kB responses filled 100 MB.

Change: up to 8 idempotent requests of a connection run at the same time and are answered in order. Each has its own h11 object if data follows it; the common case of one request at a time keeps one. Nothing is read or started while more than 256 KiB of responses wait. A request that is not idempotent, and one with a long body, waits for those before it.

--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -76,6 +76,17 @@
         self._splitter = route_table.TrafficSplitter()
         self._max_deadline_s_by_route: dict[str, float] = {}
 
+    def is_idempotent(self, request: http_server.Request) -> bool:
+        """Return whether a request may run at the same time as others."""
+        route = self._find_route(request)
+        return route is not None and route.repeatable
+
+    def _find_route(self, request: http_server.Request) -> model.Route | None:
+        if self.table is None:
+            return None
+        host = (request.header(b'host') or b'').decode('latin-1')
+        return self.table.find(host, request.path.decode('latin-1'))
+
     async def handle(
         self, request: http_server.Request
     ) -> http_server.Response:
@@ -83,8 +94,7 @@
         request_id = request.header(names.REQUEST_ID) or b''
         if self.table is None:
             return self._refuse(request_id, 503, 'no ticket known', 0.5)
-        host = (request.header(b'host') or b'').decode('latin-1')
-        route = self.table.find(host, request.path.decode('latin-1'))
+        route = self._find_route(request)
         if route is None:
             return self._refuse(request_id, 404, 'no route', None)
         call = self._parse_call(request, request_id, route)
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -125,7 +125,9 @@
             self.log,
             self.metrics,
         )
-        self.server = http_server.Server(self.forwarder.handle)
+        self.server = http_server.Server(
+            self.forwarder.handle, self.forwarder.is_idempotent
+        )
         self.server.uploads.max_bytes = int(
             upload_budget.MEMORY_SHARE * settings.memory_bytes
         )
--- a/amaranthcrank/router/request_body.py
+++ b/amaranthcrank/router/request_body.py
@@ -50,6 +50,21 @@
         """Whether the body waits for memory."""
         return self._timer is not None
 
+    def needs_reservation(self, event: typing.Any) -> bool:
+        """Return whether an event makes the body a long one.
+
+        Args:
+          event: The next event of the request.
+        """
+        if isinstance(event, h11.Request):
+            length = header_fields.find(list(event.headers), b'content-length')
+            size = 0 if length is None else int(length)
+        elif isinstance(event, h11.Data) and not self._has_reserved:
+            size = len(self._data) + len(event.data)
+        else:
+            return False
+        return size > upload_budget.MAX_UNRESERVED_BYTES
+
     def begin(self, head: h11.Request, max_bytes: int) -> None:
         """Begin the body of a request.
 
