--- a/amaranthcrank/router/cold_quota_test.py
+++ b/amaranthcrank/router/cold_quota_test.py
@@ -333,7 +333,9 @@
             (None, 8.0, {}),
             (1.5, None, {}),
         ):
-            bounds = model.Bounds(*base, overshoot, slack)
+            bounds = model.Bounds(
+                *base, cold_overshoot=overshoot, cold_slack=slack
+            )
             found = cold_quota.limits_by_service(services, bounds)
             self.assertEqual(found, expected)
 
