--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -44,6 +44,8 @@
         """Create the protocol of a connection that a server accepts."""
         self.requests_served = 0
         self.progress_at = 0.0
+        self._written_bytes = 0
+        self._taken_bytes_before = 0
         self._unsent_bytes_before = 0
         self._server = server
         self._transport: asyncio.Transport | None = None
@@ -133,7 +135,8 @@
         return self.unsent_bytes + self._queue.completed_bytes
 
     @property
-    def _is_backlogged(self) -> bool:
+    def is_backlogged(self) -> bool:
+        """Whether so many responses wait that nothing more is read."""
         return self.waiting_bytes > MAX_WAITING_BYTES
 
     def check_timeouts(self, now: float, limits: model.CallerLimits) -> None:
@@ -167,11 +170,13 @@
         Closing would wait for the caller, and keep the response in memory.
         """
         unsent_bytes = self.unsent_bytes
+        taken_bytes = self._written_bytes - unsent_bytes
         if not self._unsent_bytes_before:
             # Nothing waited at the last check.
             self.progress_at = now
-        if unsent_bytes < self._unsent_bytes_before:
+        if taken_bytes > self._taken_bytes_before:
             self.progress_at = now
+        self._taken_bytes_before = taken_bytes
         self._unsent_bytes_before = unsent_bytes
         if now - self.progress_at > timeout_s:
             self.abort()
@@ -193,19 +198,15 @@
 
     def _read(self) -> None:
         """Parse received data and start requests, as far as limits allow."""
-        try:
-            while self._may_read() and self._read_step():
-                pass
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error).encode())
-        self._update_reading()
-
-    def _may_read(self) -> bool:
         if self._transport is None or self._transport.is_closing():
-            return False
-        if self._is_discarding or self._current.body.is_waiting:
-            return False
-        return not self._is_backlogged
+            return
+        if not self._is_discarding and not self.is_backlogged:
+            try:
+                while not self._current.body.is_waiting and self._read_step():
+                    pass
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint, str(error).encode())
+        self._update_reading()
 
     def _read_step(self) -> bool:
         """Take one step; return whether to go on."""
@@ -296,7 +297,7 @@
         should_pause = not self._is_discarding and (
             self._current.body.is_waiting
             or self._received.is_full
-            or self._is_backlogged
+            or self.is_backlogged
         )
         if should_pause == self._is_paused:
             return
@@ -442,4 +443,5 @@
 
     def _write(self, data: bytes | None) -> None:
         if self._transport is not None and data:
+            self._written_bytes += len(data)
             self._transport.write(data)
--- a/amaranthcrank/router/caller_connection_test.py
+++ b/amaranthcrank/router/caller_connection_test.py
@@ -114,6 +114,7 @@
         self.assertLess(self.connection().waiting_bytes, limit)
         started = len(self.requests)
         self.assertLess(started, count)
+        self.assertEqual(self.server.backlogged_connections, 1)
         await asyncio.sleep(0.2)
         self.assertEqual(len(self.requests), started)
         # Once they are read, the others follow.
@@ -131,6 +132,37 @@
         await asyncio.sleep(1.0)
         self.assertGreater(self.writer.transport.get_write_buffer_size(), 0)
 
+    async def test_slow_caller_is_not_cut(self):
+        """Guards against a new response that hides what the caller took.
+
+        The write buffer of such a caller is as full at each check.
+        """
+        self.server.limits = model.CallerLimits(2000, 1_000_000, 0.2, 0.4)
+        timeout_task = asyncio.create_task(self.server.enforce_timeouts())
+        self.addCleanup(timeout_task.cancel)
+        size = 500_000
+        self.body_by_path[b'/1'] = b'x' * size
+        count = 40
+        self.writer.write(pipelined_calls.get(b'/1') * count)
+        for _ in range(count):
+            _, _, body = await self.read_response()
+            self.assertEqual(len(body), size)
+            await asyncio.sleep(0.06)
+
+    async def test_caller_that_stops_to_read_is_disconnected(self):
+        """Guards against requests that run for a caller that is gone."""
+        self.server.limits = model.CallerLimits(2000, 1_000_000, 9.0, 0.4)
+        timeout_task = asyncio.create_task(self.server.enforce_timeouts())
+        self.addCleanup(timeout_task.cancel)
+        self.block(b'/2')
+        self.body_by_path[b'/1'] = b'x' * 8_000_000
+        self.writer.transport.pause_reading()
+        self.writer.write(
+            pipelined_calls.get(b'/1') + pipelined_calls.get(b'/2')
+        )
+        await self.wait(lambda: self.cancelled == [b'/2'])
+        self.assertEqual(self.server.active_requests, 0)
+
     async def test_completed_responses_behind_an_unfinished_one(self):
         """Guards against completed responses that are not counted."""
         self.block(b'/0')
--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -117,6 +117,11 @@
             return True
         return any(each.unsent_bytes for each in self.connections)
 
+    @property
+    def backlogged_connections(self) -> int:
+        """The number of connections that are not read, as responses wait."""
+        return sum(each.is_backlogged for each in self.connections)
+
     async def enforce_timeouts(self) -> None:
         """Close connections that exceed the timeouts; runs until cancelled."""
         while True:
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -447,6 +447,7 @@
             'waiting_requests': self.admission.total_waiting(),
             'busy_requests': self.server.active_requests,
             'caller_connections': len(self.server.connections),
+            'backlogged_connections': self.server.backlogged_connections,
             'targets': len(self.targets.by_id),
             'store_calls': self.store.calls,
             'opened_connections': self.pool.opened_connections,
