--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -525,6 +525,7 @@
             'waiting_requests': self.admission.total_waiting(),
             'busy_requests': self.server.active_requests,
             'caller_connections': len(self.server.connections),
+            'backlogged_connections': self.server.backlogged_connections,
             'targets': len(self.targets.by_id),
             'ready_slots': self.targets.ready_slots(),
             'evacuated_domains': len(self.targets.evacuated_since_by_domain),
