--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-CODE := amaranthcrank standins proofs soak tools
+CODE := amaranthcrank standins proofs soak abuse tools
 
 .PHONY: setup format lint unit test demo measure
 
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -37,6 +37,8 @@
         domain: str,
         store: model.Address,
         folder: pathlib.Path,
+        max_descriptors: int = platform_settings.MAX_DESCRIPTORS,
+        memory_mb: int = platform_settings.MEMORY_MB,
     ) -> None:
         """Write the settings file; nothing is started yet."""
         self.name = name
@@ -48,7 +50,9 @@
         self._settings_path = folder / f'{name}.conf'
         self._popen: subprocess.Popen[bytes] | None = None
         self._started_at = 0.0
-        self._config = platform_settings.RouterConfig(name, ip, domain, store)
+        self._config = platform_settings.RouterConfig(
+            name, ip, domain, store, max_descriptors, memory_mb
+        )
         self.write_settings('')
 
     def write_settings(self, comment: str) -> None:
@@ -82,6 +86,12 @@
             self.unexpected_exits.append(status)
             self.start()
 
+    @property
+    def pid(self) -> int:
+        """The id of the process that was started last."""
+        assert self._popen is not None
+        return self._popen.pid
+
     def reload(self) -> None:
         """Send SIGHUP, unless the process may still be starting.
 
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -5,6 +5,12 @@
 from amaranthcrank.router import model
 
 SERVE_PORT = 18381
+READINESS_PORT = 18388
+PEER_PORT = 17200
+METRICS_PORT = 17201
+# Limits of the process, unless a test lowers them.
+MAX_DESCRIPTORS = 1000
+MEMORY_MB = 300
 # How long a draining target may still receive requests.
 DRAIN_S = 2.0
 # How long after the end of a fault a router must follow the store again.
@@ -15,8 +21,8 @@
 self.ip={ip}
 self.zone={domain}
 self.region=north
-self.limits.maxFds=1000
-self.limits.memoryMb=300
+self.limits.maxFds={max_descriptors}
+self.limits.memoryMb={memory_mb}
 network.listen.front={ip}:18381
 network.listen.readiness={ip}:18388
 network.internalPorts=17200,17215
@@ -42,12 +48,16 @@
       ip: The address that the router listens on.
       domain: The failure domain, `a` or `b`.
       store: The address of the store.
+      max_descriptors: The limit of open descriptors.
+      memory_mb: The memory that the router may use, in MiB.
     """
 
     name: str
     ip: str
     domain: str
     store: model.Address
+    max_descriptors: int = MAX_DESCRIPTORS
+    memory_mb: int = MEMORY_MB
 
 
 def serve_address(ip: str) -> model.Address:
