Limit connections, slow bodies and parsing for each turn of the loop

Cause: a crowd opened 816 descriptors of 500, trickled headers at addresses whose time-outs nobody enforced, and bodies in chunks of one byte let no ordinary request through for 90 s.

Change: each server has a limit of connections from the descriptors of the settings file. A new connection replaces the one that has sent no request for longest, or is refused with 503 before anything of it is read. Four connections are accepted in a turn of the loop. Connections share the parsing in each turn. Bodies have a least rate.

--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -24,8 +24,9 @@
 # While more bytes of responses wait on a connection, nothing more is read from
 # it. A few connections that read nothing could fill a host's memory otherwise.
 MAX_WAITING_BYTES = 256 * 1024
-# Retry-After for a request whose long body got no memory.
-UPLOAD_RETRY_AFTER_S = 1.0
+# Retry-After for a request whose long body got no memory, and for a connection
+# beyond the limit.
+REFUSAL_S = 1.0
 # How long data behind a rejected request is read and discarded. Closing a
 # connection with unread data resets it, and the caller loses the response.
 DISCARD_S = 2.0
@@ -81,11 +82,12 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         self._timer_started_at = asyncio.get_running_loop().time()
         self.progress_at = self._timer_started_at
-        self._server.connections.add(self)
+        if not self._server.admit(self):
+            self._reject(503, b'too many connections', _retry_after(REFUSAL_S))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress, whose caller is gone."""
-        self._server.connections.discard(self)
+        self._server.remove(self)
         self._current.body.release()
         self._received.clear()
         self._queue.cancel_all()
@@ -111,6 +113,20 @@
             self._restart_timers()
             self._read()
 
+    def go_on(self) -> None:
+        """Parse on in a turn of the event loop that has room for it."""
+        self._read()
+
+    @property
+    def waits_since(self) -> float | None:
+        """Since when the header of a request is awaited; None if it is not.
+
+        None also while a response is not taken, which would be lost.
+        """
+        if self._queue or self._current.head is not None or self.unsent_bytes:
+            return None
+        return self._timer_started_at
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or handled."""
@@ -140,7 +156,7 @@
         """Close the connection if it exceeds a timeout.
 
         A body may take any time, as long as data of it arrives within the
-        idle timeout.
+        idle timeout and at the least rate.
 
         Args:
           now: The current event loop time.
@@ -160,6 +176,9 @@
             return
         if now - self._data_arrived_at > limits.idle_timeout_s:
             self._reject(408, b'the body took too long')
+            return
+        if self._current.body.rate.is_too_slow(now, self._server.rate_rule):
+            self._reject(408, b'the body arrived too slowly')
 
     def _check_progress(self, now: float, timeout_s: float) -> None:
         """Disconnect a caller that does not take its response.
@@ -180,6 +199,7 @@
         """Restart the timeouts of a request that could not be read."""
         self._timer_started_at = asyncio.get_running_loop().time()
         self._data_arrived_at = self._timer_started_at
+        self._current.body.rate.restart(self._timer_started_at)
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
@@ -250,6 +270,9 @@
                     self._send_continue_if_expected()
                     return None
                 http.receive_data(self._received.take())
+                self._needs_data = False
+            if not self._server.turns.take(self):
+                return None
             event = http.next_event()
             self._needs_data = event is h11.NEED_DATA
             if not self._needs_data:
@@ -313,10 +336,7 @@
 
     def _reject_upload(self) -> None:
         """Reject a request whose body got no memory in time."""
-        retry_after = f'{UPLOAD_RETRY_AFTER_S:.0f}'.encode()
-        self._reject(
-            503, b'too many long requests', [(b'retry-after', retry_after)]
-        )
+        self._reject(503, b'too many long requests', _retry_after(REFUSAL_S))
 
     def _send_continue_if_expected(self) -> None:
         http = self._current.http
@@ -443,3 +463,7 @@
     def _write(self, data: bytes | None) -> None:
         if self._transport is not None and data:
             self._transport.write(data)
+
+
+def _retry_after(delay_s: float) -> header_fields.Headers:
+    return [(b'retry-after', f'{delay_s:.0f}'.encode())]
--- a/amaranthcrank/router/connection_shares.py
+++ b/amaranthcrank/router/connection_shares.py
@@ -5,9 +5,9 @@
 # The platform reserves these for files.
 FILE_DESCRIPTORS = 200
 # What the process itself keeps open: listeners, the event loop, standard
-# streams, and connections that are accepted in one turn of the event loop
-# before the limit is applied.
-OWN_DESCRIPTORS = 40
+# streams, and connections that are accepted before the limit is applied or
+# are being closed (16 at each of four addresses).
+OWN_DESCRIPTORS = 80
 CALLER_SHARE = 0.6
 # Probes of readiness and scrapes of metrics; calls of other hosts.
 PROBE_SHARE = 0.05
--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -1,11 +1,14 @@
 """HTTP/1.1 server for callers."""
 
 import asyncio
+import socket
 import typing
 
+from amaranthcrank.router import body_rate
 from amaranthcrank.router import caller_connection
 from amaranthcrank.router import http_messages
 from amaranthcrank.router import model
+from amaranthcrank.router import parse_turns
 from amaranthcrank.router import upload_budget
 
 __all__ = [
@@ -27,6 +30,9 @@
 DEFAULT_LIMITS = model.CallerLimits(16384, 64 * 1024 * 1024, 3.0, 15.0)
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 BACKLOG = 1024
+# Connections are accepted before the limit of connections is applied, so that
+# a burst would take many descriptors for a moment.
+ACCEPTS_PER_TURN = 4
 # Callers that read slowly keep responses in memory, as do responses that wait
 # for an earlier one. Beyond this sum, the connections that have made no
 # progress for longest are closed.
@@ -38,6 +44,10 @@
     return False
 
 
+def _call_soon(call: typing.Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_soon(call)
+
+
 class Server:
     """Accepts connections of callers and keeps track of them.
 
@@ -50,7 +60,13 @@
       draining: Whether responses carry `Connection: close`.
       active_requests: The number of requests being handled.
       connections: All open connections.
+      max_connections: The most open connections; None for no limit.
       uploads: Limits the memory used by bodies of requests.
+      rate_rule: How slowly bodies may arrive.
+      turns: Limits what is parsed in a turn of the event loop; servers may
+        share it.
+      refused_connections: How many connections were refused or closed because
+        of the limit.
       on_handler_error: Called with each exception of the handler.
     """
 
@@ -72,7 +88,11 @@
         self.draining = False
         self.active_requests = 0
         self.connections: set[CallerConnection] = set()
+        self.max_connections: int | None = None
         self.uploads = upload_budget.UploadBudget()
+        self.rate_rule = body_rate.RateRule()
+        self.turns = parse_turns.ParseTurns(_call_soon)
+        self.refused_connections = 0
         self.on_handler_error: typing.Callable[[Exception], None] | None = None
         self._listeners: list[asyncio.Server] = []
 
@@ -85,15 +105,51 @@
           OSError: Binding to the address failed.
         """
         loop = asyncio.get_running_loop()
+        sock = socket.create_server(address, backlog=BACKLOG)
+        # The event loop accepts as many connections in a turn as it is told
+        # that the backlog has.
         listener = await loop.create_server(
             lambda: CallerConnection(self),
-            address.ip,
-            address.port,
-            backlog=BACKLOG,
-            reuse_address=True,
+            sock=sock,
+            backlog=ACCEPTS_PER_TURN,
         )
+        sock.listen(BACKLOG)
         self._listeners.append(listener)
 
+    def admit(self, connection: CallerConnection) -> bool:
+        """Add a connection, if need be in place of another one.
+
+        Returns:
+          Whether the connection may stay. Otherwise it is not added.
+        """
+        if (
+            self.max_connections is not None
+            and len(self.connections) >= self.max_connections
+        ):
+            self.refused_connections += 1
+            longest = self._find_longest_waiting()
+            if longest is None:
+                return False
+            self.remove(longest)
+            longest.abort()
+        self.connections.add(connection)
+        return True
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Forget a connection that is closed."""
+        self.connections.discard(connection)
+        self.turns.remove(connection)
+
+    def _find_longest_waiting(self) -> CallerConnection | None:
+        """Return the connection that has sent no request for longest."""
+        found, found_since = None, 0.0
+        for connection in self.connections:
+            since = connection.waits_since
+            if since is None or (found is not None and since >= found_since):
+                continue
+            found, found_since = connection, since
+        return found
+
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones are kept."""
         for listener in self._listeners:
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -35,6 +35,7 @@
 from amaranthcrank.router import retry_rules
 from amaranthcrank.router import route_table
 from amaranthcrank.router import sender
+from amaranthcrank.router import server_limits
 from amaranthcrank.router import service_times
 from amaranthcrank.router import shared_feed
 from amaranthcrank.router import shutdown_limits
@@ -43,7 +44,6 @@
 from amaranthcrank.router import target_feed
 from amaranthcrank.router import target_notices
 from amaranthcrank.router import ticket_feed
-from amaranthcrank.router import upload_budget
 
 MAINTENANCE_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 2.0
@@ -128,9 +128,6 @@
         self.server = http_server.Server(
             self.forwarder.handle, self.forwarder.is_idempotent
         )
-        self.server.uploads.max_bytes = int(
-            upload_budget.MEMORY_SHARE * settings.memory_bytes
-        )
         self.probe_server = http_server.Server(self.handle_probe)
 
     def _build_control(self, clock: typing.Callable[[], float]) -> None:
@@ -189,6 +186,13 @@
         self.ticket_server = http_server.Server(self.ticket_feed.handle)
         for server in (self.server, self.probe_server, self.ticket_server):
             server.on_handler_error = self._on_handler_error
+        server_limits.apply(
+            server_limits.Servers(
+                self.server, self.probe_server, self.ticket_server
+            ),
+            settings,
+            self.options,
+        )
         self.retry_gate = store_sync.gate_on(self.ticket_feed.reachability)
         self.grace = outage_grace.OutageGrace(
             self.store.availability,
@@ -290,6 +294,8 @@
             self.reports.report_load(),
             self.reports.report_key_load(),
             self.server.enforce_timeouts(),
+            self.probe_server.enforce_timeouts(),
+            self.ticket_server.enforce_timeouts(),
             self._run_controller(),
             self._run_maintenance(),
             self._watch_settings(),
@@ -447,6 +453,8 @@
             'waiting_requests': self.admission.total_waiting(),
             'busy_requests': self.server.active_requests,
             'caller_connections': len(self.server.connections),
+            'refused_connections': self.server.refused_connections,
+            'deferred_reads': self.server.turns.deferred,
             'targets': len(self.targets.by_id),
             'store_calls': self.store.calls,
             'opened_connections': self.pool.opened_connections,
--- a/amaranthcrank/router/parse_turns.py
+++ b/amaranthcrank/router/parse_turns.py
@@ -28,6 +28,7 @@
     """Divides the events of a turn among connections.
 
     Attributes:
+      events_per_turn: How many events are parsed in a turn.
       deferred: How often a connection had to wait for a turn.
     """
 
@@ -46,7 +47,7 @@
         """
         self.deferred = 0
         self._call_in_next_turn = call_in_next_turn
-        self._events_per_turn = events_per_turn
+        self.events_per_turn = events_per_turn
         self._left = events_per_turn
         self._used_by_reader: dict[Reader, int] = {}
         # The values are unused: the dictionary is an ordered set.
@@ -86,7 +87,7 @@
 
     def _begin_turn(self) -> None:
         self._is_scheduled = False
-        self._left = self._events_per_turn
+        self._left = self.events_per_turn
         self._used_by_reader.clear()
         for reader in collections.deque(self._waiting):
             if not self._left:
--- a/amaranthcrank/router/request_body.py
+++ b/amaranthcrank/router/request_body.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from amaranthcrank.router import body_rate
 from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import upload_budget
 
@@ -18,7 +19,11 @@
 
 
 class RequestBody:
-    """The body of the request that a connection receives or handles."""
+    """The body of the request that a connection receives or handles.
+
+    Attributes:
+      rate: Measures how fast it arrives.
+    """
 
     def __init__(
         self,
@@ -39,6 +44,7 @@
         self._pause = pause
         self._resume = resume
         self._reject = reject
+        self.rate = body_rate.BodyRate()
         self._data = bytearray()
         self._announced_bytes = 0
         self._max_bytes = 0
@@ -76,6 +82,7 @@
           RemoteProtocolError: It announces a longer body.
         """
         self._data = bytearray()
+        self.rate.restart(asyncio.get_running_loop().time())
         self._max_bytes = max_bytes
         length = header_fields.find(list(head.headers), b'content-length')
         self._announced_bytes = 0 if length is None else int(length)
@@ -88,6 +95,7 @@
           RemoteProtocolError: The body is too long.
         """
         self._data += data
+        self.rate.add(len(data))
         self._check_size(len(self._data))
 
     def take(self) -> bytes | bytearray:
@@ -124,6 +132,7 @@
 
     def _on_reserved(self) -> None:
         self._stop_waiting()
+        self.rate.restart(asyncio.get_running_loop().time())
         self._resume()
 
     def _on_timeout(self) -> None:
