--- a/amaranthcrank/router/connection_pool.py
+++ b/amaranthcrank/router/connection_pool.py
@@ -13,10 +13,16 @@
 MAX_RESPONSE_TIME_S = 30.0
 
 
+def _always_keep(idle_connections: int) -> bool:
+    return True
+
+
 class Pool:
     """Idle connections to be reused, by address.
 
     Attributes:
+      may_keep: Says whether another connection may be kept while so many are
+        idle; otherwise it is closed after its use.
       opened_connections: The number of connections opened, failed
         attempts included.
       buffer_budget: The memory limit for incomplete responses on all
@@ -33,6 +39,8 @@
         self._idle_by_address: dict[
             model.Address, list[http_client.Connection]
         ] = {}
+        self._idle_count = 0
+        self.may_keep: typing.Callable[[int], bool] = _always_keep
         self.opened_connections = 0
         self.buffer_budget = buffer_budget.BufferBudget()
 
@@ -61,6 +69,7 @@
         now = self._clock()
         while idle:
             connection = idle.pop()
+            self._idle_count -= 1
             limit_s = min(max_idle_s, connection.idle_limit_s)
             if connection.is_open and now - connection.idle_since < limit_s:
                 connection.use_for(group, max_response_bytes)
@@ -78,9 +87,14 @@
     ) -> None:
         """Return a connection to the pool after a complete exchange."""
         idle = self._idle_by_address.setdefault(address, [])
-        if not connection.is_open or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        if (
+            not connection.is_open
+            or len(idle) >= MAX_IDLE_PER_ADDRESS
+            or not self.may_keep(self._idle_count)
+        ):
             connection.abort()
             return
+        self._idle_count += 1
         connection.idle_since = self._clock()
         idle.append(connection)
 
@@ -89,6 +103,7 @@
         now = self._clock()
         for address, idle in list(self._idle_by_address.items()):
             kept = []
+            self._idle_count -= len(idle)
             for connection in idle:
                 idle_s = now - connection.idle_since
                 if connection.is_open and idle_s < connection.idle_limit_s:
@@ -96,13 +111,16 @@
                     continue
                 connection.abort()
             if kept:
+                self._idle_count += len(kept)
                 self._idle_by_address[address] = kept
                 continue
             del self._idle_by_address[address]
 
     def drop(self, address: model.Address) -> None:
         """Close the idle connections to an address."""
-        for connection in self._idle_by_address.pop(address, []):
+        dropped = self._idle_by_address.pop(address, [])
+        self._idle_count -= len(dropped)
+        for connection in dropped:
             connection.abort()
 
     def close(self) -> None:
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -186,13 +186,14 @@
         self.ticket_server = http_server.Server(self.ticket_feed.handle)
         for server in (self.server, self.probe_server, self.ticket_server):
             server.on_handler_error = self._on_handler_error
-        server_limits.apply(
+        shares = server_limits.apply(
             server_limits.Servers(
                 self.server, self.probe_server, self.ticket_server
             ),
             settings,
             self.options,
         )
+        self.pool.may_keep = server_limits.idle_check(self.server, shares)
         self.retry_gate = store_sync.gate_on(self.ticket_feed.reachability)
         self.grace = outage_grace.OutageGrace(
             self.store.availability,
--- a/amaranthcrank/router/server_limits.py
+++ b/amaranthcrank/router/server_limits.py
@@ -30,6 +30,23 @@
     hosts: http_server.Server
 
 
+def idle_check(
+    callers: http_server.Server, shares: connection_shares.ConnectionShares
+) -> typing.Callable[[int], bool]:
+    """Return the check whether the pool may keep another idle connection.
+
+    Callers' connections and those in use for their requests go first. Without
+    many of them the pool keeps what it likes.
+    """
+    total = shares.callers + shares.outgoing
+
+    def may_keep(idle_connections: int) -> bool:
+        used = len(callers.connections) + callers.active_requests
+        return used + idle_connections < total
+
+    return may_keep
+
+
 def apply(
     servers: Servers,
     settings: model.HostSettings,
