--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -39,6 +39,7 @@
 from amaranthcrank.router import retry_rules
 from amaranthcrank.router import route_table
 from amaranthcrank.router import sender
+from amaranthcrank.router import server_limits
 from amaranthcrank.router import service_times
 from amaranthcrank.router import shared_feed
 from amaranthcrank.router import shutdown_limits
@@ -48,7 +49,6 @@
 from amaranthcrank.router import target_notices
 from amaranthcrank.router import target_state
 from amaranthcrank.router import ticket_feed
-from amaranthcrank.router import upload_budget
 
 MAINTENANCE_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 2.0
@@ -145,9 +145,6 @@
         self.server = http_server.Server(
             self.forwarder.handle, self.forwarder.is_idempotent
         )
-        self.server.uploads.max_bytes = int(
-            upload_budget.MEMORY_SHARE * settings.memory_bytes
-        )
         self.probe_server = http_server.Server(self.handle_probe)
 
     def _new_hedging(self) -> hedged_attempts.HedgedAttempts | None:
@@ -220,6 +217,14 @@
         self.ticket_server = http_server.Server(self.ticket_feed.handle)
         for server in (self.server, self.probe_server, self.ticket_server):
             server.on_handler_error = self._on_handler_error
+        shares = server_limits.apply(
+            server_limits.Servers(
+                self.server, self.probe_server, self.ticket_server
+            ),
+            settings,
+            self.options,
+        )
+        self.pool.may_keep = server_limits.idle_check(self.server, shares)
         self.retry_gate = store_sync.gate_on(self.ticket_feed.reachability)
         self.grace = outage_grace.OutageGrace(
             self.store.availability,
@@ -332,6 +337,8 @@
             self.reports.report_load(),
             self.reports.report_key_load(),
             self.server.enforce_timeouts(),
+            self.probe_server.enforce_timeouts(),
+            self.ticket_server.enforce_timeouts(),
             self._run_controller(),
             self._run_maintenance(),
             self._watch_settings(),
@@ -526,6 +533,8 @@
             'busy_requests': self.server.active_requests,
             'caller_connections': len(self.server.connections),
             'backlogged_connections': self.server.backlogged_connections,
+            'refused_connections': self.server.refused_connections,
+            'deferred_reads': self.server.turns.deferred,
             'targets': len(self.targets.by_id),
             'ready_slots': self.targets.ready_slots(),
             'evacuated_domains': len(self.targets.evacuated_since_by_domain),
