Send nothing to targets before the evacuations are known

A soak test with real processes evacuates domains, also while a router has lost the store and while all routers restart. In the last case one request reached an evacuated domain: callers connect to a restarted host before it reports that it is ready. Requests now wait until the first list of the evacuations is read, for at most 2 s after the list of the targets.

--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -560,6 +560,16 @@
         self.assertFalse(task.done())
         task.cancel()
 
+    async def test_owner_while_evacuations_are_unknown(self):
+        """Guards against keyed requests of a host that has just started."""
+        self.targets.awaits_evacuations = True
+        task = asyncio.create_task(self._acquire(key=5))
+        await asyncio.sleep(0.02)
+        self.assertFalse(task.done())
+        self.targets.evacuate([], 0.0)
+        await asyncio.sleep(0.01)
+        self.assertIs(task.result(), self.owner)
+
     async def test_owner_without_a_successor(self):
         """Guards against waits that end as refusals."""
         self.targets.evacuate(['a'], 0.0)
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -55,6 +55,8 @@
       evacuated_since_by_domain: The evacuated failure domains, with the
         earliest time at which the evacuation may have begun, in event loop
         time.
+      awaits_evacuations: Whether no target accepts requests yet, because the
+        evacuated domains are not known.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self.drain_s = drain_s
         self.evacuation_s = evacuation_s
         self.evacuated_since_by_domain: dict[str, float] = {}
+        self.awaits_evacuations = False
         self._departure_by_holder: dict[str, Departure] = {}
         # What incarnations of targets said about themselves. It is kept when
         # their entry is removed, as the entry may come back.
@@ -239,6 +242,8 @@
         """Return the targets of a service that accept requests."""
         targets = self.by_service.get(service, ())
         evacuated = self.evacuated_since_by_domain
+        if self.awaits_evacuations:
+            return []
         if not evacuated:
             return [
                 target
@@ -285,6 +290,7 @@
         """
         known = self.evacuated_since_by_domain
         if known.keys() == set(domains):
+            self.end_evacuation_wait()
             return False
         since = self._clock() - stale_s
         for domain in sorted(known.keys() - set(domains)):
@@ -294,9 +300,16 @@
         self.evacuated_since_by_domain = {
             domain: known.get(domain, since) for domain in domains
         }
+        self.awaits_evacuations = False
         self.notify_listeners()
         return True
 
+    def end_evacuation_wait(self) -> None:
+        """Let targets accept requests, with the evacuations known so far."""
+        if self.awaits_evacuations:
+            self.awaits_evacuations = False
+            self.notify_listeners()
+
     def find(
         self, target_id: str, incarnation: int
     ) -> target_state.Target | None:
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -46,6 +46,19 @@
         targets = self.directory.ready('desk')
         return sorted(target.entry.target_id for target in targets)
 
+    def test_unknown_evacuations(self):
+        """Guards against requests of a restarted host to any domain.
+
+        Callers come before the host has listed the evacuations. In a soak
+        with three routers that were all killed, one such request arrived.
+        """
+        self.directory.awaits_evacuations = True
+        self.assertEqual(self._ready(), [])
+        self.directory.evacuate([], 0.0)
+        self.assertEqual(self._ready(), ['i-1', 'i-2'])
+        # Requests that wait meanwhile must be assigned.
+        self.assertEqual(self.changes, 1)
+
     def test_several_domains(self):
         self.directory.evacuate(['a'], 0.0)
         self.assertEqual(self._ready(), ['i-2'])
--- a/amaranthcrank/router/evacuation_feed.py
+++ b/amaranthcrank/router/evacuation_feed.py
@@ -24,7 +24,9 @@
 from amaranthcrank.router import store_sync
 
 # How long a host that is ready otherwise waits for the first list. If the
-# store does not return this kind, the host serves without it.
+# store does not return this kind, the host serves without it. After a restart
+# callers come before the host reports that it is ready, so until then it also
+# sends nothing to targets.
 FIRST_LIST_TIMEOUT_S = 2.0
 # Before anything was read.
 NO_REVISION = -1
@@ -53,6 +55,7 @@
           election: Decides whether this host reads the store.
         """
         self._targets = targets
+        targets.awaits_evacuations = True
         self._messenger = messenger
         self._revision = NO_REVISION
         self._domains: frozenset[str] = frozenset()
@@ -87,18 +90,17 @@
         """Follow the evacuations until cancelled."""
         await self._follower.follow()
 
-    def may_serve(self) -> bool:
-        """Return whether the evacuations are known, or are not awaited more.
+    def limit_wait(self) -> None:
+        """End the wait for the first list after its time-out.
 
-        The wait begins with the first call. Call this once the host is ready
-        otherwise, so that the store is known to answer.
+        The time begins with the first call. Call this regularly once the host
+        is ready otherwise, so that the store is known to answer.
         """
-        if self._revision != NO_REVISION:
-            return True
         now = asyncio.get_running_loop().time()
         if self._awaited_since is None:
             self._awaited_since = now
-        return now - self._awaited_since >= FIRST_LIST_TIMEOUT_S
+        if now - self._awaited_since >= FIRST_LIST_TIMEOUT_S:
+            self._targets.end_evacuation_wait()
 
     def _on_recovered(self, unreachable_since: float) -> None:
         self._stale_since = unreachable_since
--- a/amaranthcrank/router/evacuation_feed_test.py
+++ b/amaranthcrank/router/evacuation_feed_test.py
@@ -192,7 +192,7 @@
         await self._wait_for('b')
         since = self.targets_by_id['h-new'].evacuated_since_by_domain['b']
         self.assertEqual(since, -math.inf)
-        self.assertTrue(self.feed_by_id['h-new'].may_serve())
+        self.assertFalse(self.targets_by_id['h-new'].awaits_evacuations)
 
     async def test_names_that_do_not_fit_into_a_datagram(self):
         """Guards against a set that only the reader knows."""
@@ -250,20 +250,21 @@
 
     async def test_wait_is_bounded(self):
         messenger = mock.Mock(handler_by_kind={})
+        loop = asyncio.get_running_loop()
+        targets = directory.Directory(loop.time, DRAIN_S, mock.Mock())
         feed = evacuation_feed.EvacuationFeed(
             mock.Mock(),
-            mock.Mock(),
+            targets,
             messenger,
             mock.Mock(),
             store_sync.no_gate,
             mock.Mock(),
         )
         with mock.patch.object(evacuation_feed, 'FIRST_LIST_TIMEOUT_S', 0.1):
-            self.assertFalse(feed.may_serve())
-            await asyncio.sleep(0.05)
-            self.assertFalse(feed.may_serve())
-            await asyncio.sleep(0.06)
-            self.assertTrue(feed.may_serve())
+            for pause_s, awaits in ((0.0, True), (0.05, True), (0.06, False)):
+                await asyncio.sleep(pause_s)
+                feed.limit_wait()
+                self.assertEqual(targets.awaits_evacuations, awaits)
 
 
 if __name__ == '__main__':
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -331,9 +331,7 @@
         """Whether the load balancer should send callers to this host."""
         if self.stopping.is_set() or self.forwarder.table is None:
             return False
-        if not self.targets.loaded:
-            return False
-        return self.evacuation_feed is None or self.evacuation_feed.may_serve()
+        return self.targets.loaded and not self.targets.awaits_evacuations
 
     async def handle_probe(
         self, request: http_server.Request
@@ -460,6 +458,8 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self.targets.drop_expired()
+            if self.evacuation_feed is not None and self.targets.loaded:
+                self.evacuation_feed.limit_wait()
             self.pool.close_expired()
             self.reports.apply_load()
             self.budget.hosts = self.peers.count_all()
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -226,6 +226,8 @@
     def _accepts_keyed(self, target: target_state.Target, now: float) -> bool:
         """Return whether an owner may be sent requests for its keys."""
         targets = self._targets
+        if targets.awaits_evacuations:
+            return False
         draining_since = target.draining_since
         if draining_since is not None:
             if now > draining_since + DRAINING_SEND_SHARE * targets.drain_s:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -162,6 +162,22 @@
         )
         self.store.put('servers', instance.target_id, entry)
 
+    def evacuate(self, domain: str) -> None:
+        """Evacuate a failure domain, as the operator would."""
+        self.store.put('evacuations', domain, {'spec': {}})
+
+    def restore(self, domain: str) -> None:
+        """End the evacuation of a failure domain."""
+        self.store.remove('evacuations', domain)
+
+    def targets_in(self, domain: str) -> list[target.Target]:
+        """Return the targets of a failure domain."""
+        return [
+            instance
+            for instance in self.targets
+            if DOMAINS[instance.incarnation % len(DOMAINS)] == domain
+        ]
+
     def _random_target(self) -> target.Target:
         return self.rng.choice(list(self._target_by_id.values()))
 
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -9,6 +9,8 @@
 DRAIN_S = 2.0
 # How long after the end of a fault a router must follow the store again.
 SETTLE_S = 3.0
+# How long targets of an evacuated failure domain may still receive requests.
+EVACUATION_S = 5.0
 
 _TEMPLATE = """\
 self.nodeName={name}
@@ -31,6 +33,7 @@
 terms.bounds.budgetWindowS=10
 terms.bounds.budgetMinRetries=60
 terms.bounds.holdMaxMs=10000
+terms.bounds.evacMs={evacuation_ms}
 """
 
 
@@ -60,5 +63,6 @@
     fields = config._asdict()
     fields['store'] = f'{config.store.ip}:{config.store.port}'
     fields['drain_ms'] = round(DRAIN_S * 1000)
+    fields['evacuation_ms'] = round(EVACUATION_S * 1000)
     fields['settle_ms'] = round(SETTLE_S * 1000)
     return _TEMPLATE.format(**fields) + f'# {comment}\n'
