--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -58,6 +58,8 @@
         time.
       cold_services: The services whose targets may say in responses that they
         are cold.
+      awaits_evacuations: Whether no target accepts requests yet, because the
+        evacuated domains are not known.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         self.evacuation_s = evacuation_s
         self.evacuated_since_by_domain: dict[str, float] = {}
         self.cold_services: frozenset[str] = frozenset()
+        self.awaits_evacuations = False
         self._departure_by_holder: dict[str, Departure] = {}
         # What incarnations of targets said about themselves. It is kept when
         # their entry is removed, as the entry may come back.
@@ -268,6 +271,8 @@
         """Return the targets of a service that accept requests."""
         targets = self.by_service.get(service, ())
         evacuated = self.evacuated_since_by_domain
+        if self.awaits_evacuations:
+            return []
         if not evacuated:
             return [
                 target
@@ -314,6 +319,7 @@
         """
         known = self.evacuated_since_by_domain
         if known.keys() == set(domains):
+            self.end_evacuation_wait()
             return False
         since = self._clock() - stale_s
         for domain in sorted(known.keys() - set(domains)):
@@ -323,9 +329,16 @@
         self.evacuated_since_by_domain = {
             domain: known.get(domain, since) for domain in domains
         }
+        self.awaits_evacuations = False
         self.notify_listeners()
         return True
 
+    def end_evacuation_wait(self) -> None:
+        """Let targets accept requests, with the evacuations known so far."""
+        if self.awaits_evacuations:
+            self.awaits_evacuations = False
+            self.notify_listeners()
+
     def find(
         self, target_id: str, incarnation: int
     ) -> target_state.Target | None:
