--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import math
 import unittest
 from unittest import mock
 
@@ -222,6 +223,21 @@
                 return at
         return None
 
+    async def test_cold_owner_gets_the_keys_that_its_rate_allows(self):
+        # A cold target crashes if it gets its share as a warm one.
+        self._start()
+        self.controller.cold_load_s = lambda target: (
+            0.1 if target.entry.target_id == 'i-2' else math.inf
+        )
+        await self._wait(self._is_assigned)
+        keys_by_id = {}
+        for part in self.keys.map_by_service['book'].ranges:
+            count = part.last - part.first + 1
+            keys_by_id[part.target_id] = (
+                keys_by_id.get(part.target_id, 0) + count
+            )
+        self.assertLess(keys_by_id.get('i-2', 0), 0.1 * model.KEY_COUNT)
+
     async def test_silent_owner_keeps_its_keys_until_its_grant_expires(self):
         # Requests still reach a target that the controller cannot reach. If
         # its keys were granted to another one earlier, they would have two
--- a/amaranthcrank/router/shared_feed_test.py
+++ b/amaranthcrank/router/shared_feed_test.py
@@ -26,6 +26,9 @@
         self.is_unavailable = False
         self.calls = 0
 
+    async def create(self, kind, name, spec, timeout_s):
+        return None
+
     async def list_all(self, kind, timeout_s):
         self.calls += 1
         if self.is_unavailable:
@@ -66,7 +69,7 @@
         self.keys = key_table.KeyTable()
         self.peer_by_id = {}
         self.read_schedule = _ReadSchedule()
-        feed = shared_feed.SharedFeed(
+        self.feed = shared_feed.SharedFeed(
             self.client,
             self.keys,
             self.peer_by_id,
@@ -76,7 +79,7 @@
             lambda service: None,
             self.read_schedule,
         )
-        self.following = asyncio.create_task(feed.follow())
+        self.following = asyncio.create_task(self.feed.follow())
         self.addCleanup(self.following.cancel)
 
     async def test_only_the_current_state_is_read(self):
@@ -90,6 +93,19 @@
         await asyncio.sleep(0.1)
         self.assertEqual(set(self.peer_by_id), {'h-2'})
 
+    async def test_host_has_joined_once_it_read_as_a_registered_host(self):
+        """Guards against hosts that start together and do not know each other.
+
+        A host that registered after this one read the list is not in it.
+        """
+        await asyncio.sleep(0.1)
+        self.assertGreater(self.read_schedule.reads, 1)
+        self.assertFalse(self.feed.has_joined)
+        await self.feed.register()
+        self.assertFalse(self.feed.has_joined)
+        await asyncio.sleep(0.1)
+        self.assertTrue(self.feed.has_joined)
+
     async def test_store_unavailable(self):
         self.client.is_unavailable = True
         await asyncio.sleep(0.1)
