--- a/amaranthcrank/router/cold_site_test.py
+++ b/amaranthcrank/router/cold_site_test.py
@@ -8,7 +8,9 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
+from amaranthcrank.platform import settings_file
 from standins import platform_site
 
 COLD_MS = 60_000
@@ -74,6 +76,17 @@
         now = asyncio.get_running_loop().time()
         self.assertTrue(target.is_cold(now))
 
+    async def test_bounds_are_reloaded(self):
+        # Guards against a limit that is in force only from the next ticket.
+        bounds = self.site.bounds
+        self.site.bounds = bounds._replace(cold_slack=None)
+        router = await self.site.add_router('host-1')
+        self.assertEqual(router.cold_quota.limits_by_service, {})
+        settings = router.settings._replace(bounds=bounds)
+        with mock.patch.object(settings_file, 'parse', return_value=settings):
+            router.reload()
+        self.assertEqual(list(router.cold_quota.limits_by_service), ['desk'])
+
     async def test_feature_is_off_without_the_bounds(self):
         self.site.bounds = self.site.bounds._replace(cold_slack=None)
         self._put_cold()
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -351,6 +351,8 @@
             return
         self.settings = settings
         self.store.set_address(settings.store)
+        if self.forwarder.table is not None:
+            self._apply_cold_limits(self.forwarder.table.ticket)
         self.log.event('settings_reloaded')
 
     async def _watch_settings(self) -> None:
@@ -396,7 +398,9 @@
             for service in ticket.service_by_name.values()
             if service.keyed
         )
+        self._apply_cold_limits(ticket)
 
+    def _apply_cold_limits(self, ticket: model.Ticket) -> None:
         self.cold_quota.limits_by_service = cold_quota.limits_by_service(
             ticket.service_by_name.values(), self.settings.bounds
         )
