--- a/amaranthcrank/router/cold_site_test.py
+++ b/amaranthcrank/router/cold_site_test.py
@@ -83,7 +83,9 @@
         router = await self.site.add_router('host-1')
         self.assertEqual(router.cold_quota.limits_by_service, {})
         settings = router.settings._replace(bounds=bounds)
-        with mock.patch.object(settings_file, 'parse', return_value=settings):
+        with mock.patch.object(
+            settings_file, 'parse', autospec=True, return_value=settings
+        ):
             router.reload()
         self.assertEqual(list(router.cold_quota.limits_by_service), ['desk'])
 
