--- a/amaranthcrank/router/hedge_load_test.py
+++ b/amaranthcrank/router/hedge_load_test.py
@@ -81,6 +81,28 @@
 
         self.run_host(scenario, hedging_host.Options(ratio=0.02, targets=60))
 
+    def test_delay_does_not_sink(self):
+        """Guards against more and more hedges.
+
+        The times of cancelled attempts are unknown. If only the others were
+        measured, the quantile would sink, and more attempts would be late.
+        One in 20 attempts is late by definition of the quantile.
+        """
+
+        async def scenario(host):
+            def reply():
+                return memory_targets.Reply(0.05 + host.rng.expovariate(10.0))
+
+            host.reply(otherwise=reply)
+            await host.load(60.0, 40.0)
+            before = host.counters.count('hedges_sent')
+            times_s = await host.load(120.0, 40.0)
+            sent = host.counters.count('hedges_sent') - before
+            self.assertGreater(sent, 0)
+            self.assertLessEqual(sent, 0.05 * len(times_s))
+
+        self.run_host(scenario, hedging_host.Options(ratio=0.2, targets=60))
+
     def test_slow_target_does_not_draw_hedges_for_ever(self):
         """Guards against hedges of each request of a slow target.
 
--- a/amaranthcrank/router/hedged_attempts_test.py
+++ b/amaranthcrank/router/hedged_attempts_test.py
@@ -166,6 +166,12 @@
         results = self._check([reset, reset, hedging_host.USUAL], 200, options)
         self.assertEqual(results[2], '200')
 
+    def test_no_target_gets_a_request_twice(self):
+        # Both targets have failed, and the route would allow a third attempt.
+        failed = memory_targets.Reply(0.25, 500)
+        options = hedging_host.Options(targets=2, max_attempts=3)
+        self._check([failed, failed], 500, options)
+
     def test_first_fails_before_the_delay(self):
         # The rules for retries apply, and the retry is no hedge.
         reset = memory_targets.Reply(0.02, memory_targets.RESET)
