--- a/amaranthcrank/router/hedged_attempts_test.py
+++ b/amaranthcrank/router/hedged_attempts_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from standins import hedging_host
 from standins import memory_targets
@@ -112,6 +113,27 @@
 
         self.run_host(scenario)
 
+    def test_caller_leaves_as_the_hedge_starts(self):
+        # The hedge is cancelled before the first step of its task. It must
+        # release its slot all the same, and not be sent.
+        async def scenario(host):
+            await host.warm_up()
+            host.reply(hedging_host.STALL)
+            received = host.received
+            task = asyncio.get_running_loop().create_task(host.call())
+
+            def leave(name):
+                if name == 'hedges_sent':
+                    task.cancel()
+
+            with mock.patch.object(host.counters, 'add', leave):
+                await asyncio.sleep(0.5)
+            # The stalled attempt would have needed 1 s.
+            self.assertTrue(task.cancelled())
+            self.assertEqual(host.received, received + 1)
+
+        self.run_host(scenario)
+
     def test_caller_leaves_at_each_turn_of_the_event_loop(self):
         # The slot of an attempt that is cancelled before its first step must
         # be released, too.
