--- a/amaranthcrank/router/hedged_attempts_test.py
+++ b/amaranthcrank/router/hedged_attempts_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from standins import hedging_host
 from standins import memory_targets
@@ -50,6 +51,29 @@
 
         self.run_host(scenario)
 
+    def test_cancelled_attempts_raise_the_delay(self):
+        """Guards against more and more hedges.
+
+        More than one in 20 attempts stalls, and all of these are cancelled.
+        If only the others were measured, the delay would stay at 0.11 s and
+        sink when service times vary.
+        """
+
+        async def scenario(host):
+            await host.warm_up()
+            for _ in range(20):
+                host.reply(hedging_host.STALL)
+                for _ in range(8):
+                    await host.call()
+            await asyncio.sleep(1.1)
+            sent = host.counters.count('hedges_sent')
+            self.assertEqual(sent, 20)
+            host.reply(memory_targets.Reply(0.15))
+            await host.call()
+            self.assertEqual(host.counters.count('hedges_sent'), sent)
+
+        self.run_host(scenario, hedging_host.Options(ratio=0.2, targets=60))
+
     def test_both_respond_at_once(self):
         # Both responses arrive in the same turn of the event loop: one is
         # passed on, and the slots of both are released once.
@@ -89,6 +113,27 @@
 
         self.run_host(scenario)
 
+    def test_caller_leaves_as_the_hedge_starts(self):
+        # The hedge is cancelled before the first step of its task. It must
+        # release its slot all the same, and not be sent.
+        async def scenario(host):
+            await host.warm_up()
+            host.reply(hedging_host.STALL)
+            received = host.received
+            task = asyncio.get_running_loop().create_task(host.call())
+
+            def leave(name):
+                if name == 'hedges_sent':
+                    task.cancel()
+
+            with mock.patch.object(host.counters, 'add', leave):
+                await asyncio.sleep(0.5)
+            # The stalled attempt would have needed 1 s.
+            self.assertTrue(task.cancelled())
+            self.assertEqual(host.received, received + 1)
+
+        self.run_host(scenario)
+
     def test_caller_leaves_at_each_turn_of_the_event_loop(self):
         # The slot of an attempt that is cancelled before its first step must
         # be released, too.
@@ -166,6 +211,12 @@
         results = self._check([reset, reset, hedging_host.USUAL], 200, options)
         self.assertEqual(results[2], '200')
 
+    def test_no_target_gets_a_request_twice(self):
+        # Both targets have failed, and the route would allow a third attempt.
+        failed = memory_targets.Reply(0.25, 500)
+        options = hedging_host.Options(targets=2, max_attempts=3)
+        self._check([failed, failed], 500, options)
+
     def test_first_fails_before_the_delay(self):
         # The rules for retries apply, and the retry is no hedge.
         reset = memory_targets.Reply(0.02, memory_targets.RESET)
