--- a/abuse/callers_test.py
+++ b/abuse/callers_test.py
@@ -21,6 +21,8 @@
 AHEAD_CONNECTIONS = 80
 AHEAD_BYTES = 8 * 1024 * 1024
 BLOCK_REQUESTS = 400
+MANY_AHEAD = 300
+LONG_RESPONSE_BYTES = 1024 * 1024
 UPLOAD_CONNECTIONS = 40
 COMPLETE_UPLOADS = 4
 MISSING_BYTES = 1024
@@ -155,6 +157,26 @@
         self.crowd.join(sites.SERVE_ADDRESS, script, AHEAD_CONNECTIONS)
         await self.check_usage()
 
+    async def test_requests_ahead_on_many_connections(self):
+        """Guards against memory that many connections take together."""
+        self.crowd.join(
+            sites.SERVE_ADDRESS, _ahead('/no/such/path'), MANY_AHEAD
+        )
+        await self.check_usage()
+
+    async def test_long_responses_unread(self):
+        """Guards against responses in progress that exceed the memory.
+
+        Each was started while little waited on its connection.
+        """
+        self.site.target.body = bytes(LONG_RESPONSE_BYTES)
+        script = _ahead(
+            f'{sites.ROUTE_PREFIX}x',
+            f'x-request-deadline: {sites.DEADLINE_MS}',
+        )
+        self.crowd.join(sites.SERVE_ADDRESS, script, AHEAD_CONNECTIONS)
+        await self.check_usage()
+
     async def test_requests_ahead_to_metrics(self):
         """Guards against memory that grows with unread metrics."""
         self.crowd.join(
--- a/abuse/site.py
+++ b/abuse/site.py
@@ -75,13 +75,19 @@
 
     Attributes:
       router: The process.
+      target: The target.
       peak_descriptors: The most descriptors that were seen open.
       first_descriptors: How many were open when it was ready.
     """
 
-    def __init__(self, router: routers.Router) -> None:
+    def __init__(
+        self,
+        router: routers.Router,
+        target: platform_target.PlatformTarget,
+    ) -> None:
         """Take a router that has been started."""
         self.router = router
+        self.target = target
         self.peak_descriptors = 0
         self.first_descriptors = 0
 
@@ -160,7 +166,7 @@
     )
     stack.callback(router.close)
     router.start()
-    site = Site(router)
+    site = Site(router, target)
     async with asyncio.timeout(GUARD_S):
         await site.wait_until_ready()
         await site.wait_until_served()
