--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -456,6 +456,7 @@
             'caller_connections': len(self.server.connections),
             'refused_connections': self.server.refused_connections,
             'deferred_reads': self.server.turns.deferred,
+            'backlogged_connections': self.server.backlogged_connections,
             'targets': len(self.targets.by_id),
             'store_calls': self.store.calls,
             'opened_connections': self.pool.opened_connections,
