--- a/amaranthcrank/router/cold_quota_test.py
+++ b/amaranthcrank/router/cold_quota_test.py
@@ -260,6 +260,14 @@
         host.see((), 50.0)
         self.assertFalse(host.try_send(_target(), 52.9, True))
 
+    def test_wait_of_a_host_without_membership(self):
+        # A host that has just started has requests for the keys of a cold
+        # owner; the process ended when it estimated their wait.
+        host = _Host('h-1', random.Random(1))
+        target = _target(cold_s=3.0)
+        wait_s = host.quota.wait_s(target, True, 2, 1.0)
+        self.assertAlmostEqual(wait_s, 2.0 + cold_quota.COLD_MARGIN_S)
+
     def test_rate_keeps_the_chance_of_an_excess(self):
         # The chance is that of a Poisson process; a bound without slack
         # permits fewer turns.
--- a/amaranthcrank/router/shared_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -72,7 +72,8 @@
         allow_stale = True
         reachability = store_sync.Reachability(names.SHARED_KIND, self._log)
         while True:
-            was_registered = self._is_registered
+            # A stale list need not have the hosts that registered before.
+            will_have_joined = self._is_registered and not allow_stale
             try:
                 listing = await self._client.list_all(
                     names.SHARED_KIND,
@@ -93,7 +94,7 @@
             self._backoff.reset()
             for name, item in listing.item_by_name.items():
                 self._apply(name, item)
-            self.has_joined = self.has_joined or was_registered
+            self.has_joined = self.has_joined or will_have_joined
             self._read_schedule.record_read()
             await self._read_schedule.wait()
 
