Revert early use of reported free slots in other domains

Tried: requests may use a target of another domain after 0.05 or 0.1 of the goal if it reported a free slot within the last second, in place of 0.15 and 0.6.

--- a/amaranthcrank/router/reported_load.py
+++ b/amaranthcrank/router/reported_load.py
@@ -15,9 +15,6 @@
 # A target that reported no free slot is sent nothing until the report is this
 # share of a typical service time old.
 FULL_SERVICE_TIMES = 0.5
-# For how long a report of a free slot attracts requests of other failure
-# domains, whose load reports do not reach this host.
-ROOM_AGE_S = 1.0
 USUAL_PACE_PERCENT = 100
 # Limits of the reported pace as a factor of the service time.
 MIN_PACE = 0.1
--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -81,14 +81,6 @@
     return target.in_flight < per_host_limit(slots, hosts)
 
 
-def has_reported_room(target: target_state.Target, now: float) -> bool:
-    """Return whether a target has just reported a slot that is still free."""
-    report = target.reported_load
-    if report is None or now - report.at > reported_load.ROOM_AGE_S:
-        return False
-    return target.in_flight + report.elsewhere < target.entry.slots
-
-
 def _elsewhere(target: target_state.Target, now: float) -> float:
     if target.reported_load is None:
         return target.in_flight_elsewhere
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -23,9 +23,6 @@
 # before it may use a target of its own failure domain (no wait), of another
 # one in the region, and of another region.
 SPILLOVER_SHARE_BY_DISTANCE = (0.0, 0.15, 0.6)
-# The same for a target that has just reported a free slot: sending there fills
-# no queue, so the request need not risk its goal by waiting.
-REPORTED_SHARE_BY_DISTANCE = (0.0, 0.05, 0.1)
 
 
 class SelectionPass(typing.NamedTuple):
@@ -219,14 +216,7 @@
                 and waited_s < share * goal_s
                 and self._has_nearer_target(targets, distance, now)
             ):
-                reported_share = REPORTED_SHARE_BY_DISTANCE[distance]
-                if waited_s < reported_share * goal_s:
-                    return None
-                candidates = [
-                    target
-                    for target in candidates
-                    if target_choice.has_reported_room(target, now)
-                ]
+                return None
             chosen = target_choice.choose(
                 candidates, selection_pass.service_s, now, hosts, self._random
             )
