Split the construction and the tasks of the router out of main

Change: common_parts, request_path and control_parts build the parts; controller_tasks runs the controller; probe_responses answers probes and scrapes; ticket_application and cold_quota_updates apply a ticket. Router keeps its attributes. Behaviour is unchanged.

--- /dev/null
+++ b/amaranthcrank/router/common_parts.py
@@ -0,0 +1,56 @@
+"""Builds the parts that the request path and the control parts share."""
+
+import asyncio
+import typing
+
+from amaranthcrank.platform import store
+from amaranthcrank.router import connection_pool
+from amaranthcrank.router import event_log
+from amaranthcrank.router import metrics
+from amaranthcrank.router import model
+from amaranthcrank.router import options
+from amaranthcrank.router import peers
+
+
+class CommonParts(typing.NamedTuple):
+    """What both the request path and the control parts use.
+
+    Attributes:
+      settings: The settings at the start of the process.
+      options: The options of the process.
+      clock: Returns the event loop time.
+      log: Writes the events of the host.
+      metrics: The counters and gauges.
+      pool: The connections to targets, other hosts and the store.
+      store: The client of the store.
+      peers: Exchanges datagrams with the other hosts.
+    """
+
+    settings: model.HostSettings
+    options: options.Options
+    clock: typing.Callable[[], float]
+    log: event_log.EventLog
+    metrics: metrics.Registry
+    pool: connection_pool.Pool
+    store: store.Client
+    peers: peers.Messenger
+
+
+def build(
+    settings: model.HostSettings,
+    process_options: options.Options,
+    log_descriptor: int,
+) -> CommonParts:
+    """Create the shared parts in a running event loop."""
+    clock = asyncio.get_running_loop().time
+    pool = connection_pool.Pool(clock)
+    return CommonParts(
+        settings,
+        process_options,
+        clock,
+        event_log.EventLog(settings.host_id, log_descriptor),
+        metrics.Registry(),
+        pool,
+        store.Client(settings.store, pool),
+        peers.Messenger(settings.host_id, settings.failure_domain),
+    )
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -3,52 +3,24 @@
 import asyncio
 import contextlib
 import os
-import random
-import secrets
 import signal
 import sys
 import typing
 
 from amaranthcrank.platform import names
 from amaranthcrank.platform import settings_file
-from amaranthcrank.platform import store
-from amaranthcrank.router import admission
-from amaranthcrank.router import cold_quota
-from amaranthcrank.router import connection_pool
-from amaranthcrank.router import controller_lease
-from amaranthcrank.router import crash_reports
-from amaranthcrank.router import departure_queries
-from amaranthcrank.router import directory
-from amaranthcrank.router import entry_reads
-from amaranthcrank.router import evacuation_feed
-from amaranthcrank.router import event_log
-from amaranthcrank.router import forwarder
-from amaranthcrank.router import hedged_attempts
-from amaranthcrank.router import host_reports
+from amaranthcrank.router import cold_quota_updates
+from amaranthcrank.router import common_parts
+from amaranthcrank.router import control_parts
+from amaranthcrank.router import controller_tasks
 from amaranthcrank.router import http_server
-from amaranthcrank.router import key_calls
-from amaranthcrank.router import key_controller
-from amaranthcrank.router import key_table
-from amaranthcrank.router import metrics
 from amaranthcrank.router import model
 from amaranthcrank.router import options
-from amaranthcrank.router import outage_grace
-from amaranthcrank.router import owner_domains
-from amaranthcrank.router import peers
-from amaranthcrank.router import reader_election
-from amaranthcrank.router import retry_rules
-from amaranthcrank.router import route_table
-from amaranthcrank.router import sender
+from amaranthcrank.router import probe_responses
+from amaranthcrank.router import request_path
 from amaranthcrank.router import server_limits
-from amaranthcrank.router import service_times
-from amaranthcrank.router import shared_feed
 from amaranthcrank.router import shutdown_limits
-from amaranthcrank.router import store_sync
-from amaranthcrank.router import target_choice
-from amaranthcrank.router import target_feed
-from amaranthcrank.router import target_notices
-from amaranthcrank.router import target_state
-from amaranthcrank.router import ticket_feed
+from amaranthcrank.router import ticket_application
 
 MAINTENANCE_INTERVAL_S = 0.25
 SETTINGS_CHECK_INTERVAL_S = 2.0
@@ -58,9 +30,6 @@
 # The process ends by itself this long before SIGKILL is due.
 EXIT_MARGIN_S = 0.15
 DRAIN_CHECK_INTERVAL_S = 0.05
-# A host that no longer holds the lease waits this long, so that other hosts
-# can take it first.
-LEASE_PAUSE_S = 0.5
 
 EXIT_BAD_SETTINGS = 2
 STANDARD_OUTPUT = 1
@@ -77,214 +46,57 @@
         process_options: options.Options = options.Options(),
     ) -> None:
         """Create the parts without opening sockets."""
-        clock = asyncio.get_running_loop().time
         self.settings = settings
-        self.options = process_options
         self.settings_path = path
         self.stopping = asyncio.Event()
-        self.log = event_log.EventLog(settings.host_id, log_descriptor)
-        self.metrics = metrics.Registry()
-        self.pool = connection_pool.Pool(clock)
-        self.store = store.Client(settings.store, self.pool)
-        self.peers = peers.Messenger(settings.host_id, settings.failure_domain)
-        self._build_request_path(clock)
-        self._build_control(clock)
-        self._set_callbacks()
-
-    def _build_request_path(self, clock: typing.Callable[[], float]) -> None:
-        settings = self.settings
-        bounds = settings.bounds
-        self.targets = directory.Directory(
-            clock,
-            bounds.drain_s,
-            self.log.event,
-            bounds.evacuation_s or 0.0,
-        )
-        self.keys = key_table.KeyTable()
-        self.times = service_times.ServiceTimes()
-        self.crashes = crash_reports.CrashReports(clock)
-        self.budget = retry_rules.RetryBudget(
-            bounds.retry_ratio, bounds.retry_floor, bounds.retry_window_s
-        )
-        self.admission = admission.Admission(
-            self.targets,
-            self.keys,
-            target_choice.Locality(
-                settings.failure_domain,
-                settings.region,
-                settings.region_by_domain,
-            ),
-            self.times,
-            clock,
-            random.random,
-        )
-        self.cold_quota = cold_quota.ColdQuota(
-            settings.host_id,
-            settings.failure_domain,
-            random.random,
-            self.log.event,
-            self.metrics.add,
-        )
-        self.admission.selection.cold_quota = self.cold_quota
-        self.notices = target_notices.TargetNotices(
-            self.targets, self.pool, self.peers
-        )
-        self.sender = sender.Sender(
-            self.pool, self.times, self.crashes, self.notices
+        self._common = common_parts.build(
+            settings, process_options, log_descriptor
         )
-        self.forwarder = forwarder.Forwarder(
-            self.admission,
-            self.sender,
-            self.budget,
-            self.times,
-            self.crashes,
-            self.log,
-            self.metrics,
-            self._new_hedging(),
-        )
-        self.server = http_server.Server(
-            self.forwarder.handle, self.forwarder.is_idempotent
+        self._path = request_path.build(self._common)
+        self._control = control_parts.build(
+            self._common, self._path, self._apply_ticket
         )
+        self._expose_parts()
         self.probe_server = http_server.Server(self.handle_probe)
-
-    def _new_hedging(self) -> hedged_attempts.HedgedAttempts | None:
-        """Return what hedges requests, or None if the operator wants none."""
-        if not self.options.hedge_ratio:
-            return None
-        return hedged_attempts.HedgedAttempts(
-            self.admission,
-            self.sender,
-            self.budget,
-            self.times,
-            self.crashes,
-            self.metrics,
-            self.options.hedge_ratio,
-        )
-
-    def _build_control(self, clock: typing.Callable[[], float]) -> None:
-        settings = self.settings
-        own = peers.Peer(
-            settings.host_id,
-            model.Address(settings.ip, settings.peer_port),
-            settings.failure_domain,
-        )
-        self.lease = controller_lease.Lease(
-            self.store,
-            settings.host_id,
-            secrets.token_hex(4),
-            settings.ip,
-            self.log,
-        )
-        self.controller = key_controller.Controller(
-            self.store,
-            self.lease,
-            key_calls.KeyCalls(
-                self.pool,
-                self.log,
-                entry_reads.restart_check(
-                    entry_reads.entry_reader(
-                        self.store, self.log, entry_reads.PRE_GRANT_TIMEOUT_S
-                    )
-                ),
-                self.notices,
-                settings.heartbeat_s,
-            ),
-            self.targets,
-            self.keys,
-            self.log,
-            settings.bounds.grant_max_s,
-        )
-        self.reports = host_reports.HostReports(
-            self.peers,
-            self.targets,
-            self.keys,
-            self.admission,
-            self.crashes,
-            self.lease,
-            self.controller,
-            own,
-            clock,
-            random.random,
-        )
-        self.ticket_feed = ticket_feed.TicketFeed(
-            self.store,
-            self.peers,
-            self.pool,
-            self.log,
-            self._apply_ticket,
-            self._new_election(clock),
-        )
         self.ticket_server = http_server.Server(self.ticket_feed.handle)
-        for server in (self.server, self.probe_server, self.ticket_server):
-            server.on_handler_error = self._on_handler_error
-        shares = server_limits.apply(
-            server_limits.Servers(
-                self.server, self.probe_server, self.ticket_server
-            ),
-            settings,
-            self.options,
+        self._limit_servers()
+
+    def _expose_parts(self) -> None:
+        self.options = self._common.options
+        self.log = self._common.log
+        self.metrics = self._common.metrics
+        self.pool = self._common.pool
+        self.store = self._common.store
+        self.peers = self._common.peers
+        self.targets = self._path.targets
+        self.keys = self._path.keys
+        self.times = self._path.times
+        self.crashes = self._path.crashes
+        self.budget = self._path.budget
+        self.admission = self._path.admission
+        self.cold_quota = self._path.cold_quota
+        self.notices = self._path.notices
+        self.sender = self._path.sender
+        self.forwarder = self._path.forwarder
+        self.server = self._path.server
+        self.lease = self._control.lease
+        self.controller = self._control.controller
+        self.reports = self._control.reports
+        self.ticket_feed = self._control.ticket_feed
+        self.retry_gate = self._control.retry_gate
+        self.grace = self._control.grace
+        self.target_feed = self._control.target_feed
+        self.evacuation_feed = self._control.evacuation_feed
+        self.shared_feed = self._control.shared_feed
+
+    def _limit_servers(self) -> None:
+        servers = server_limits.Servers(
+            self.server, self.probe_server, self.ticket_server
         )
+        for server in servers:
+            server.on_handler_error = self._on_handler_error
+        shares = server_limits.apply(servers, self.settings, self.options)
         self.pool.may_keep = server_limits.idle_check(self.server, shares)
-        self.retry_gate = store_sync.gate_on(self.ticket_feed.reachability)
-        self.grace = outage_grace.OutageGrace(
-            self.store.availability,
-            self.targets,
-            departure_queries.DepartureQueries(self.peers, self.targets),
-            settings.heartbeat_s,
-            settings.bounds.settle_s,
-            self.log.event,
-        )
-        self.target_feed = target_feed.TargetFeed(
-            self.store,
-            self.targets,
-            self.peers,
-            self.log,
-            self.retry_gate,
-            self._new_election(clock),
-            self.grace,
-        )
-        self.evacuation_feed = None
-        if settings.bounds.evacuation_s is not None:
-            self.evacuation_feed = evacuation_feed.EvacuationFeed(
-                self.store,
-                self.targets,
-                self.peers,
-                self.log,
-                self.retry_gate,
-                self._new_election(clock),
-            )
-        self.shared_feed = shared_feed.SharedFeed(
-            self.store,
-            self.keys,
-            self.peers.by_id,
-            own,
-            self.log,
-            self.retry_gate,
-            self.admission.assign_waiting,
-            self.reports.read_schedule,
-        )
-
-    def _new_election(
-        self, clock: typing.Callable[[], float]
-    ) -> reader_election.ReaderElection:
-        return reader_election.ReaderElection(
-            self.settings.host_id,
-            self.peers.count_in_domain,
-            clock,
-            random.random,
-        )
-
-    def _set_callbacks(self) -> None:
-        self.forwarder.on_keyed_request = self.reports.record_keyed_request
-        self.sender.on_misdirected = self.reports.send_misdirected
-        self.sender.on_crash = self.reports.broadcast_crash
-        self.sender.on_crash_cleared = self.reports.broadcast_crash_cleared
-        self.sender.on_crash_withdrawn = self.reports.broadcast_crash_withdrawn
-        self.controller.cold_load_s = self._cold_load_s
-        self.controller.on_move_completed = (
-            self.reports.broadcast_move_completed
-        )
-        self.controller.on_map_written = self.reports.broadcast_key_map_change
 
     async def run(self, stack: contextlib.AsyncExitStack) -> None:
         """Serve until SIGTERM, then finish the requests in progress.
@@ -339,7 +151,12 @@
             self.server.enforce_timeouts(),
             self.probe_server.enforce_timeouts(),
             self.ticket_server.enforce_timeouts(),
-            self._run_controller(),
+            controller_tasks.run(
+                self._common,
+                self._control,
+                self.stopping,
+                self._act_as_controller,
+            ),
             self._run_maintenance(),
             self._watch_settings(),
         ]
@@ -373,14 +190,9 @@
         self, request: http_server.Request
     ) -> http_server.Response:
         """Respond to readiness probes and to scrapes of the metrics."""
-        if request.path.startswith(b'/metrics'):
-            self._set_gauges()
-            body = self.metrics.render().encode()
-            headers = [(b'content-type', b'text/plain; version=0.0.4')]
-            return http_server.Response(200, headers, body)
-        if request.path != names.READINESS_PATH:
-            return http_server.Response(404, [], b'')
-        return http_server.Response(200 if self.is_ready else 503, [], b'')
+        return probe_responses.respond(
+            request, self.is_ready, self._common, self._path, self.lease
+        )
 
     def reload(self) -> None:
         """Reload the settings file; an invalid one changes nothing."""
@@ -395,7 +207,9 @@
         self.settings = settings
         self.store.set_address(settings.store)
         if self.forwarder.table is not None:
-            self._apply_cold_limits(self.forwarder.table.ticket)
+            cold_quota_updates.apply_limits(
+                self._path, self.forwarder.table.ticket, settings.bounds
+            )
         self.log.event('settings_reloaded')
 
     async def _watch_settings(self) -> None:
@@ -429,95 +243,22 @@
         self.log.event('stopped', busy=self.server.active_requests)
 
     async def _resign(self) -> None:
-        if self.lease.is_held:
-            await self.lease.resign()
-            self.reports.broadcast_resignation()
+        await controller_tasks.resign(self._control)
 
     def _apply_ticket(self, ticket: model.Ticket) -> None:
-        table = route_table.RouteTable(ticket)
-        self.forwarder.table = table
-        self.controller.domains_by_service = owner_domains.by_service(
-            ticket, self.settings.region_by_domain
-        )
-        self.admission.limit_regions(table.regions)
-        self.server.limits = ticket.limits
-        self.controller.keyed_services = tuple(
-            service.name
-            for service in ticket.service_by_name.values()
-            if service.keyed
-        )
-        self._apply_cold_limits(ticket)
-
-    def _apply_cold_limits(self, ticket: model.Ticket) -> None:
-        self.cold_quota.limits_by_service = cold_quota.limits_by_service(
-            ticket.service_by_name.values(), self.settings.bounds
-        )
-        self.targets.cold_services = frozenset(
-            self.cold_quota.limits_by_service
-        )
-
-    def _cold_load_s(self, target: target_state.Target) -> float:
-        return self.cold_quota.owner_load_s(
-            target,
-            self.times.of_service(target.entry.service),
-            asyncio.get_running_loop().time(),
+        ticket_application.apply(
+            ticket, self.settings, self._path, self.controller
         )
 
-    def _refresh_cold_quota(self) -> None:
-        if not self.cold_quota.limits_by_service:
-            return
-        now = asyncio.get_running_loop().time()
-        if self.shared_feed.has_joined:
-            membership = cold_quota.Membership(
-                self.peers.ids_in_domain(), self.peers.count_all()
-            )
-            self.cold_quota.set_membership(membership, now)
-        self.cold_quota.refresh(self.targets.by_id.values(), now)
-
     async def _register(self) -> None:
         """Register this host and announce it to the others."""
         await self.shared_feed.register()
         await self.reports.announce()
 
-    async def _run_controller(self) -> None:
-        """Assign and move keys whenever this host holds the lease."""
-        await asyncio.sleep(LEASE_PAUSE_S * random.random())
-        while not self.stopping.is_set():
-            await self.lease.acquire(
-                self.reports.is_controller_alive,
-                self.retry_gate,
-                self.peers.count_all,
-            )
-            await self._act_as_controller()
-            self.log.event('controller_ended')
-            await asyncio.sleep(LEASE_PAUSE_S)
-
     async def _act_as_controller(self) -> None:
-        """Run the parts of the controller until it ends or one of them fails.
-
-        Without one of its parts it would hold the lease and move no keys, or
-        tell nobody, so another host should take over.
-        """
-        loop = asyncio.get_running_loop()
-        main_task = loop.create_task(self.controller.run())
-        running = {
-            main_task,
-            loop.create_task(self.lease.renew()),
-            loop.create_task(self.reports.send_heartbeats()),
-        }
-        try:
-            while not main_task.done():
-                done, running = await asyncio.wait(
-                    running, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    task.result()
-        except Exception as error:
-            self.log.event('controller_failed', error=repr(error))
-            await self._resign()
-        finally:
-            for task in running:
-                task.cancel()
+        await controller_tasks.act_as_controller(
+            self._common, self._control, self._resign
+        )
 
     async def _run_maintenance(self) -> None:
         while True:
@@ -527,33 +268,12 @@
                 self.evacuation_feed.limit_wait()
             self.pool.close_expired()
             self.reports.apply_load()
-            self._refresh_cold_quota()
+            cold_quota_updates.refresh(
+                self._path, self.peers, self.shared_feed.has_joined
+            )
             self.budget.hosts = self.peers.count_all()
             self.log.flush()
 
-    def _set_gauges(self) -> None:
-        gauges = {
-            'waiting_requests': self.admission.total_waiting(),
-            'busy_requests': self.server.active_requests,
-            'caller_connections': len(self.server.connections),
-            'backlogged_connections': self.server.backlogged_connections,
-            'refused_connections': self.server.refused_connections,
-            'deferred_reads': self.server.turns.deferred,
-            'targets': len(self.targets.by_id),
-            'ready_slots': self.targets.ready_slots(),
-            'evacuated_domains': len(self.targets.evacuated_since_by_domain),
-            'cold_targets': self.cold_quota.cold_targets,
-            'store_calls': self.store.calls,
-            'opened_connections': self.pool.opened_connections,
-            'evicted_responses': self.pool.buffer_budget.evicted,
-            'is_controller': int(self.lease.is_held),
-            'oversized_datagrams': self.peers.oversized,
-            'malformed_datagrams': self.peers.malformed,
-            'malformed_loads': self.notices.malformed_loads,
-        }
-        for name, value in gauges.items():
-            self.metrics.set_gauge(name, value)
-
 
 async def _main(
     settings: model.HostSettings, path: str, process_options: options.Options
