--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -10,11 +10,11 @@
 
 import h11
 
-from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import http_messages
 from amaranthcrank.router import model
 from amaranthcrank.router import receive_buffer
 from amaranthcrank.router import request_body
+from amaranthcrank.router import response_progress
 from amaranthcrank.router import response_queue
 from amaranthcrank.router import response_writer
 
@@ -24,9 +24,6 @@
 # While more bytes of responses wait on a connection, nothing more is read from
 # it. A few connections that read nothing could fill a host's memory otherwise.
 MAX_WAITING_BYTES = 256 * 1024
-# Retry-After for a request whose long body got no memory, and for a connection
-# beyond the limit.
-REFUSAL_S = 1.0
 # How long data behind a rejected request is read and discarded. Closing a
 # connection with unread data resets it, and the caller loses the response.
 DISCARD_S = 2.0
@@ -37,17 +34,12 @@
 
     Attributes:
       requests_served: The number of requests handled on this connection.
-      progress_at: When the caller was last seen to have taken data of a
-        response, or had taken all of it, in event loop time.
     """
 
     def __init__(self, server: 'http_server.Server') -> None:
         """Create the protocol of a connection that a server accepts."""
         self.requests_served = 0
-        self.progress_at = 0.0
-        self._written_bytes = 0
-        self._taken_bytes_before = 0
-        self._unsent_bytes_before = 0
+        self._progress = response_progress.ResponseProgress()
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._received = receive_buffer.ReceiveBuffer()
@@ -83,9 +75,9 @@
         """Register with the server and start the timeouts."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._timer_started_at = asyncio.get_running_loop().time()
-        self.progress_at = self._timer_started_at
+        self._progress.at = self._timer_started_at
         if not self._server.admit(self):
-            self._reject(503, b'too many connections', _retry_after(REFUSAL_S))
+            self._refuse(b'too many connections')
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress, whose caller is gone."""
@@ -138,6 +130,11 @@
             return False
         return not self._current.http.trailing_data[0]
 
+    @property
+    def progress_at(self) -> float:
+        """When the caller last took data, or had taken all, in loop time."""
+        return self._progress.at
+
     @property
     def unsent_bytes(self) -> int:
         """The number of bytes that wait to be sent to the caller."""
@@ -165,7 +162,10 @@
           now: The current event loop time.
           limits: The timeouts to enforce.
         """
-        self._check_progress(now, limits.idle_timeout_s)
+        unsent_bytes = self.unsent_bytes
+        if self._progress.update(now, unsent_bytes) > limits.idle_timeout_s:
+            # Closing would keep the response in memory until it is taken.
+            self.abort()
         if self._queue or self._is_paused or self._is_discarding:
             return
         elapsed = now - self._timer_started_at
@@ -183,23 +183,6 @@
         if self._current.body.rate.is_too_slow(now, self._server.rate_rule):
             self._reject(408, b'the body arrived too slowly')
 
-    def _check_progress(self, now: float, timeout_s: float) -> None:
-        """Disconnect a caller that does not take its response.
-
-        Closing would wait for the caller, and keep the response in memory.
-        """
-        unsent_bytes = self.unsent_bytes
-        taken_bytes = self._written_bytes - unsent_bytes
-        if not self._unsent_bytes_before:
-            # Nothing waited at the last check.
-            self.progress_at = now
-        if taken_bytes > self._taken_bytes_before:
-            self.progress_at = now
-        self._taken_bytes_before = taken_bytes
-        self._unsent_bytes_before = unsent_bytes
-        if now - self.progress_at > timeout_s:
-            self.abort()
-
     def _restart_timers(self) -> None:
         """Restart the timeouts of a request that could not be read."""
         self._timer_started_at = asyncio.get_running_loop().time()
@@ -337,7 +320,7 @@
 
     def _reject_upload(self) -> None:
         """Reject a request whose body got no memory in time."""
-        self._reject(503, b'too many long requests', _retry_after(REFUSAL_S))
+        self._refuse(b'too many long requests')
 
     def _send_continue_if_expected(self) -> None:
         http = self._current.http
@@ -373,21 +356,20 @@
             self._server.on_handler_error(error)
         return response_writer.error_response(500, b'internal error')
 
-    def _reject(
-        self,
-        status: int,
-        reason: bytes,
-        extra_headers: header_fields.Headers | None = None,
-    ) -> None:
+    def _reject(self, status: int, reason: bytes) -> None:
         """Answer the current request without the handler, and close."""
+        self._answer_unread(response_writer.error_response(status, reason))
+
+    def _refuse(self, reason: bytes) -> None:
+        """Ask the caller to come back later, and close."""
+        self._answer_unread(response_writer.refusal(reason))
+
+    def _answer_unread(self, response: http_messages.Response) -> None:
         current = self._current
         current.is_unread = current.http.their_state is h11.SEND_BODY
         current.body.release()
         self._queue.add(current)
-        self._queue.complete(
-            current,
-            response_writer.error_response(status, reason, extra_headers),
-        )
+        self._queue.complete(current, response)
         self._send_completed()
 
     def _send_completed(self) -> None:
@@ -463,9 +445,5 @@
 
     def _write(self, data: bytes | None) -> None:
         if self._transport is not None and data:
-            self._written_bytes += len(data)
+            self._progress.record_write(len(data))
             self._transport.write(data)
-
-
-def _retry_after(delay_s: float) -> header_fields.Headers:
-    return [(b'retry-after', f'{delay_s:.0f}'.encode())]
--- a/amaranthcrank/router/response_writer.py
+++ b/amaranthcrank/router/response_writer.py
@@ -5,6 +5,10 @@
 from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import http_messages
 
+# Retry-After for a request whose long body got no memory, and for a connection
+# beyond the limit.
+REFUSAL_S = 1.0
+
 
 def error_response(
     status: int,
@@ -16,6 +20,12 @@
     return http_messages.Response(status, headers, reason, close=True)
 
 
+def refusal(reason: bytes) -> http_messages.Response:
+    """Return a response that asks the caller to come back later."""
+    delay = f'{REFUSAL_S:.0f}'.encode()
+    return error_response(503, reason, [(b'retry-after', delay)])
+
+
 def serialise(
     http: h11.Connection, response: http_messages.Response, closes: bool
 ) -> bytes:
