--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -186,7 +186,7 @@
             self._map_by_service[service] = key_map
         self._record_addresses(service)
         completed = self._pop_completed(service)
-        ranges = self._mark_completed(key_map.ranges, completed)
+        ranges = key_ranges.mark_completed(key_map.ranges, completed)
         moves = self._plan(service, ranges)
         fence = key_map.fence
         if moves:
@@ -358,19 +358,6 @@
             return False
         return now - known[0] >= STABLE_TARGETS_S
 
-    def _mark_completed(
-        self,
-        ranges: tuple[model.KeyRange, ...],
-        completed: list[model.KeyRange],
-    ) -> tuple[model.KeyRange, ...]:
-        done = set(completed)
-        return tuple(
-            key_range._replace(moving=False, former_holders='')
-            if key_range in done
-            else key_range
-            for key_range in ranges
-        )
-
     async def _write(self, key_map: model.KeyMap) -> bool:
         """Write a map; return False if this host must stop as controller."""
         written = await self._store.write(key_map)
