--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -15,6 +15,7 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import receive_buffer
 from amaranthcrank.router import request_body
+from amaranthcrank.router import response_progress
 from amaranthcrank.router import response_queue
 from amaranthcrank.router import response_writer
 
@@ -37,17 +38,13 @@
 
     Attributes:
       requests_served: The number of requests handled on this connection.
-      progress_at: When the caller was last seen to have taken data of a
-        response, or had taken all of it, in event loop time.
+      progress: Whether the caller takes its responses.
     """
 
     def __init__(self, server: 'http_server.Server') -> None:
         """Create the protocol of a connection that a server accepts."""
         self.requests_served = 0
-        self.progress_at = 0.0
-        self._written_bytes = 0
-        self._taken_bytes_before = 0
-        self._unsent_bytes_before = 0
+        self.progress = response_progress.ResponseProgress()
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._received = receive_buffer.ReceiveBuffer()
@@ -83,7 +80,7 @@
         """Register with the server and start the timeouts."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._timer_started_at = asyncio.get_running_loop().time()
-        self.progress_at = self._timer_started_at
+        self.progress.made_at = self._timer_started_at
         if not self._server.admit(self):
             self._reject(503, b'too many connections', _retry_after(REFUSAL_S))
 
@@ -115,15 +112,16 @@
             self._restart_timers()
             self._read()
 
-    def go_on(self) -> None:
-        """Parse on in a turn of the event loop that has room for it."""
+    def resume_parsing(self) -> None:
+        """Parse received data in a later turn of the event loop."""
         self._read()
 
     @property
-    def waits_since(self) -> float | None:
+    def header_awaited_since(self) -> float | None:
         """Since when the header of a request is awaited; None if it is not.
 
-        None also while a response is not taken, which would be lost.
+        None also while a response is not taken, which would be lost if the
+        connection were closed.
         """
         if self._queue or self._current.head is not None or self.unsent_bytes:
             return None
@@ -188,16 +186,8 @@
 
         Closing would wait for the caller, and keep the response in memory.
         """
-        unsent_bytes = self.unsent_bytes
-        taken_bytes = self._written_bytes - unsent_bytes
-        if not self._unsent_bytes_before:
-            # Nothing waited at the last check.
-            self.progress_at = now
-        if taken_bytes > self._taken_bytes_before:
-            self.progress_at = now
-        self._taken_bytes_before = taken_bytes
-        self._unsent_bytes_before = unsent_bytes
-        if now - self.progress_at > timeout_s:
+        self.progress.check(self.unsent_bytes, now)
+        if now - self.progress.made_at > timeout_s:
             self.abort()
 
     def _restart_timers(self) -> None:
@@ -463,7 +453,7 @@
 
     def _write(self, data: bytes | None) -> None:
         if self._transport is not None and data:
-            self._written_bytes += len(data)
+            self.progress.record_write(len(data))
             self._transport.write(data)
 
 
--- a/amaranthcrank/router/parse_turns.py
+++ b/amaranthcrank/router/parse_turns.py
@@ -20,8 +20,8 @@
 class Reader(typing.Protocol):
     """A connection that parses received data."""
 
-    def go_on(self) -> None:
-        """Parse on, until take() returns False or nothing is left."""
+    def resume_parsing(self) -> None:
+        """Parse until take() returns False or no data is left."""
 
 
 class ParseTurns:
@@ -58,8 +58,8 @@
         """Take one event for a connection.
 
         Returns:
-          Whether the connection may parse an event now. Otherwise go_on() is
-          called in a later turn.
+          Whether the connection may parse an event now. Otherwise
+          resume_parsing() is called in a later turn.
         """
         self._schedule()
         used = self._used_by_reader.get(reader, 0)
@@ -94,5 +94,5 @@
                 return
             if reader in self._waiting:
                 del self._waiting[reader]
-                reader.go_on()
+                reader.resume_parsing()
         # Those that wait again have taken an event, so a turn is scheduled.
--- a/amaranthcrank/router/parse_turns_test.py
+++ b/amaranthcrank/router/parse_turns_test.py
@@ -22,7 +22,7 @@
         self.left = events
         self.most_in_turn = 0
 
-    def go_on(self):
+    def resume_parsing(self):
         used = 0
         while self.left and self.turns.take(self):
             self.left -= 1
@@ -41,7 +41,7 @@
     def _start(self, *events):
         readers = [_Reader(self.turns, count) for count in events]
         for reader in readers:
-            reader.go_on()
+            reader.resume_parsing()
         return readers
 
     def test_ordinary_request_is_not_deferred(self):
