Give rejections their Retry-After as a number of seconds

The headers were built where the connection is handled, though the writer of error responses is their only user.

--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -10,7 +10,6 @@
 
 import h11
 
-from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import http_messages
 from amaranthcrank.router import model
 from amaranthcrank.router import receive_buffer
@@ -82,7 +81,7 @@
         self._timer_started_at = asyncio.get_running_loop().time()
         self.progress.made_at = self._timer_started_at
         if not self._server.admit(self):
-            self._reject(503, b'too many connections', _retry_after(REFUSAL_S))
+            self._reject(503, b'too many connections', REFUSAL_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress, whose caller is gone."""
@@ -163,7 +162,11 @@
           now: The current event loop time.
           limits: The timeouts to enforce.
         """
-        self._check_progress(now, limits.idle_timeout_s)
+        self.progress.check(self.unsent_bytes, now)
+        if now - self.progress.made_at > limits.idle_timeout_s:
+            # Closing would wait for the caller, and keep the response in
+            # memory.
+            self.abort()
         if self._queue or self._is_paused or self._is_discarding:
             return
         elapsed = now - self._timer_started_at
@@ -181,15 +184,6 @@
         if self._current.body.rate.is_too_slow(now, self._server.rate_rule):
             self._reject(408, b'the body arrived too slowly')
 
-    def _check_progress(self, now: float, timeout_s: float) -> None:
-        """Disconnect a caller that does not take its response.
-
-        Closing would wait for the caller, and keep the response in memory.
-        """
-        self.progress.check(self.unsent_bytes, now)
-        if now - self.progress.made_at > timeout_s:
-            self.abort()
-
     def _restart_timers(self) -> None:
         """Restart the timeouts of a request that could not be read."""
         self._timer_started_at = asyncio.get_running_loop().time()
@@ -327,7 +321,7 @@
 
     def _reject_upload(self) -> None:
         """Reject a request whose body got no memory in time."""
-        self._reject(503, b'too many long requests', _retry_after(REFUSAL_S))
+        self._reject(503, b'too many long requests', REFUSAL_S)
 
     def _send_continue_if_expected(self) -> None:
         http = self._current.http
@@ -367,7 +361,7 @@
         self,
         status: int,
         reason: bytes,
-        extra_headers: header_fields.Headers | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         """Answer the current request without the handler, and close."""
         current = self._current
@@ -376,7 +370,7 @@
         self._queue.add(current)
         self._queue.complete(
             current,
-            response_writer.error_response(status, reason, extra_headers),
+            response_writer.error_response(status, reason, retry_after_s),
         )
         self._send_completed()
 
@@ -455,7 +449,3 @@
         if self._transport is not None and data:
             self.progress.record_write(len(data))
             self._transport.write(data)
-
-
-def _retry_after(delay_s: float) -> header_fields.Headers:
-    return [(b'retry-after', f'{delay_s:.0f}'.encode())]
