--- a/amaranthcrank/router/http_server_test.py
+++ b/amaranthcrank/router/http_server_test.py
@@ -4,6 +4,7 @@
 
 from amaranthcrank.router import http_server
 from amaranthcrank.router import model
+from standins import caller_server
 
 
 class ServerTest(unittest.IsolatedAsyncioTestCase):
@@ -13,12 +14,7 @@
         self.handler_delay_s = 0.0
         self.server = http_server.Server(self._handle)
         self.server.limits = model.CallerLimits(500, 20, 0.2, 0.4)
-        listener = await asyncio.get_running_loop().create_server(
-            lambda: http_server.CallerConnection(self.server), '127.0.0.1', 0
-        )
-        self.addCleanup(listener.close)
-        self.addCleanup(self.server.close)
-        self.port = listener.sockets[0].getsockname()[1]
+        self.port = await caller_server.listen(self, self.server)
 
     async def _handle(self, request):
         self.requests.append(request)
--- a/amaranthcrank/router/pipelining_random_test.py
+++ b/amaranthcrank/router/pipelining_random_test.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import http_server
 from amaranthcrank.router import model
 from amaranthcrank.router import response_queue
+from standins import caller_server
 
 SEEDS = 12
 CALLERS = 6
@@ -45,12 +46,7 @@
         )
         self.server.limits = model.CallerLimits(2000, 1_000_000, 9.0, 9.0)
         self.server.on_handler_error = self.faults.append
-        listener = await asyncio.get_running_loop().create_server(
-            lambda: http_server.CallerConnection(self.server), '127.0.0.1', 0
-        )
-        self.addCleanup(listener.close)
-        self.addCleanup(self.server.close)
-        self.port = listener.sockets[0].getsockname()[1]
+        self.port = await caller_server.listen(self, self.server)
 
     async def _handle(self, request):
         caller, number = request.path[1:].split(b'/')
--- a/amaranthcrank/router/request_body_test.py
+++ b/amaranthcrank/router/request_body_test.py
@@ -7,6 +7,7 @@
 from amaranthcrank.router import http_server
 from amaranthcrank.router import model
 from amaranthcrank.router import request_body
+from standins import caller_server
 
 BODY = b'x' * 100_000
 HEAD = b'POST / HTTP/1.1\r\nHost: a\r\n'
@@ -23,12 +24,7 @@
         self.server = http_server.Server(self._handle)
         self.server.limits = model.CallerLimits(5000, 1_000_000, 2.0, 2.0)
         self.server.uploads.max_bytes = 150_000
-        listener = await asyncio.get_running_loop().create_server(
-            lambda: http_server.CallerConnection(self.server), '127.0.0.1', 0
-        )
-        self.addCleanup(listener.close)
-        self.addCleanup(self.server.close)
-        self.port = listener.sockets[0].getsockname()[1]
+        self.port = await caller_server.listen(self, self.server)
 
     async def _handle(self, request):
         self.bodies.append(request.body)
--- a/standins/pipelined_calls.py
+++ b/standins/pipelined_calls.py
@@ -5,6 +5,7 @@
 
 from amaranthcrank.router import http_server
 from amaranthcrank.router import model
+from standins import caller_server
 
 HEAD = b' HTTP/1.1\r\nHost: a\r\n'
 
@@ -40,12 +41,7 @@
             self._handle, lambda request: request.method != b'POST'
         )
         self.server.limits = model.CallerLimits(2000, 1_000_000, 9.0, 9.0)
-        listener = await asyncio.get_running_loop().create_server(
-            lambda: http_server.CallerConnection(self.server), '127.0.0.1', 0
-        )
-        self.addCleanup(listener.close)
-        self.addCleanup(self.server.close)
-        self.port = listener.sockets[0].getsockname()[1]
+        self.port = await caller_server.listen(self, self.server)
         self.reader, self.writer = await asyncio.open_connection(
             '127.0.0.1', self.port
         )
