--- a/abuse/site.py
+++ b/abuse/site.py
@@ -145,15 +145,7 @@
     store = platform_store.PlatformStore()
     await store.listen(store_address)
     stack.callback(store.server.close)
-    target = platform_target.PlatformTarget('desk-1')
-    # The router adds headers.
-    target.server.limits = target.server.limits._replace(
-        header_bytes=2 * LARGEST_HEADER_BYTES
-    )
-    target_address = model.Address(f'127.{NETWORK}.4.1', 18500)
-    await target.listen(target_address)
-    stack.callback(target.server.close)
-    store.put('servers', 'desk-1', target.entry('desk', target_address, 'a'))
+    target = await _start_target(stack, store)
     store.put('config', 'main', {'spec': _manifest(limits)})
     router = routers.Router(
         'host-0',
@@ -175,6 +167,21 @@
     return site
 
 
+async def _start_target(
+    stack: contextlib.AsyncExitStack, store: platform_store.PlatformStore
+) -> platform_target.PlatformTarget:
+    target = platform_target.PlatformTarget('desk-1')
+    # The router adds headers.
+    target.server.limits = target.server.limits._replace(
+        header_bytes=2 * LARGEST_HEADER_BYTES
+    )
+    address = model.Address(f'127.{NETWORK}.4.1', 18500)
+    await target.listen(address)
+    stack.callback(target.server.close)
+    store.put('servers', 'desk-1', target.entry('desk', address, 'a'))
+    return target
+
+
 def _manifest(limits: typing.Mapping[str, int]) -> dict[str, typing.Any]:
     rows = [
         platform_site.route_row('read', ROUTE_PREFIX, 'desk'),
--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -119,8 +119,7 @@
     def header_awaited_since(self) -> float | None:
         """Since when the header of a request is awaited; None if it is not.
 
-        None also while a response is not taken, which would be lost if the
-        connection were closed.
+        None also while a response is not taken: closing would lose it.
         """
         if self._queue or self._current.head is not None or self.unsent_bytes:
             return None
@@ -164,8 +163,7 @@
         """
         self.progress.check(self.unsent_bytes, now)
         if now - self.progress.made_at > limits.idle_timeout_s:
-            # Closing would wait for the caller, and keep the response in
-            # memory.
+            # Closing would wait for the caller and keep the response.
             self.abort()
         if self._queue or self._is_paused or self._is_discarding:
             return
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -203,22 +203,14 @@
         waited_s = now - queued_at
         goal_s = demand.priority.goal_at - queued_at
         for distance, share in enumerate(SPILLOVER_SHARE_BY_DISTANCE):
-            candidates = [
-                target
-                for target in targets
-                if self._distance(target) == distance
-            ]
-            hosts = (
-                self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET
-            )
             if (
                 distance
                 and waited_s < share * goal_s
                 and self._has_nearer_target(targets, distance, now)
             ):
                 return None
-            chosen = target_choice.choose(
-                candidates, selection_pass.service_s, now, hosts, self._random
+            chosen = self._choose_at_distance(
+                targets, distance, selection_pass
             )
             if chosen is not None:
                 if quota is not None:
@@ -226,6 +218,24 @@
                 return chosen
         return None
 
+    def _choose_at_distance(
+        self,
+        targets: list[target_state.Target],
+        distance: int,
+        selection_pass: SelectionPass,
+    ) -> target_state.Target | None:
+        """Return a target with capacity at a distance, or None."""
+        candidates = [
+            target for target in targets if self._distance(target) == distance
+        ]
+        return target_choice.choose(
+            candidates,
+            selection_pass.service_s,
+            selection_pass.now,
+            self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET,
+            self._random,
+        )
+
     def _quota(self, service: str) -> cold_quota.ColdQuota | None:
         """Return the quota if the cold targets of a service are limited."""
         quota = self.cold_quota
