Tests: name groups of callers and hosts by the usual terms

A crowd of callers is a client group, one of hosts a fleet. The checks are unchanged. The tests of cold_quota pass; the abuse tests were not run, as their address was in use by another run.

--- a/abuse/callers_test.py
+++ b/abuse/callers_test.py
@@ -2,21 +2,21 @@
 
 Each checks that the process lives, that its memory and its open descriptors
 stay within the limits of its settings, and that an ordinary request is
-answered while the crowd is still connected.
+answered while the clients are still connected.
 """
 
 import asyncio
 import contextlib
 import unittest
 
-from abuse import crowd as crowds
+from abuse import client_group
 from abuse import site as sites
 from amaranthcrank.platform import names
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
 from standins import platform_site
 
-# How long a crowd acts before the ordinary request is sent.
+# How long clients run before the ordinary request is sent.
 ACT_S = 10.0
 AHEAD_CONNECTIONS = 80
 AHEAD_BYTES = 8 * 1024 * 1024
@@ -39,9 +39,11 @@
     return ('\r\n'.join(lines) + '\r\n\r\n').encode()
 
 
-def _ahead(path: str, *extra: str) -> crowds.Script:
+def _ahead(path: str, *extra: str) -> client_group.Script:
     """Return a script that sends requests ahead."""
-    return crowds.repeat(_get(path, *extra) * BLOCK_REQUESTS, AHEAD_BYTES)
+    return client_group.repeat(
+        _get(path, *extra) * BLOCK_REQUESTS, AHEAD_BYTES
+    )
 
 
 def _post(*framing: str) -> bytes:
@@ -54,53 +56,53 @@
     return ('\r\n'.join(lines) + '\r\n\r\n').encode()
 
 
-def _upload(missing_bytes: int) -> crowds.Script:
+def _upload(missing_bytes: int) -> client_group.Script:
     """Return a script that sends a body of the announced length, or less."""
     head = _post(f'content-length: {sites.MAX_BODY_BYTES}')
     rest = sites.MAX_BODY_BYTES - BLOCK_BYTES
-    return crowds.sequence(
-        crowds.repeat(head, len(head)),
-        crowds.repeat(bytes(BLOCK_BYTES), rest),
-        crowds.repeat(
+    return client_group.sequence(
+        client_group.repeat(head, len(head)),
+        client_group.repeat(bytes(BLOCK_BYTES), rest),
+        client_group.repeat(
             bytes(BLOCK_BYTES - missing_bytes), BLOCK_BYTES - missing_bytes
         ),
     )
 
 
-def _chunked_upload(is_complete: bool) -> crowds.Script:
+def _chunked_upload(is_complete: bool) -> client_group.Script:
     """Return a script that sends a body in chunks, with or without its end."""
     head = _post('transfer-encoding: chunked')
     chunk = f'{BLOCK_BYTES:x}\r\n'.encode() + bytes(BLOCK_BYTES) + b'\r\n'
     chunks = sites.MAX_BODY_BYTES // BLOCK_BYTES
     end = b'0\r\n\r\n' if is_complete else b''
-    return crowds.sequence(
-        crowds.repeat(head, len(head)),
-        crowds.repeat(chunk, chunks * len(chunk)),
-        crowds.repeat(end or b'0', len(end) or 1),
+    return client_group.sequence(
+        client_group.repeat(head, len(head)),
+        client_group.repeat(chunk, chunks * len(chunk)),
+        client_group.repeat(end or b'0', len(end) or 1),
     )
 
 
-def _tiny_chunks() -> crowds.Script:
+def _tiny_chunks() -> client_group.Script:
     head = _post('transfer-encoding: chunked')
     block = b'1\r\nx\r\n' * (BLOCK_BYTES // 6)
-    return crowds.sequence(
-        crowds.repeat(head, len(head)),
-        crowds.repeat(block, TINY_CHUNKS_BYTES),
+    return client_group.sequence(
+        client_group.repeat(head, len(head)),
+        client_group.repeat(block, TINY_CHUNKS_BYTES),
     )
 
 
-class CrowdTest(unittest.IsolatedAsyncioTestCase):
+class CallersTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
         self.addAsyncCleanup(self.stack.aclose)
         self.site = await sites.start(self.stack, sites.LOWERED_LIMITS)
-        self.crowd = crowds.Crowd()
-        self.stack.push_async_callback(self.crowd.close)
+        self.clients = client_group.ClientGroup()
+        self.stack.push_async_callback(self.clients.close)
 
     async def check_usage(self):
-        """Let the crowd act, and check what the process uses then."""
-        await self.crowd.act(ACT_S)
-        self.assertGreater(self.crowd.connected, 0)
+        """Let the clients run, and check what the process uses then."""
+        await self.clients.run(ACT_S)
+        self.assertGreater(self.clients.connected, 0)
         self.check_bounds()
         try:
             async with asyncio.timeout(sites.GUARD_S):
@@ -109,7 +111,7 @@
             self.check_bounds()
             self.fail('no ordinary request was answered')
         self.check_bounds()
-        await self.crowd.close()
+        await self.clients.close()
         try:
             async with asyncio.timeout(sites.GUARD_S):
                 await self.site.wait_until_released()
@@ -136,14 +138,14 @@
         Seen at the readiness path: 840 MB on a host of 300 MB.
         """
         path = names.READINESS_PATH.decode()
-        self.crowd.join(
+        self.clients.add(
             sites.READINESS_ADDRESS, _ahead(path), AHEAD_CONNECTIONS
         )
         await self.check_usage()
 
     async def test_requests_ahead_without_route(self):
         """Guards against memory that grows where the host itself answers."""
-        self.crowd.join(
+        self.clients.add(
             sites.SERVE_ADDRESS, _ahead('/no/such/path'), AHEAD_CONNECTIONS
         )
         await self.check_usage()
@@ -154,12 +156,12 @@
             f'{sites.ROUTE_PREFIX}x',
             f'x-request-deadline: {sites.DEADLINE_MS}',
         )
-        self.crowd.join(sites.SERVE_ADDRESS, script, AHEAD_CONNECTIONS)
+        self.clients.add(sites.SERVE_ADDRESS, script, AHEAD_CONNECTIONS)
         await self.check_usage()
 
     async def test_requests_ahead_on_many_connections(self):
         """Guards against memory that many connections take together."""
-        self.crowd.join(
+        self.clients.add(
             sites.SERVE_ADDRESS, _ahead('/no/such/path'), MANY_AHEAD
         )
         await self.check_usage()
@@ -174,27 +176,27 @@
             f'{sites.ROUTE_PREFIX}x',
             f'x-request-deadline: {sites.DEADLINE_MS}',
         )
-        self.crowd.join(sites.SERVE_ADDRESS, script, AHEAD_CONNECTIONS)
+        self.clients.add(sites.SERVE_ADDRESS, script, AHEAD_CONNECTIONS)
         await self.check_usage()
 
     async def test_requests_ahead_to_metrics(self):
         """Guards against memory that grows with unread metrics."""
-        self.crowd.join(
+        self.clients.add(
             sites.METRICS_ADDRESS, _ahead('/metrics'), AHEAD_CONNECTIONS
         )
         await self.check_usage()
 
     async def test_requests_ahead_to_peer_port(self):
         """Guards against memory that grows with unread configurations."""
-        self.crowd.join(
+        self.clients.add(
             sites.PEER_ADDRESS, _ahead('/ticket'), AHEAD_CONNECTIONS
         )
         await self.check_usage()
 
     async def test_bodies_with_length_that_stop(self):
         """Guards against memory taken by bodies that never end."""
-        self.crowd.join(sites.SERVE_ADDRESS, _upload(0), COMPLETE_UPLOADS)
-        self.crowd.join(
+        self.clients.add(sites.SERVE_ADDRESS, _upload(0), COMPLETE_UPLOADS)
+        self.clients.add(
             sites.SERVE_ADDRESS,
             _upload(MISSING_BYTES),
             UPLOAD_CONNECTIONS - COMPLETE_UPLOADS,
@@ -203,10 +205,10 @@
 
     async def test_bodies_in_chunks_that_stop(self):
         """Guards against memory taken by bodies of unknown length."""
-        self.crowd.join(
+        self.clients.add(
             sites.SERVE_ADDRESS, _chunked_upload(True), COMPLETE_UPLOADS
         )
-        self.crowd.join(
+        self.clients.add(
             sites.SERVE_ADDRESS,
             _chunked_upload(False),
             UPLOAD_CONNECTIONS - COMPLETE_UPLOADS,
@@ -218,15 +220,15 @@
 
         Seen: while bodies came in chunks of one byte, nobody was answered.
         """
-        self.crowd.join(
+        self.clients.add(
             sites.SERVE_ADDRESS, _tiny_chunks(), TINY_CHUNK_CONNECTIONS
         )
         await self.check_usage()
 
     async def test_more_connections_than_descriptors(self):
         """Guards against connections that use up all descriptors."""
-        self.crowd.join(
-            sites.SERVE_ADDRESS, crowds.repeat(b'G', 1), MANY_CONNECTIONS
+        self.clients.add(
+            sites.SERVE_ADDRESS, client_group.repeat(b'G', 1), MANY_CONNECTIONS
         )
         await self.check_usage()
 
@@ -242,9 +244,9 @@
             sites.METRICS_ADDRESS,
             sites.PEER_ADDRESS,
         ):
-            self.crowd.join(
+            self.clients.add(
                 address,
-                crowds.trickle(data, TRICKLE_INTERVAL_S),
+                client_group.trickle(data, TRICKLE_INTERVAL_S),
                 TRICKLE_CONNECTIONS,
             )
         await self.check_usage()
--- a/abuse/crowd.py
+++ b/abuse/client_group.py
@@ -1,6 +1,6 @@
 """Connections of callers that send without reading any response.
 
-A crowd stays connected until it is closed. Its connections use raw sockets:
+A group stays connected until it is closed. Its connections use raw sockets:
 an asyncio transport would read what arrives.
 """
 
@@ -19,7 +19,7 @@
 Script = typing.Callable[[socket.socket], typing.Awaitable[None]]
 
 
-class Crowd:
+class ClientGroup:
     """Connections that each run a script.
 
     Attributes:
@@ -27,21 +27,21 @@
     """
 
     def __init__(self) -> None:
-        """Create a crowd without connections."""
+        """Create a group without connections."""
         self.connected = 0
         self._sockets: list[socket.socket] = []
         self._tasks: list[asyncio.Task[None]] = []
 
-    def join(self, address: model.Address, script: Script, count: int) -> None:
+    def add(self, address: model.Address, script: Script, count: int) -> None:
         """Start connections to an address, all at once."""
         loop = asyncio.get_running_loop()
         for _ in range(count):
             self._tasks.append(loop.create_task(self._run(address, script)))
 
-    async def act(self, duration_s: float) -> None:
+    async def run(self, duration_s: float) -> None:
         """Return when all scripts have ended, or after a time.
 
-        Scripts that have not ended go on until the crowd is closed.
+        Scripts that have not ended go on until the group is closed.
         """
         done, _ = await asyncio.wait(self._tasks, timeout=duration_s)
         for task in done:
--- a/abuse/site.py
+++ b/abuse/site.py
@@ -26,7 +26,7 @@
 
 # The memory of the smallest host.
 MEMORY_MB = 160
-# The limit is lowered so that a small crowd exceeds it. The platform reserves
+# The limit is lowered so that a few clients exceed it. The platform reserves
 # 200 descriptors for files.
 MAX_DESCRIPTORS = 500
 RESERVED_DESCRIPTORS = 200
@@ -118,13 +118,13 @@
     async def wait_until_served(self) -> None:
         """Send ordinary requests until the target has answered one.
 
-        A request may be refused while the crowd is connected.
+        A request may be refused while the clients are connected.
         """
         while await status(SERVE_ADDRESS, f'{ROUTE_PREFIX}x'.encode()) != 200:
             await asyncio.sleep(PAUSE_S)
 
     async def wait_until_released(self) -> None:
-        """Wait until the descriptors of the crowd are closed."""
+        """Wait until the descriptors of the clients are closed."""
         limit = self.first_descriptors + MAX_KEPT_DESCRIPTORS
         while self.open_descriptors() > limit:
             await asyncio.sleep(PAUSE_S)
--- a/amaranthcrank/router/cold_quota_test.py
+++ b/amaranthcrank/router/cold_quota_test.py
@@ -77,11 +77,11 @@
         return True
 
 
-class _CrowdTest(unittest.TestCase):
+class _FleetTest(unittest.TestCase):
     def setUp(self):
         self.rng = random.Random(7)
 
-    def _crowd(self, count):
+    def _fleet(self, count):
         hosts = [_Host(f'h-{number}', self.rng) for number in range(count)]
         self.ids = [host.host_id for host in hosts]
         return hosts
@@ -102,10 +102,10 @@
         return arrivals, senders
 
 
-class UnkeyedTest(_CrowdTest):
+class UnkeyedTest(_FleetTest):
     def test_one_host_sends_evenly(self):
         for count in (1, 20, 80):
-            hosts = self._crowd(count)
+            hosts = self._fleet(count)
             for host in hosts:
                 host.see(self.ids, 0.0)
             arrivals, senders = self._run(hosts, _target(), False, 0.0, 60.0)
@@ -121,7 +121,7 @@
         """
         for count in (20, 80):
             for number in range(15):
-                hosts = self._crowd(count)
+                hosts = self._fleet(count)
                 target = _target(f'i-{number}')
                 holder = target.entry.holder
                 first = cold_quota.assigned_host(holder, self.ids)
@@ -145,7 +145,7 @@
         arrive within the time that a host waits after it has joined.
         """
         for count in (20, 80):
-            hosts = self._crowd(count)
+            hosts = self._fleet(count)
             target = _target()
             arrivals, _ = self._run(hosts, target, False, 0.0, 2.0)
             self.assertEqual(arrivals, [])
@@ -165,7 +165,7 @@
         # Nobody else sends until the membership shows the loss, and then the
         # former and the next host together stay within the bound.
         for count in (20, 80):
-            hosts = self._crowd(count)
+            hosts = self._fleet(count)
             target = _target()
             dead = cold_quota.assigned_host(target.entry.holder, self.ids)
             for host in hosts:
@@ -200,10 +200,10 @@
         self.assertGreater(min(map(assigned.count, ids)), 1)
 
 
-class OwnerTest(_CrowdTest):
+class OwnerTest(_FleetTest):
     def test_all_hosts_always_have_requests(self):
         for count in (1, 20, 80):
-            hosts = self._crowd(count)
+            hosts = self._fleet(count)
             for host in hosts:
                 host.see(self.ids, 0.0)
             arrivals, _ = self._run(hosts, _target(), True, 3.0, 303.0)
@@ -218,7 +218,7 @@
         A turn that stayed valid would be used by all hosts at once.
         """
         for count in (20, 80):
-            hosts = self._crowd(count)
+            hosts = self._fleet(count)
             for host in hosts:
                 host.see(self.ids, 0.0)
             arrivals, _ = self._run(
@@ -229,7 +229,7 @@
 
     def test_new_membership_makes_no_turn_due(self):
         # All hosts learn of a new host at the same time.
-        hosts = self._crowd(80)
+        hosts = self._fleet(80)
         for host in hosts:
             host.see(self.ids, 0.0)
         target = _target()
@@ -246,7 +246,7 @@
     def test_views_differ(self):
         # Some hosts know only nine tenths of the others.
         for count in (20, 80):
-            hosts = self._crowd(count)
+            hosts = self._fleet(count)
             for host in hosts:
                 known = self.rng.sample(self.ids, int(count * 0.9))
                 host.see(known, 0.0)
@@ -287,7 +287,7 @@
             self.assertGreater(cold_quota.spacing_s(limits), 0.0)
 
 
-class ColdTimeTest(_CrowdTest):
+class ColdTimeTest(_FleetTest):
     def setUp(self):
         super().setUp()
         self.host = _Host('h-1', self.rng)
