Keep allowed targets between assignments; leave contended regions to limited requests

Cause: each waiting request was checked against all targets at each assignment (refusal, cold wait, held back targets), which is work of waiting requests times targets every 30 ms; and urgent requests that any region may serve took the slots of the only region open to others. Change: allowed targets, their distances and the cold ones are kept until the directory changes (cold: 10 ms). While requests limited to a region wait, the others use the targets outside of it first. Also: a hedge asks by the newest ticket; it used the regions at the arrival.

--- a/amaranthcrank/router/admission.py
+++ b/amaranthcrank/router/admission.py
@@ -15,6 +15,9 @@
 from amaranthcrank.router import target_state
 from amaranthcrank.router import wait_order
 
+# A request that waits for less is on its way to a free slot.
+CONTENTION_WAIT_S = 0.02
+
 
 class Waiter:
     """A request that waits for a target.
@@ -182,7 +185,10 @@
             )
         )
         selection_pass = target_selection.SelectionPass(
-            service_s, now, self._count_by_owner(service)
+            service_s,
+            now,
+            self._count_by_owner(service),
+            _contended_regions(queue, now),
         )
         unassigned = []
         for waiter in queue:
@@ -279,6 +285,19 @@
         return counts
 
 
+def _contended_regions(queue: list[Waiter], now: float) -> frozenset[str]:
+    """Return the regions to which waiting requests without key are limited."""
+    regions: frozenset[str] = frozenset()
+    for waiter in queue:
+        if waiter.demand.key is not None or waiter.future.done():
+            continue
+        if now - waiter.queued_at < CONTENTION_WAIT_S:
+            continue
+        if waiter.demand.regions is not None:
+            regions |= waiter.demand.regions
+    return regions
+
+
 def _is_assigned(future: asyncio.Future[target_state.Target]) -> bool:
     if not future.done() or future.cancelled():
         return False
--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -24,6 +24,9 @@
 # While more bytes of responses wait on a connection, nothing more is read from
 # it. A few connections that read nothing could fill a host's memory otherwise.
 MAX_WAITING_BYTES = 256 * 1024
+# Retry-After for a request whose long body got no memory, and for a connection
+# beyond the limit.
+REFUSAL_S = 1.0
 # How long data behind a rejected request is read and discarded. Closing a
 # connection with unread data resets it, and the caller loses the response.
 DISCARD_S = 2.0
@@ -34,12 +37,13 @@
 
     Attributes:
       requests_served: The number of requests handled on this connection.
+      progress: Whether the caller takes its responses.
     """
 
     def __init__(self, server: 'http_server.Server') -> None:
         """Create the protocol of a connection that a server accepts."""
         self.requests_served = 0
-        self._progress = response_progress.ResponseProgress()
+        self.progress = response_progress.ResponseProgress()
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._received = receive_buffer.ReceiveBuffer()
@@ -75,9 +79,9 @@
         """Register with the server and start the timeouts."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._timer_started_at = asyncio.get_running_loop().time()
-        self._progress.at = self._timer_started_at
+        self.progress.made_at = self._timer_started_at
         if not self._server.admit(self):
-            self._refuse(b'too many connections')
+            self._reject(503, b'too many connections', REFUSAL_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress, whose caller is gone."""
@@ -107,15 +111,15 @@
             self._restart_timers()
             self._read()
 
-    def go_on(self) -> None:
-        """Parse on in a turn of the event loop that has room for it."""
+    def resume_parsing(self) -> None:
+        """Parse received data in a later turn of the event loop."""
         self._read()
 
     @property
-    def waits_since(self) -> float | None:
+    def header_awaited_since(self) -> float | None:
         """Since when the header of a request is awaited; None if it is not.
 
-        None also while a response is not taken, which would be lost.
+        None also while a response is not taken: closing would lose it.
         """
         if self._queue or self._current.head is not None or self.unsent_bytes:
             return None
@@ -130,11 +134,6 @@
             return False
         return not self._current.http.trailing_data[0]
 
-    @property
-    def progress_at(self) -> float:
-        """When the caller last took data, or had taken all, in loop time."""
-        return self._progress.at
-
     @property
     def unsent_bytes(self) -> int:
         """The number of bytes that wait to be sent to the caller."""
@@ -162,9 +161,9 @@
           now: The current event loop time.
           limits: The timeouts to enforce.
         """
-        unsent_bytes = self.unsent_bytes
-        if self._progress.update(now, unsent_bytes) > limits.idle_timeout_s:
-            # Closing would keep the response in memory until it is taken.
+        self.progress.check(self.unsent_bytes, now)
+        if now - self.progress.made_at > limits.idle_timeout_s:
+            # Closing would wait for the caller and keep the response.
             self.abort()
         if self._queue or self._is_paused or self._is_discarding:
             return
@@ -320,7 +319,7 @@
 
     def _reject_upload(self) -> None:
         """Reject a request whose body got no memory in time."""
-        self._refuse(b'too many long requests')
+        self._reject(503, b'too many long requests', REFUSAL_S)
 
     def _send_continue_if_expected(self) -> None:
         http = self._current.http
@@ -356,20 +355,21 @@
             self._server.on_handler_error(error)
         return response_writer.error_response(500, b'internal error')
 
-    def _reject(self, status: int, reason: bytes) -> None:
+    def _reject(
+        self,
+        status: int,
+        reason: bytes,
+        retry_after_s: float | None = None,
+    ) -> None:
         """Answer the current request without the handler, and close."""
-        self._answer_unread(response_writer.error_response(status, reason))
-
-    def _refuse(self, reason: bytes) -> None:
-        """Ask the caller to come back later, and close."""
-        self._answer_unread(response_writer.refusal(reason))
-
-    def _answer_unread(self, response: http_messages.Response) -> None:
         current = self._current
         current.is_unread = current.http.their_state is h11.SEND_BODY
         current.body.release()
         self._queue.add(current)
-        self._queue.complete(current, response)
+        self._queue.complete(
+            current,
+            response_writer.error_response(status, reason, retry_after_s),
+        )
         self._send_completed()
 
     def _send_completed(self) -> None:
@@ -445,5 +445,5 @@
 
     def _write(self, data: bytes | None) -> None:
         if self._transport is not None and data:
-            self._progress.record_write(len(data))
+            self.progress.record_write(len(data))
             self._transport.write(data)
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards the requests of callers to targets and returns the responses."""
 
 import asyncio
+import functools
 import json
 import random
 import typing
@@ -206,8 +207,9 @@
         """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        need = self._demand(call, progress.excluded)
-        target = await self._admission.acquire(need)
+        target = await self._admission.acquire(
+            self._demand(call, progress.excluded)
+        )
         sent_at = loop.time()
         if (
             self._hedging is not None
@@ -215,7 +217,11 @@
             and call.route.repeatable
         ):
             return await self._hedging.run(
-                call, progress, need, target, sent_at - began_at
+                call,
+                progress,
+                functools.partial(self._demand, call),
+                target,
+                sent_at - began_at,
             )
         in_flight = target.in_flight
         try:
--- a/amaranthcrank/router/hedged_attempts.py
+++ b/amaranthcrank/router/hedged_attempts.py
@@ -27,6 +27,8 @@
 # Before the results of hedges in the request log.
 HEDGE_PREFIX = 'hedge '
 
+NewDemand = typing.Callable[[frozenset[str]], demands.Demand]
+
 
 class HedgedAttempts:
     """Runs the attempts of requests that may be hedged."""
@@ -65,7 +67,7 @@
         self,
         call: calls.Call,
         progress: calls.Progress,
-        demand: demands.Demand,
+        new_demand: NewDemand,
         target: target_state.Target,
         waited_s: float,
     ) -> sender.Attempt:
@@ -74,7 +76,8 @@
         Args:
           call: The request, which has no key and is repeatable.
           progress: Records the attempts.
-          demand: What the request asked of admission.
+          new_demand: Returns what the request asks of admission by the
+            newest ticket, without the given targets.
           target: The target of the first attempt; its slot is released here.
           waited_s: How long the request waited for the target.
         """
@@ -88,7 +91,7 @@
             interruption = asyncio.timeout(None)
 
             def start_hedge() -> None:
-                hedge = self._start_hedge(call, progress, demand, first)
+                hedge = self._start_hedge(call, progress, new_demand, first)
                 if hedge is not None:
                     hedge.on_end = interrupt_first
                     runs.append(hedge)
@@ -136,7 +139,7 @@
         self,
         call: calls.Call,
         progress: calls.Progress,
-        demand: demands.Demand,
+        new_demand: NewDemand,
         first: '_Run',
     ) -> '_Run | None':
         """Start a second attempt, or return None if there may be none."""
@@ -157,10 +160,8 @@
         )
         target = None
         if not reason:
-            excluded = demand.excluded | {first.target.entry.target_id}
-            target = self._admission.try_acquire(
-                demand._replace(excluded=excluded)
-            )
+            excluded = progress.excluded | {first.target.entry.target_id}
+            target = self._admission.try_acquire(new_demand(excluded))
             reason = self._check_target(call, target, now)
         if target is None or reason:
             if target is not None:
--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -144,7 +144,7 @@
         """Return the connection that has sent no request for longest."""
         found, found_since = None, 0.0
         for connection in self.connections:
-            since = connection.waits_since
+            since = connection.header_awaited_since
             if since is None or (found is not None and since >= found_since):
                 continue
             found, found_since = connection, since
@@ -192,7 +192,7 @@
         if waiting_bytes <= MAX_UNSENT_BYTES:
             return
         by_progress = sorted(
-            self.connections, key=lambda each: each.progress_at
+            self.connections, key=lambda each: each.progress.made_at
         )
         for connection in by_progress:
             if waiting_bytes <= MAX_UNSENT_BYTES:
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -186,7 +186,7 @@
             self._map_by_service[service] = key_map
         self._record_addresses(service)
         completed = self._pop_completed(service)
-        ranges = key_ranges.complete(key_map.ranges, completed)
+        ranges = key_ranges.mark_completed(key_map.ranges, completed)
         moves = self._plan(service, ranges)
         fence = key_map.fence
         if moves:
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -88,20 +88,6 @@
     return parts
 
 
-def complete(
-    ranges: typing.Sequence[model.KeyRange],
-    completed: typing.Iterable[model.KeyRange],
-) -> tuple[model.KeyRange, ...]:
-    """Return the ranges with those whose move has completed marked so."""
-    done = set(completed)
-    return tuple(
-        key_range._replace(moving=False, former_holders='')
-        if key_range in done
-        else key_range
-        for key_range in ranges
-    )
-
-
 def merge(
     ranges: typing.Sequence[model.KeyRange],
 ) -> tuple[model.KeyRange, ...]:
@@ -125,6 +111,20 @@
     return tuple(result)
 
 
+def mark_completed(
+    ranges: typing.Sequence[model.KeyRange],
+    completed: typing.Iterable[model.KeyRange],
+) -> tuple[model.KeyRange, ...]:
+    """Return the ranges, of which the completed ones no longer move."""
+    done = set(completed)
+    return tuple(
+        key_range._replace(moving=False, former_holders='')
+        if key_range in done
+        else key_range
+        for key_range in ranges
+    )
+
+
 def is_reassignment(
     ranges: tuple[model.KeyRange, ...],
     move: key_plan.Move,
--- a/amaranthcrank/router/response_progress_test.py
+++ b/amaranthcrank/router/response_progress_test.py
@@ -6,31 +6,35 @@
 class ResponseProgressTest(unittest.TestCase):
     def setUp(self):
         self.progress = response_progress.ResponseProgress()
-        self.progress.at = 10.0
 
     def test_caller_that_takes_nothing(self):
-        # Guards against responses that stay in memory for a caller that does
-        # not read them.
-        self.progress.record_write(100)
-        self.assertEqual(self.progress.update(11.0, 100), 0.0)
-        self.assertEqual(self.progress.update(12.0, 100), 1.0)
-        self.assertEqual(self.progress.update(14.0, 100), 3.0)
-
-    def test_slow_caller_makes_progress(self):
-        # Guards against disconnecting a caller behind a slow link.
-        self.progress.record_write(100)
-        self.progress.update(11.0, 100)
-        self.assertEqual(self.progress.update(20.0, 99), 0.0)
-
-    def test_further_response_is_no_progress(self):
-        # Guards against taking growth of the backlog for data that was taken.
-        self.progress.record_write(100)
-        self.progress.update(11.0, 100)
-        self.progress.record_write(50)
-        self.assertEqual(self.progress.update(13.0, 150), 2.0)
-
-    def test_wait_starts_with_the_unsent_data(self):
-        # Guards against counting the time before the response was written.
-        self.progress.update(11.0, 0)
-        self.progress.record_write(100)
-        self.assertEqual(self.progress.update(30.0, 100), 0.0)
+        """Guards against responses kept in memory for a stuck caller.
+
+        Further responses change the fill of the write buffer, which is no
+        progress of the caller.
+        """
+        self.progress.record_write(1000)
+        self.progress.check(1000, 1.0)
+        self.progress.record_write(500)
+        self.progress.check(1500, 2.0)
+        self.assertEqual(self.progress.made_at, 1.0)
+
+    def test_caller_that_reads_slowly(self):
+        """Guards against disconnecting a caller on a slow link."""
+        self.progress.record_write(1000)
+        self.progress.check(1000, 1.0)
+        self.progress.check(999, 2.0)
+        self.assertEqual(self.progress.made_at, 2.0)
+
+    def test_response_after_a_quiet_time(self):
+        """Guards against disconnecting at the first check of a response."""
+        self.progress.check(0, 1.0)
+        self.progress.record_write(1000)
+        self.progress.check(1000, 20.0)
+        self.assertEqual(self.progress.made_at, 20.0)
+        self.progress.check(1000, 21.0)
+        self.assertEqual(self.progress.made_at, 20.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/amaranthcrank/router/response_writer.py
+++ b/amaranthcrank/router/response_writer.py
@@ -2,30 +2,21 @@
 
 import h11
 
-from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import http_messages
 
-# Retry-After for a request whose long body got no memory, and for a connection
-# beyond the limit.
-REFUSAL_S = 1.0
-
 
 def error_response(
     status: int,
     reason: bytes,
-    extra_headers: header_fields.Headers | None = None,
+    retry_after_s: float | None = None,
 ) -> http_messages.Response:
     """Return a response of the server itself, which ends the connection."""
-    headers = [(b'content-type', b'text/plain'), *(extra_headers or ())]
+    headers = [(b'content-type', b'text/plain')]
+    if retry_after_s is not None:
+        headers.append((b'retry-after', f'{retry_after_s:.0f}'.encode()))
     return http_messages.Response(status, headers, reason, close=True)
 
 
-def refusal(reason: bytes) -> http_messages.Response:
-    """Return a response that asks the caller to come back later."""
-    delay = f'{REFUSAL_S:.0f}'.encode()
-    return error_response(503, reason, [(b'retry-after', delay)])
-
-
 def serialise(
     http: h11.Connection, response: http_messages.Response, closes: bool
 ) -> bytes:
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -1,5 +1,6 @@
 """Selects the target of a request from the targets that may serve it."""
 
+import math
 import typing
 
 from amaranthcrank.router import cold_quota
@@ -23,6 +24,9 @@
 # before it may use a target of its own failure domain (no wait), of another
 # one in the region, and of another region.
 SPILLOVER_SHARE_BY_DISTANCE = (0.0, 0.15, 0.6)
+# How long the list of cold targets is used while the directory does not
+# change. Only the end of a cold time and a refused connection change it then.
+COLD_REFRESH_S = 0.01
 
 
 class SelectionPass(typing.NamedTuple):
@@ -33,11 +37,18 @@
       now: The event loop's time.
       waiting_by_owner: Number of requests that wait at this host, by the id
         of the owner of their key.
+      contended_regions: The regions to which waiting requests without key are
+        limited.
     """
 
     service_s: float
     now: float
     waiting_by_owner: dict[str, int]
+    contended_regions: frozenset[str] = frozenset()
+
+
+# Targets of equal distance, from the nearest to the farthest.
+_ByDistance = tuple[list[target_state.Target], ...]
 
 
 class TargetSelection:
@@ -71,6 +82,18 @@
         self._keys = keys
         self._locality = locality
         self._random = random
+        self._allowed: dict[
+            tuple[str, demands.Regions], list[target_state.Target]
+        ] = {}
+        self._by_distance: dict[tuple[str, demands.Regions], _ByDistance] = {}
+        self._cold: dict[str, tuple[float, list[target_state.Target]]] = {}
+        targets.listeners.append(self._forget)
+
+    def _forget(self) -> None:
+        """Forget what was derived from the directory, which has changed."""
+        self._allowed.clear()
+        self._by_distance.clear()
+        self._cold.clear()
 
     def owner(self, service: str, key: int) -> target_state.Target | None:
         """Return the target that holds a key, or None while there is none."""
@@ -93,10 +116,22 @@
 
     def allowed(self, demand: demands.Demand) -> list[target_state.Target]:
         """Return the ready targets that may serve a request without key."""
+        key = (demand.service, demand.regions)
+        found = self._allowed.get(key)
+        if found is None:
+            any_target = demand._replace(excluded=frozenset())
+            found = [
+                target
+                for target in self._targets.ready(demand.service)
+                if self.is_allowed(target, any_target)
+            ]
+            self._allowed[key] = found
+        if not demand.excluded:
+            return found
         return [
             target
-            for target in self._targets.ready(demand.service)
-            if self.is_allowed(target, demand)
+            for target in found
+            if target.entry.target_id not in demand.excluded
         ]
 
     def is_servable(self, demand: demands.Demand, now: float) -> bool:
@@ -116,9 +151,7 @@
             if owner is not None and self._accepts_keyed(owner, now):
                 return True
         return any(
-            not target.is_silent(now)
-            for target in self._targets.ready(demand.service)
-            if self.is_allowed(target, demand)
+            not target.is_silent(now) for target in self.allowed(demand)
         )
 
     def concurrency(self, demand: demands.Demand, now: float) -> int:
@@ -160,13 +193,15 @@
             if owner is None:
                 return 0.0
             return quota.wait_s(owner, True, ahead, now)
-        return min(
-            (
-                quota.wait_s(target, False, ahead, now)
-                for target in self.allowed(demand)
-            ),
-            default=0.0,
-        )
+        cold_targets = self._cold_targets(demand.service, now)
+        if not cold_targets:
+            return 0.0
+        wait_s = math.inf
+        for target in self.allowed(demand):
+            if target not in cold_targets:
+                return 0.0
+            wait_s = min(wait_s, quota.wait_s(target, False, ahead, now))
+        return 0.0 if wait_s == math.inf else wait_s
 
     def held_off_until(self, demand: demands.Demand) -> float:
         """Return until when no allowed target wants requests."""
@@ -197,24 +232,65 @@
             return self._owner_with_capacity(
                 selection_pass, demand, demand.key
             )
-        now = selection_pass.now
-        targets = self._without_held_back(self.allowed(demand), demand, now)
         quota = self._quota(demand.service)
+        chosen = self._choose_unkeyed(selection_pass, demand, queued_at)
+        if chosen is not None and quota is not None:
+            quota.record_send(chosen, selection_pass.now)
+        return chosen
+
+    def _choose_unkeyed(
+        self,
+        selection_pass: SelectionPass,
+        demand: demands.Demand,
+        queued_at: float,
+    ) -> target_state.Target | None:
+        now = selection_pass.now
+        by_distance = self._usable_by_distance(demand, now)
+        contended = selection_pass.contended_regions
+        if contended and demand.regions is None:
+            chosen = self._choose_outside(
+                by_distance, contended, selection_pass
+            )
+            if chosen is not None:
+                return chosen
         waited_s = now - queued_at
         goal_s = demand.priority.goal_at - queued_at
         for distance, share in enumerate(SPILLOVER_SHARE_BY_DISTANCE):
             if (
                 distance
                 and waited_s < share * goal_s
-                and self._has_nearer_target(targets, distance, now)
+                and _has_active_target(by_distance[:distance], now)
             ):
                 return None
             chosen = self._choose_at_distance(
-                targets, distance, selection_pass
+                by_distance[distance], distance, selection_pass
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _choose_outside(
+        self,
+        by_distance: _ByDistance,
+        contended: frozenset[str],
+        selection_pass: SelectionPass,
+    ) -> target_state.Target | None:
+        """Return a target outside of regions that other requests wait for.
+
+        Requests that are limited to these regions can be served nowhere else.
+        """
+        region_by_domain = self._locality.region_by_domain
+        for distance, targets in enumerate(by_distance):
+            outside = [
+                target
+                for target in targets
+                if region_by_domain.get(target.entry.failure_domain)
+                not in contended
+            ]
+            chosen = self._choose_at_distance(
+                outside, distance, selection_pass
             )
             if chosen is not None:
-                if quota is not None:
-                    quota.record_send(chosen, now)
                 return chosen
         return None
 
@@ -224,12 +300,9 @@
         distance: int,
         selection_pass: SelectionPass,
     ) -> target_state.Target | None:
-        """Return a target with capacity at a distance, or None."""
-        candidates = [
-            target for target in targets if self._distance(target) == distance
-        ]
+        """Return a target with capacity among those at a distance, or None."""
         return target_choice.choose(
-            candidates,
+            targets,
             selection_pass.service_s,
             selection_pass.now,
             self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET,
@@ -243,36 +316,64 @@
             return None
         return quota
 
-    def _without_held_back(
-        self,
-        targets: list[target_state.Target],
-        demand: demands.Demand,
-        now: float,
+    def _cold_targets(
+        self, service: str, now: float
     ) -> list[target_state.Target]:
-        """Leave out the cold targets that this host may not send to now."""
-        quota = self._quota(demand.service)
+        """Return the ready targets to which requests are limited now."""
+        quota = self._quota(service)
         if quota is None:
-            return targets
-        held_back = [
+            return []
+        known = self._cold.get(service)
+        if known is not None and now - known[0] < COLD_REFRESH_S:
+            return known[1]
+        found = [
             target
-            for target in targets
+            for target in self._targets.ready(service)
             if quota.is_limited(target, now)
-            and quota.next_send_at(target, now) > now
         ]
-        if not held_back:
-            return targets
-        quota.record_hold()
-        return [target for target in targets if target not in held_back]
+        self._cold[service] = (now, found)
+        return found
 
-    def _has_nearer_target(
-        self, targets: list[target_state.Target], distance: int, now: float
-    ) -> bool:
-        """Return whether a nearer target is not paused."""
-        for target in targets:
-            if self._distance(target) < distance:
-                if not target.is_paused(now):
-                    return True
-        return False
+    def _usable_by_distance(
+        self, demand: demands.Demand, now: float
+    ) -> _ByDistance:
+        """Return the allowed targets that this host may send to now."""
+        by_distance = self._allowed_by_distance(demand)
+        left_out = self._held_back_ids(demand.service, now) | demand.excluded
+        if not left_out:
+            return by_distance
+        return tuple(
+            [
+                target
+                for target in targets
+                if target.entry.target_id not in left_out
+            ]
+            for targets in by_distance
+        )
+
+    def _allowed_by_distance(self, demand: demands.Demand) -> _ByDistance:
+        key = (demand.service, demand.regions)
+        found = self._by_distance.get(key)
+        if found is None:
+            found = tuple([] for _ in SPILLOVER_SHARE_BY_DISTANCE)
+            for target in self.allowed(demand._replace(excluded=frozenset())):
+                found[self._distance(target)].append(target)
+            self._by_distance[key] = found
+        return found
+
+    def _held_back_ids(self, service: str, now: float) -> frozenset[str]:
+        """Return the cold targets that this host may not send to now."""
+        quota = self._quota(service)
+        if quota is None:
+            return frozenset()
+        held_back = frozenset(
+            target.entry.target_id
+            for target in self._cold_targets(service, now)
+            if quota.next_send_at(target, now) > now
+        )
+        if held_back:
+            quota.record_hold()
+        return held_back
 
     def _owner_with_capacity(
         self,
@@ -331,3 +432,14 @@
         return target_choice.distance(
             self._locality, target.entry.failure_domain
         )
+
+
+def _has_active_target(
+    groups: typing.Iterable[list[target_state.Target]], now: float
+) -> bool:
+    """Return whether any of the targets is not paused."""
+    for targets in groups:
+        for target in targets:
+            if not target.is_paused(now):
+                return True
+    return False
