Move no keys to a receiver without room

Cause: cold targets are left out as receivers while a warm one can do more work, so the least loaded receiver may be above the level to fill up to. The load to move was then negative, and the narrowest part with it was a range whose first key is above its last (keys_move at 13.25 s: 45534 to 43588). Such a range made the key map overlap, and a new controller granted both. Ruled out: the lease (one holder at a time) and stale lists (the controller reads its maps itself). Change: the plan ends when no receiver has room, and a part with no load is no part.

--- a/amaranthcrank/router/key_plan.py
+++ b/amaranthcrank/router/key_plan.py
@@ -98,8 +98,11 @@
           amount: The least work that the part has, seconds.
 
         Returns:
-          The first and last key, or None if the range has less work.
+          The first and last key, or None if the range has less work or the
+          amount is not above 0.
         """
+        if amount <= 0:
+            return None
         low = bisect.bisect_left(self._keys, first)
         high = bisect.bisect_right(self._keys, last)
         best = None
@@ -329,6 +332,9 @@
             return
         excess = load_by_id[donor.target_id] - level * donor.capacity_s
         headroom = level * receiver.capacity_s - load_by_id[receiver.target_id]
+        if not receiver_idle and headroom <= 0:
+            # Only cold targets have less load.
+            return
         pieces = pieces_by_id[donor.target_id]
         if receiver_idle:
             amount = min(
--- a/amaranthcrank/router/key_plan_test.py
+++ b/amaranthcrank/router/key_plan_test.py
@@ -98,6 +98,38 @@
         self.assertEqual({move.owner.target_id for move in moves}, {'i-1'})
 
 
+class ColdReceiverTest(unittest.TestCase):
+    """Busy warm owners beside cold ones, whose capacity is limited."""
+
+    def test_plans_keep_the_ranges_whole(self):
+        # While only cold targets had less load, a range whose first key was
+        # above its last one was moved, and two targets got the same keys.
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                self._check(random.Random(seed))
+
+    def _check(self, rng):
+        owners = _owners(8)
+        ranges = _assigned(owners, key_plan.Load({}))
+        # The cold owners, which have the last keys, are nearly idle.
+        warm_keys = KEYS * 5 // 8
+        work_by_key = {
+            rng.randrange(warm_keys): rng.uniform(0.2, 1.0) for _ in range(60)
+        }
+        work_by_key[KEYS - 1] = 0.1
+        load = key_plan.Load(work_by_key)
+        limited = cold_owners.limit_cold(
+            owners, {'i-5': 2.0, 'i-6': 2.0, 'i-7': 2.0}, WINDOW_S
+        )
+        for fence in range(2, 6):
+            moves = key_plan.plan(ranges, limited, load)
+            for move in moves:
+                self.assertLessEqual(move.first, move.last)
+            ranges = key_ranges.apply(ranges, moves, fence)
+            self.assertTrue(_covers_all_keys(ranges))
+            ranges = _completed(ranges)
+
+
 class PlanTest(unittest.TestCase):
     def test_all_keys_are_assigned(self):
         for count in (1, 3, 11, 93):
