List the evacuations at a start with a stale read; check evacMs

A negative or NaN evacMs passed the check of the settings (found in review). Change: the first list is a serializable read, like that of the targets; the watch that follows brings what is missing. evacMs is a number from 0.

--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -66,7 +66,7 @@
 
 def _bounds(fields: dict[str, str]) -> model.Bounds:
     prefix = 'terms.bounds.'
-    evacuation_ms = fields.get(prefix + 'evacMs')
+    evacuation_ms = _optional_amount(fields, prefix + 'evacMs')
     return model.Bounds(
         drain_s=float(fields[prefix + 'drainMs']) / 1000,
         settle_s=float(fields[prefix + 'stableWindowMs']) / 1000,
@@ -75,9 +75,7 @@
         retry_window_s=float(fields[prefix + 'budgetWindowS']),
         retry_floor=float(fields[prefix + 'budgetMinRetries']),
         grant_max_s=float(fields[prefix + 'holdMaxMs']) / 1000,
-        evacuation_s=(
-            None if evacuation_ms is None else float(evacuation_ms) / 1000
-        ),
+        evacuation_s=(None if evacuation_ms is None else evacuation_ms / 1000),
         cold_overshoot=_optional_amount(fields, prefix + 'coldOvershoot'),
         cold_slack=_optional_amount(fields, prefix + 'coldSlack'),
     )
--- a/amaranthcrank/router/evacuation_feed.py
+++ b/amaranthcrank/router/evacuation_feed.py
@@ -74,6 +74,7 @@
             election,
             store_sync.pause_after_changes(lambda: 0.0),
             retry_gate,
+            stale_start=True,
         )
         self._poller = peer_polling.PeerPoller(
             messenger,
