--- a/standins/hedging_host.py
+++ b/standins/hedging_host.py
@@ -160,16 +160,19 @@
             self.counters,
             hedging,
         )
-        self._put_ticket(options)
+        self._options = options
+        self.put_ticket()
         self.targets = []
         for number in range(options.targets):
             self.add_target(number, options.slots)
         self._calls = 0
 
-    def _put_ticket(self, options):
-        attempts = options.max_attempts
+    def put_ticket(self, allowed_regions=None):
+        """Put a ticket into force that limits the hedged route to regions."""
+        attempts = self._options.max_attempts
+        read = _route('read', '/read/', max_attempts=attempts)
         routes = (
-            _route('read', '/read/', max_attempts=attempts),
+            read._replace(allowed_regions=allowed_regions),
             _route('post', '/post/', repeatable=False),
             _route('book', '/book/', service='book'),
         )
