--- a/amaranthcrank/router/parse_turns.py
+++ b/amaranthcrank/router/parse_turns.py
@@ -1,16 +1,14 @@
 """Bounds how much is parsed in each turn of the event loop. No I/O.
 
-A read of 256 KiB may hold 40,000 chunks of one byte, whose parsing takes 0.6 s
-(measured on arm64; longer on a host with a share of a core). Nobody else is
-served meanwhile. Connections therefore parse a few events at a time, and take
-turns.
+A read of 256 KiB may hold 40,000 chunks of one byte, whose parsing takes a
+second or so. Nobody else is served meanwhile. Connections therefore parse a
+few events at a time, and take turns.
 """
 
 import collections
 import typing
 
-# A chunk takes 16 us and the two events of a short request 140 us (measured on
-# arm64), so that a turn takes 1 to 4 ms.
+# A turn of these takes a few milliseconds at most.
 DEFAULT_EVENTS_PER_TURN = 64
 # What one connection may parse in a turn while others wait. An ordinary
 # request is three events: its head, its body and its end.
