Check a configuration before it is published

The store accepts configurations whose routes no request reaches, and hosts ignore versions that are not newer without telling the operator. `amaranthcrank check-config` decodes a file with the decoder of the hosts, lists errors, routes that never match and limits that contradict each other, and shows the differences from the version in force, read from a file or the store.

--- a/amaranthcrank/cli/main.py
+++ b/amaranthcrank/cli/main.py
@@ -11,6 +11,7 @@
 import typer
 
 from amaranthcrank.cli import command_options
+from amaranthcrank.cli import config_commands
 from amaranthcrank.cli import printing
 from amaranthcrank.cli import site_commands
 from amaranthcrank.cli import ticket_commands
@@ -29,6 +30,7 @@
 app.add_typer(ticket_commands.app, name='ticket')
 app.add_typer(site_commands.app, name='site')
 app.command('explain')(site_commands.explain)
+app.command('check-config')(config_commands.check)
 
 
 @app.callback()
--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import sys
 import typing
 
@@ -28,7 +29,7 @@
     rich_markup_mode=None,
 )
 
-_StoreOption = typing.Annotated[
+StoreOption = typing.Annotated[
     str,
     typer.Option(
         '--store',
@@ -60,7 +61,7 @@
 
 
 @app.command()
-def status(store_address: _StoreOption) -> None:
+def status(store_address: StoreOption) -> None:
     """Show the ticket, hosts, controller, evacuations and targets."""
     snapshot = _read_snapshot(store_address)
     number = snapshot.ticket.number if snapshot.ticket else 'none'
@@ -104,12 +105,12 @@
 
 
 @app.command()
-def owner(service: str, key: int, store_address: _StoreOption) -> None:
+def owner(service: str, key: int, store_address: StoreOption) -> None:
     """Show the target that owns a key."""
     snapshot = _read_snapshot(store_address)
     key_range = snapshot.keys.find(service, key)
     if key_range is None:
-        _exit_with_error(
+        exit_with_error(
             EXIT_NOT_FOUND, f'no target owns key {key} of {service!r}'
         )
     state = 'moving to' if key_range.moving else 'owned by'
@@ -120,11 +121,11 @@
 
 
 @app.command()
-def ticket(store_address: _StoreOption) -> None:
+def ticket(store_address: StoreOption) -> None:
     """Show the routes of the ticket in force."""
     snapshot = _read_snapshot(store_address)
     if snapshot.ticket is None:
-        _exit_with_error(EXIT_NOT_FOUND, 'there is no ticket in the store')
+        exit_with_error(EXIT_NOT_FOUND, 'there is no ticket in the store')
     typer.echo(f'ticket {snapshot.ticket.number}')
     for route in snapshot.ticket.routes:
         kind = 'repeatable' if route.repeatable else 'once'
@@ -160,50 +161,70 @@
         texts += file
     found = explanation.explain(texts, request_id)
     if not found.request_lines:
-        _exit_with_error(
+        exit_with_error(
             EXIT_NOT_FOUND, f'no log line has request id {request_id!r}'
         )
     for text in explanation.describe(found):
         typer.echo(text)
 
 
+def read_ticket(address: str) -> model.Ticket | None:
+    """Return the ticket in force, or None; exit if it cannot be read."""
+    return _run(address, _fetch_ticket)
+
+
 def _read_snapshot(address: str) -> Snapshot:
+    return _run(address, _fetch_snapshot)
+
+
+def _run(
+    address: str,
+    fetch: typing.Callable[[store.Client], typing.Awaitable[_T]],
+) -> _T:
+    """Return what a function fetches from the store; exit on failure."""
     try:
         return asyncio.run(
-            _fetch_snapshot(settings_file.parse_address(address))
+            _with_client(settings_file.parse_address(address), fetch)
         )
     except ValueError as error:
-        _exit_with_error(printing.EXIT_BAD_INPUT, str(error))
+        exit_with_error(printing.EXIT_BAD_INPUT, str(error))
     except (
         store.StoreError,
         store.RevisionExpiredError,
         store.ConflictError,
         manifest.ManifestError,
     ) as error:
-        _exit_with_error(
+        exit_with_error(
             printing.EXIT_UNREACHABLE, f'cannot read the store: {error}'
         )
 
 
-async def _fetch_snapshot(address: model.Address) -> Snapshot:
+async def _with_client(
+    address: model.Address,
+    fetch: typing.Callable[[store.Client], typing.Awaitable[_T]],
+) -> _T:
     pool = connection_pool.Pool(asyncio.get_running_loop().time)
-    client = store.Client(address, pool)
-    try:
-        manifest_object = await client.get(
-            names.TICKET_KIND, names.TICKET_NAME, TIMEOUT_S
-        )
-        targets = await client.list_all(names.TARGETS_KIND, TIMEOUT_S)
-        shared = await client.list_all(names.SHARED_KIND, TIMEOUT_S)
-        leases = await client.list_all(names.LEASES_KIND, TIMEOUT_S)
-        evacuations = await _list_evacuations(client)
-    finally:
-        pool.close()
+    with contextlib.closing(pool):
+        return await fetch(store.Client(address, pool))
+
+
+async def _fetch_ticket(client: store.Client) -> model.Ticket | None:
+    item = await client.get(names.TICKET_KIND, names.TICKET_NAME, TIMEOUT_S)
+    return _decode_ticket(item)
+
+
+async def _fetch_snapshot(client: store.Client) -> Snapshot:
+    ticket_in_force = await _fetch_ticket(client)
+    targets = await client.list_all(names.TARGETS_KIND, TIMEOUT_S)
+    shared = await client.list_all(names.SHARED_KIND, TIMEOUT_S)
+    leases = await client.list_all(names.LEASES_KIND, TIMEOUT_S)
+    evacuations = await _list_evacuations(client)
     holders = [
         controller_lease.holder_in(item)
         for item in leases.item_by_name.values()
     ]
     return Snapshot(
-        _decode_ticket(manifest_object),
+        ticket_in_force,
         _decode_listing(targets, entries.decode_target),
         _key_table(shared),
         tuple(
@@ -254,6 +275,7 @@
     return table
 
 
-def _exit_with_error(status_code: int, message: str) -> typing.NoReturn:
+def exit_with_error(status_code: int, message: str) -> typing.NoReturn:
+    """Print an error on standard error and exit."""
     typer.echo(f'amaranthcrank: {message}', err=True)
     raise typer.Exit(status_code)
--- a/amaranthcrank/cli/site_commands_test.py
+++ b/amaranthcrank/cli/site_commands_test.py
@@ -1,5 +1,7 @@
 import asyncio
 import contextlib
+import json
+import tempfile
 import unittest
 
 from typer import testing
@@ -74,8 +76,11 @@
         self.store.put(names.EVACUATIONS_KIND, 'a', {'spec': {}})
 
     async def _run(self, command):
+        return await self._invoke('site', command)
+
+    async def _invoke(self, *arguments):
         address = f'{self.address.ip}:{self.address.port}'
-        arguments = ['site', command, '--store', address]
+        arguments = [*arguments, '--store', address]
         result = await asyncio.to_thread(
             testing.CliRunner().invoke, main.app, arguments
         )
@@ -85,6 +90,15 @@
     async def test_status(self):
         self.assertIn('evacuated a: 0 targets', await self._run('status'))
 
+    async def test_check_against_the_version_in_force(self):
+        """Guards against a check that compares with another version."""
+        spec = platform_site.manifest(4, [ROUTE], [['book', '/', 90, True]])
+        with tempfile.NamedTemporaryFile('w', suffix='.json') as file:
+            json.dump(spec, file)
+            file.flush()
+            output = await self._invoke('check-config', file.name)
+        self.assertIn('max_connections from 100 to 90', output)
+
     async def test_store_without_the_kind(self):
         """Guards against a status that shows nothing on an older store."""
         self.store.failing_kinds.add(names.EVACUATIONS_KIND)
--- a/amaranthcrank/platform/manifest.py
+++ b/amaranthcrank/platform/manifest.py
@@ -4,6 +4,7 @@
 The number of the version becomes the number of the ticket.
 """
 
+import collections
 import math
 import typing
 
@@ -46,6 +47,20 @@
     return ticket
 
 
+def repeated_services(spec: typing.Any) -> list[str]:
+    """Return the services with several rows, of which the last counts.
+
+    Args:
+      spec: The `spec` of a stored object that `decode` accepts.
+    """
+    services = [_decode_service(row).name for row in _rows(spec['services'])]
+    return [
+        name
+        for name, count in collections.Counter(services).items()
+        if count > 1
+    ]
+
+
 def _decode(spec: typing.Any) -> model.Ticket:
     services = [_decode_service(row) for row in _rows(spec['services'])]
     routes = [_decode_route(row) for row in _rows(spec['routes'])]
