Prefer a few remote targets where targets report their load

Cause: hosts of different domains do not tell each other their load. Each chose among three random ones of some 200 remote targets, so it had no recent report of any and took them all for idle.

Each host now orders the remote targets by a hash of its own and compares the first three with capacity. test_host_uses_few_targets failed before (59 targets in place of at most 5).

--- a/amaranthcrank/router/admission_test.py
+++ b/amaranthcrank/router/admission_test.py
@@ -222,8 +222,12 @@
         ticking = asyncio.create_task(self._tick())
         self.addCleanup(ticking.cancel)
         began_at = self.now()
-        target = await self._acquire()
-        self.assertEqual(target.entry.target_id, 'next')
+        limit = target_choice.per_host_limit(
+            3, target_selection.HOSTS_PER_PREFERRED_TARGET
+        )
+        for _ in range(limit):
+            target = await self._acquire()
+            self.assertEqual(target.entry.target_id, 'next')
         target = await self._acquire(goal_s=1.5)
         self.assertEqual(target.entry.target_id, 'far')
         self.assertGreater(self.now() - began_at, 0.19)
@@ -237,6 +241,66 @@
         self.assertEqual(names, {'healthy'})
 
 
+class PreferredTargetsTest(_AdmissionTest):
+    """Hosts of all regions send to the targets of one region.
+
+    Hosts of different failure domains do not tell each other their load.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.targets.replace_all(
+            [_entry(f'i-{number}', 'c') for number in range(60)]
+        )
+        self._report(self.targets, 'i-0')
+
+    def _report(self, targets, target_id, running=1):
+        fields = reported_load.LoadFields(running, 0, 3, None)
+        targets.record_load(f'{target_id}/1', fields)
+
+    async def test_host_uses_few_targets(self):
+        """Guards against load reports that are too old when they are used.
+
+        A host that spreads its requests over all targets has no recent report
+        of any, and opens a connection to each.
+        """
+        used = set()
+        for _ in range(100):
+            targets = [await self._acquire() for _ in range(3)]
+            for target in targets:
+                used.add(target.entry.target_id)
+                self._report(self.targets, target.entry.target_id)
+                self.admission.release(target)
+        self.assertLessEqual(len(used), 5)
+
+    async def test_full_targets_are_replaced(self):
+        """Guards against requests that wait for a preferred target."""
+        used = set()
+        for _ in range(20):
+            target = await self._acquire()
+            self._report(self.targets, target.entry.target_id, running=3)
+            used.add(target.entry.target_id)
+        self.assertEqual(len(used), 20)
+
+    async def test_hosts_prefer_different_targets(self):
+        """Guards against hosts that all send to the same few targets."""
+        chosen = collections.Counter()
+        for seed in range(40):
+            selection = target_selection.TargetSelection(
+                self.targets,
+                self.keys,
+                target_choice.Locality('a', 'n', {'a': 'n', 'c': 's'}),
+                random.Random(seed).random,
+            )
+            target = selection.choose(
+                target_selection.SelectionPass(0.1, self.now(), {}),
+                demand.Demand('desk', self._priority()),
+                self.now(),
+            )
+            chosen[target.entry.target_id] += 1
+        self.assertLessEqual(max(chosen.values()), 5)
+
+
 class EvacuationTest(_AdmissionTest):
     """A failure domain is evacuated while requests wait and arrive."""
 
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -58,6 +58,7 @@
         time.
       cold_services: The services whose targets may say in responses that they
         are cold.
+      reporting_services: The services of which a target reported its load.
       awaits_evacuations: Whether no target accepts requests yet, because the
         evacuated domains are not known.
     """
@@ -86,6 +87,7 @@
         self.evacuation_s = evacuation_s
         self.evacuated_since_by_domain: dict[str, float] = {}
         self.cold_services: frozenset[str] = frozenset()
+        self.reporting_services: set[str] = set()
         self.awaits_evacuations = False
         self._departure_by_holder: dict[str, Departure] = {}
         # What incarnations of targets said about themselves. It is kept when
@@ -234,6 +236,7 @@
         target = self.find(*model.split_holder(holder))
         if target is None:
             return
+        self.reporting_services.add(target.entry.service)
         target.reported_load = reported_load.arrived(
             fields, target.in_flight, self._clock()
         )
--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -219,6 +219,46 @@
         have_reports = reported_load.is_recent(target.reported_load, now)
     if have_reports:
         candidates = _sample(candidates, random)
+    return _cheapest(candidates, typical_s, now, random)
+
+
+def choose_first(
+    targets: typing.Iterable[target_state.Target],
+    typical_s: float,
+    now: float,
+    hosts: int,
+    random: typing.Callable[[], float],
+) -> target_state.Target | None:
+    """Return the best of the first few targets with capacity, or None.
+
+    A host that sends to few targets has recent reports of their load, and
+    reuses its connections.
+
+    Args:
+      targets: The targets that are allowed and ready, in an order of this
+        host's own.
+      typical_s: The typical service time.
+      now: The event loop's time.
+      hosts: Number of hosts that share each target and whose load is
+        unknown.
+      random: Returns floats from 0 to below 1; breaks ties.
+    """
+    candidates = []
+    for target in targets:
+        if not has_capacity(target, typical_s, now, hosts):
+            continue
+        candidates.append(target)
+        if len(candidates) == COMPARED_TARGETS:
+            break
+    return _cheapest(candidates, typical_s, now, random)
+
+
+def _cheapest(
+    candidates: typing.Iterable[target_state.Target],
+    typical_s: float,
+    now: float,
+    random: typing.Callable[[], float],
+) -> target_state.Target | None:
     best = None
     best_cost = 0.0
     for target in candidates:
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -3,6 +3,8 @@
 import math
 import typing
 
+import xxhash
+
 from amaranthcrank.router import cold_quota
 from amaranthcrank.router import demand as demands
 from amaranthcrank.router import directory
@@ -20,6 +22,9 @@
 # Number of hosts assumed to share a target of another failure domain, to which
 # all hosts may send.
 HOSTS_PER_REMOTE_TARGET = 64
+# The same where targets report their load: each host then prefers a few of the
+# remote targets.
+HOSTS_PER_PREFERRED_TARGET = 3
 # Fraction of its response-time goal that a request waits for nearer capacity
 # before it may use a target of its own failure domain (no wait), of another
 # one in the region, and of another region.
@@ -82,6 +87,7 @@
         self._keys = keys
         self._locality = locality
         self._random = random
+        self._seed = int(random() * 2**32)
         self._allowed: dict[
             tuple[str, demands.Regions], list[target_state.Target]
         ] = {}
@@ -301,14 +307,27 @@
         selection_pass: SelectionPass,
     ) -> target_state.Target | None:
         """Return a target with capacity among those at a distance, or None."""
-        return target_choice.choose(
+        hosts = self.domain_hosts
+        choose = target_choice.choose
+        if distance and self._reports_load(targets):
+            hosts = HOSTS_PER_PREFERRED_TARGET
+            choose = target_choice.choose_first
+        elif distance:
+            hosts = HOSTS_PER_REMOTE_TARGET
+        return choose(
             targets,
             selection_pass.service_s,
             selection_pass.now,
-            self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET,
+            hosts,
             self._random,
         )
 
+    def _reports_load(self, targets: list[target_state.Target]) -> bool:
+        """Return whether targets of one service report their load."""
+        if not targets:
+            return False
+        return targets[0].entry.service in self._targets.reporting_services
+
     def _quota(self, service: str) -> cold_quota.ColdQuota | None:
         """Return the quota if the cold targets of a service are limited."""
         quota = self.cold_quota
@@ -358,6 +377,8 @@
             found = tuple([] for _ in SPILLOVER_SHARE_BY_DISTANCE)
             for target in self.allowed(demand._replace(excluded=frozenset())):
                 found[self._distance(target)].append(target)
+            for targets in found:
+                targets.sort(key=self._rank)
             self._by_distance[key] = found
         return found
 
@@ -428,6 +449,12 @@
         send_window_s = EVACUATED_SEND_SHARE * targets.evacuation_s
         return now <= evacuated_since + send_window_s
 
+    def _rank(self, target: target_state.Target) -> int:
+        """Return a number that orders targets differently at each host."""
+        return xxhash.xxh3_64_intdigest(
+            target.entry.target_id.encode(), self._seed
+        )
+
     def _distance(self, target: target_state.Target) -> int:
         return target_choice.distance(
             self._locality, target.entry.failure_domain
