Stop at the third candidate where targets report their load

Each choice checked the capacity of all targets of the failure domain, though it compares only three random ones.

Once a target of a service has reported, all choices of the service are made so; before, only while a report was less than 2 s old.

--- a/amaranthcrank/router/reported_load_test.py
+++ b/amaranthcrank/router/reported_load_test.py
@@ -188,6 +188,15 @@
             _report(target, text, now)
         return targets
 
+    def _choose(self, targets, draw):
+        return target_choice.choose_first(
+            target_choice.in_random_order(targets, draw),
+            TYPICAL_S,
+            0.01,
+            NEAR_HOSTS,
+            draw,
+        )
+
     def test_hosts_do_not_all_choose_the_target_that_is_empty(self):
         # All hosts have the same reports: one target is empty.
         rng = random.Random(3)
@@ -195,9 +204,7 @@
         for _ in range(200):
             targets = self._targets(10, 0.0)
             _report(targets[0], b'0,0,3', 0.0)
-            target = target_choice.choose(
-                targets, TYPICAL_S, 0.01, NEAR_HOSTS, rng.random
-            )
+            target = self._choose(targets, rng.random)
             chosen[target.entry.target_id] += 1
         self.assertLess(chosen['i-0'], 200 * 0.4)
         self.assertGreater(chosen['i-0'], 200 * 0.2)
@@ -209,9 +216,7 @@
         rng = random.Random(3)
         found = []
         for _ in range(4):
-            target = target_choice.choose(
-                targets, TYPICAL_S, 0.01, NEAR_HOSTS, rng.random
-            )
+            target = self._choose(targets, rng.random)
             if target is None:
                 break
             target.in_flight += 1
@@ -227,9 +232,7 @@
             targets = self._targets(3, 0.0, b'0,0,3,100')
             targets[1].slowness = 3.0
             _report(targets[2], b'0,0,3,300', 0.0)
-            target = target_choice.choose(
-                targets, TYPICAL_S, 0.01, NEAR_HOSTS, rng.random
-            )
+            target = self._choose(targets, rng.random)
             chosen[target.entry.target_id] += 1
         self.assertEqual(chosen, {'i-0': 300})
 
--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -26,9 +26,8 @@
 # other than the most urgent rank therefore leave that many slots free.
 LARGE_DOMAIN_HOSTS = 8
 UNREPORTED_LOAD_SLOTS = 1
-# Among targets that report their load, a host compares only this many, chosen
-# at random. Hosts with the same reports would otherwise all choose the same
-# target.
+# Among targets that report their load, a host compares only this many. Hosts
+# with the same reports would otherwise all choose the same target.
 COMPARED_TARGETS = 3
 # Limit of requests in flight per host at an owner that is not contended.
 OWNER_PER_HOST_LIMIT = 2
@@ -208,17 +207,11 @@
         unknown.
       random: Returns floats from 0 to below 1; breaks ties.
     """
-    candidates = []
-    have_reports = False
-    for target in targets:
-        if not has_capacity(target, typical_s, now, hosts):
-            continue
-        candidates.append(target)
-        if have_reports or target.reported_load is None:
-            continue
-        have_reports = reported_load.is_recent(target.reported_load, now)
-    if have_reports:
-        candidates = _sample(candidates, random)
+    candidates = [
+        target
+        for target in targets
+        if has_capacity(target, typical_s, now, hosts)
+    ]
     return _cheapest(candidates, typical_s, now, random)
 
 
@@ -231,12 +224,9 @@
 ) -> target_state.Target | None:
     """Return the best of the first few targets with capacity, or None.
 
-    A host that sends to few targets has recent reports of their load, and
-    reuses its connections.
-
     Args:
-      targets: The targets that are allowed and ready, in an order of this
-        host's own.
+      targets: The targets that are allowed and ready, in the order in which
+        they are considered.
       typical_s: The typical service time.
       now: The event loop's time.
       hosts: Number of hosts that share each target and whose load is
@@ -271,15 +261,13 @@
     return best
 
 
-def _sample(
-    candidates: list[target_state.Target],
+def in_random_order(
+    targets: typing.Iterable[target_state.Target],
     random: typing.Callable[[], float],
-) -> list[target_state.Target]:
-    """Return a few randomly chosen candidates."""
-    remaining = list(candidates)
-    chosen = []
-    while remaining and len(chosen) < COMPARED_TARGETS:
+) -> typing.Iterator[target_state.Target]:
+    """Yield the targets in random order."""
+    remaining = list(targets)
+    while remaining:
         index = int(random() * len(remaining))
         remaining[index], remaining[-1] = remaining[-1], remaining[index]
-        chosen.append(remaining.pop())
-    return chosen
+        yield remaining.pop()
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -307,15 +307,21 @@
         selection_pass: SelectionPass,
     ) -> target_state.Target | None:
         """Return a target with capacity among those at a distance, or None."""
-        hosts = self.domain_hosts
+        hosts = self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET
         choose = target_choice.choose
-        if distance and self._reports_load(targets):
-            hosts = HOSTS_PER_PREFERRED_TARGET
+        considered: typing.Iterable[target_state.Target] = targets
+        if self._reports_load(targets):
             choose = target_choice.choose_first
-        elif distance:
-            hosts = HOSTS_PER_REMOTE_TARGET
+            if distance:
+                # A host that prefers a few targets has recent reports of
+                # their load, and reuses its connections.
+                hosts = HOSTS_PER_PREFERRED_TARGET
+            else:
+                considered = target_choice.in_random_order(
+                    targets, self._random
+                )
         return choose(
-            targets,
+            considered,
             selection_pass.service_s,
             selection_pass.now,
             hosts,
