Do not handle requests whose caller has already left

A busy host reads a request and the end of its connection from the socket at the same time, but in two turns of the event loop. The handler ran in between, and sent the request over an idle connection without waiting for anything.

The handler now starts one turn later, after the end was read. The gauge abandoned_requests counts these requests. test_request_of_a_caller_that_has_left timed out before.

--- a/amaranthcrank/router/caller_connection.py
+++ b/amaranthcrank/router/caller_connection.py
@@ -339,6 +339,12 @@
     async def _run_handler(self, exchange: response_queue.Exchange) -> None:
         assert exchange.request is not None
         try:
+            # On a busy host, the end of the connection may have arrived behind
+            # the request long ago. It is read in this turn of the event loop.
+            await asyncio.sleep(0)
+            if self._transport is None or self._transport.is_closing():
+                self._server.abandoned_requests += 1
+                return
             response = await self._server.handler(exchange.request)
         except Exception as error:
             # Without an answer the caller would wait until its deadline. The
--- a/amaranthcrank/router/caller_connection_test.py
+++ b/amaranthcrank/router/caller_connection_test.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import os
+import socket
 import unittest
 
 from amaranthcrank.router import caller_connection
@@ -16,6 +18,26 @@
 LONG = b'x' * 100_000
 
 
+class BusyHostTest(pipelined_calls.PipelinedCalls):
+    """A host whose event loop is blocked while callers give up."""
+
+    async def test_request_of_a_caller_that_has_left(self):
+        """Guards against requests that are sent on after their caller left.
+
+        The request and the end of its connection wait in the socket's buffer
+        when the host comes to read them.
+        """
+        sock = self.writer.get_extra_info('socket')
+        for path in (b'/1', b'/2'):
+            data = pipelined_calls.get(path)
+            self.assertEqual(os.write(sock.fileno(), data), len(data))
+        # Nothing is read between these steps, as nothing is awaited.
+        sock.shutdown(socket.SHUT_WR)
+        await self.wait(lambda: self.server.abandoned_requests == 2)
+        self.assertEqual(self.requests, [])
+        self.assertEqual(self.server.active_requests, 0)
+
+
 class BodyTest(pipelined_calls.PipelinedCalls):
     async def test_long_body_behind_others(self):
         """Guards against memory and its time-out for a body that must wait."""
--- a/amaranthcrank/router/http_server.py
+++ b/amaranthcrank/router/http_server.py
@@ -67,6 +67,8 @@
         share it.
       refused_connections: How many connections were refused or closed because
         of the limit.
+      abandoned_requests: How many requests were not handled because their
+        connection was closed before.
       on_handler_error: Called with each exception of the handler.
     """
 
@@ -93,6 +95,7 @@
         self.rate_rule = body_rate.RateRule()
         self.turns = parse_turns.ParseTurns(_call_soon)
         self.refused_connections = 0
+        self.abandoned_requests = 0
         self.on_handler_error: typing.Callable[[Exception], None] | None = None
         self._listeners: list[asyncio.Server] = []
 
--- a/amaranthcrank/router/probe_responses.py
+++ b/amaranthcrank/router/probe_responses.py
@@ -44,6 +44,7 @@
         'caller_connections': len(path.server.connections),
         'backlogged_connections': path.server.backlogged_connections,
         'refused_connections': path.server.refused_connections,
+        'abandoned_requests': path.server.abandoned_requests,
         'deferred_reads': path.server.turns.deferred,
         'targets': len(path.targets.by_id),
         'ready_slots': path.targets.ready_slots(),
