check-config: only what hosts refuse is an error

Routes that never match and limits that contradict each other were errors, though hosts accept such a configuration, so the exit status disagreed with them. An error is what hosts do not decode, and a version that is not newer.

--- a/amaranthcrank/cli/site_commands.py
+++ b/amaranthcrank/cli/site_commands.py
@@ -29,7 +29,7 @@
     rich_markup_mode=None,
 )
 
-StoreOption = typing.Annotated[
+_StoreOption = typing.Annotated[
     str,
     typer.Option(
         '--store',
@@ -61,7 +61,7 @@
 
 
 @app.command()
-def status(store_address: StoreOption) -> None:
+def status(store_address: _StoreOption) -> None:
     """Show the ticket, hosts, controller, evacuations and targets."""
     snapshot = _read_snapshot(store_address)
     number = snapshot.ticket.number if snapshot.ticket else 'none'
@@ -105,7 +105,7 @@
 
 
 @app.command()
-def owner(service: str, key: int, store_address: StoreOption) -> None:
+def owner(service: str, key: int, store_address: _StoreOption) -> None:
     """Show the target that owns a key."""
     snapshot = _read_snapshot(store_address)
     key_range = snapshot.keys.find(service, key)
@@ -121,7 +121,7 @@
 
 
 @app.command()
-def ticket(store_address: StoreOption) -> None:
+def ticket(store_address: _StoreOption) -> None:
     """Show the routes of the ticket in force."""
     snapshot = _read_snapshot(store_address)
     if snapshot.ticket is None:
--- a/amaranthcrank/router/ticket_findings.py
+++ b/amaranthcrank/router/ticket_findings.py
@@ -18,9 +18,8 @@
     """One fault of a ticket.
 
     Attributes:
-      severity: ERROR if hosts cannot use the ticket, or serve no request by
-        the entry; WARNING for an entry without effect or that contradicts
-        another.
+      severity: ERROR if hosts do not use the ticket; WARNING for an entry
+        that serves nothing or contradicts another.
       place: The entry, such as `route read`.
       text: What is wrong.
     """
@@ -91,11 +90,11 @@
     for route in ticket.routes:
         place = f'route {route.name}'
         if not route.host:
-            yield Finding(ERROR, place, 'the host is empty')
+            yield Finding(WARNING, place, 'the host is empty')
             continue
         if ':' in route.host:
             yield Finding(
-                ERROR,
+                WARNING,
                 place,
                 f'never matches: the host {route.host!r} has a port, which '
                 'is removed from requests',
@@ -103,7 +102,7 @@
             continue
         if not route.prefix.startswith('/'):
             yield Finding(
-                ERROR,
+                WARNING,
                 place,
                 f'never matches: the prefix {route.prefix!r} does not begin '
                 'with a slash',
@@ -111,7 +110,7 @@
             continue
         if '?' in route.prefix:
             yield Finding(
-                ERROR,
+                WARNING,
                 place,
                 'never matches: the prefix has a query, which is removed '
                 'from requests',
@@ -120,7 +119,7 @@
         first = table.find(route.host, route.prefix)
         if first is not None and first is not route:
             yield Finding(
-                ERROR,
+                WARNING,
                 place,
                 f'never matches: route {first.name} has the same host and '
                 'prefix',
@@ -130,7 +129,7 @@
 def _check_times(route: model.Route) -> typing.Iterator[Finding]:
     place = f'route {route.name}'
     if route.timeout_s <= 0:
-        yield Finding(ERROR, place, 'the timeout is not above 0')
+        yield Finding(WARNING, place, 'the timeout is not above 0')
     if route.goal_s <= 0:
         yield Finding(WARNING, place, 'the response-time goal is not above 0')
     if route.goal_s > route.timeout_s:
@@ -145,7 +144,7 @@
 def _check_attempts(route: model.Route) -> typing.Iterator[Finding]:
     if route.max_attempts < 1:
         yield Finding(
-            ERROR,
+            WARNING,
             f'route {route.name}',
             f'{route.max_attempts} attempts: no request is sent',
         )
@@ -159,7 +158,7 @@
     for part in route.weighted_services:
         if part.service not in ticket.service_by_name:
             yield Finding(
-                ERROR, place, f'service {part.service} is not defined'
+                WARNING, place, f'service {part.service} is not defined'
             )
         if not part.weight >= 0:
             yield Finding(
@@ -189,7 +188,7 @@
         if region not in regions
     ]
     if len(unknown) == len(route.allowed_regions):
-        yield Finding(ERROR, place, 'no allowed region exists')
+        yield Finding(WARNING, place, 'no allowed region exists')
         return
     for region in unknown:
         yield Finding(WARNING, place, f'region {region} does not exist')
@@ -229,7 +228,7 @@
     place = f'service {service.name}'
     if service.max_connections < 1:
         yield Finding(
-            ERROR, place, 'its targets accept no connection by its limit'
+            WARNING, place, 'its targets accept no connection by its limit'
         )
     if service.cold_per_s and not service.warm_up_s:
         yield Finding(
@@ -243,7 +242,7 @@
 def _check_limits(limits: model.CallerLimits) -> typing.Iterator[Finding]:
     for name, value in limits._asdict().items():
         if not value > 0:
-            yield Finding(ERROR, 'limits', f'{name} is not above 0')
+            yield Finding(WARNING, 'limits', f'{name} is not above 0')
     if limits.header_timeout_s > limits.idle_timeout_s:
         yield Finding(
             WARNING,
