Cold quota: use the rendezvous hashing that exists

assigned_host repeated core.hashing.rendezvous with the same hash, so the assignments do not change.

--- a/amaranthcrank/router/cold_quota.py
+++ b/amaranthcrank/router/cold_quota.py
@@ -14,8 +14,7 @@
 import math
 import typing
 
-import xxhash
-
+from amaranthcrank.core import hashing
 from amaranthcrank.router import model
 from amaranthcrank.router import target_state
 
@@ -142,14 +141,7 @@
       holder: The incarnation of the target, as `id/incarnation`.
       host_ids: The known hosts of its failure domain.
     """
-    return max(
-        host_ids,
-        key=lambda host_id: (
-            xxhash.xxh64_intdigest(f'{holder}|{host_id}'.encode()),
-            host_id,
-        ),
-        default=None,
-    )
+    return next(iter(hashing.rendezvous(holder, host_ids, 1)), None)
 
 
 class Turns:
