--- a/amaranthcrank/router/reported_load_test.py
+++ b/amaranthcrank/router/reported_load_test.py
@@ -189,12 +189,13 @@
         return targets
 
     def _choose(self, targets, draw):
-        return target_choice.choose_first(
+        return target_choice.choose(
             target_choice.in_random_order(targets, draw),
             TYPICAL_S,
             0.01,
             NEAR_HOSTS,
             draw,
+            target_choice.COMPARED_TARGETS,
         )
 
     def test_hosts_do_not_all_choose_the_target_that_is_empty(self):
--- a/amaranthcrank/router/target_choice.py
+++ b/amaranthcrank/router/target_choice.py
@@ -4,6 +4,7 @@
 contended owner.
 """
 
+import itertools
 import typing
 
 from amaranthcrank.router import pacing
@@ -196,6 +197,7 @@
     now: float,
     hosts: int,
     random: typing.Callable[[], float],
+    compared: int | None = None,
 ) -> target_state.Target | None:
     """Return the target with the lowest expected cost, or None.
 
@@ -206,52 +208,17 @@
       hosts: Number of hosts that share each target and whose load is
         unknown.
       random: Returns floats from 0 to below 1; breaks ties.
+      compared: How many targets with capacity are compared, the first ones;
+        None: all.
     """
-    candidates = [
+    candidates = (
         target
         for target in targets
         if has_capacity(target, typical_s, now, hosts)
-    ]
-    return _cheapest(candidates, typical_s, now, random)
-
-
-def choose_first(
-    targets: typing.Iterable[target_state.Target],
-    typical_s: float,
-    now: float,
-    hosts: int,
-    random: typing.Callable[[], float],
-) -> target_state.Target | None:
-    """Return the best of the first few targets with capacity, or None.
-
-    Args:
-      targets: The targets that are allowed and ready, in the order in which
-        they are considered.
-      typical_s: The typical service time.
-      now: The event loop's time.
-      hosts: Number of hosts that share each target and whose load is
-        unknown.
-      random: Returns floats from 0 to below 1; breaks ties.
-    """
-    candidates = []
-    for target in targets:
-        if not has_capacity(target, typical_s, now, hosts):
-            continue
-        candidates.append(target)
-        if len(candidates) == COMPARED_TARGETS:
-            break
-    return _cheapest(candidates, typical_s, now, random)
-
-
-def _cheapest(
-    candidates: typing.Iterable[target_state.Target],
-    typical_s: float,
-    now: float,
-    random: typing.Callable[[], float],
-) -> target_state.Target | None:
+    )
     best = None
     best_cost = 0.0
-    for target in candidates:
+    for target in itertools.islice(candidates, compared):
         cost = expected_cost_s(target, typical_s, now) * (
             0.95 + 0.1 * random()
         )
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -308,10 +308,10 @@
     ) -> target_state.Target | None:
         """Return a target with capacity among those at a distance, or None."""
         hosts = self.domain_hosts if distance == 0 else HOSTS_PER_REMOTE_TARGET
-        choose = target_choice.choose
         considered: typing.Iterable[target_state.Target] = targets
+        compared = None
         if self._reports_load(targets):
-            choose = target_choice.choose_first
+            compared = target_choice.COMPARED_TARGETS
             if distance:
                 # A host that prefers a few targets has recent reports of
                 # their load, and reuses its connections.
@@ -320,12 +320,13 @@
                 considered = target_choice.in_random_order(
                     targets, self._random
                 )
-        return choose(
+        return target_choice.choose(
             considered,
             selection_pass.service_s,
             selection_pass.now,
             hosts,
             self._random,
+            compared,
         )
 
     def _reports_load(self, targets: list[target_state.Target]) -> bool:
