--- a/review/6/case.py
+++ b/review/6/case.py
@@ -121,13 +121,5 @@
     return 1 if shared else 0
 
 
-def main() -> int:
-    log = record.Record(FOLDER / 'record.txt')
-    try:
-        return asyncio.run(play(log))
-    finally:
-        log.close()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(sites.run(play, FOLDER))
--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -5,10 +5,13 @@
 import pathlib
 import random
 import shlex
+import shutil
+import signal
 import socket
 import subprocess
 import tempfile
 import tomllib
+import traceback
 import typing
 
 import record
@@ -18,6 +21,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = 'desk.example'
+# A script may run for 120 s.
+MAX_RUN_S = 110.0
 ZONES = {'zone-a': 'north', 'zone-b': 'north', 'zone-c': 'south'}
 
 SETTINGS = """\
@@ -361,10 +366,41 @@
             each.server.close()
         self.store.server.close()
         if os.environ.get('KEEP_LOGS'):
-            os.system(f'cp -r {self.folder} {os.environ["KEEP_LOGS"]}')
+            shutil.copytree(self.folder, os.environ['KEEP_LOGS'])
         self._folder.cleanup()
 
 
+Play = typing.Callable[[record.Record], typing.Awaitable[int]]
+
+
+def run(play: Play, folder: pathlib.Path) -> int:
+    """Play a case and return the exit status; 2 if it could not run.
+
+    Args:
+      play: Plays the case, and returns 1 if the rule was broken, else 0.
+      folder: Where record.txt is written.
+    """
+    log = record.Record(folder / 'record.txt')
+
+    async def play_in_time() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(MAX_RUN_S):
+            return await play(log)
+
+    try:
+        return asyncio.run(play_in_time())
+    except (Exception, asyncio.CancelledError):
+        # Nothing but a broken rule may end with 1.
+        traceback.print_exc()
+        return 2
+    finally:
+        log.close()
+
+
 def _free_ports(network: int) -> Ports:
     while True:
         base = random.randrange(10_000, 28_000)
