--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -127,8 +127,7 @@
 
     def start(self) -> None:
         """Start the process; its log goes to the temporary folder."""
-        path = self.folder / f'{self.name}.conf'
-        path.write_text(self.settings, encoding='utf-8')
+        path = self.write_settings()
         deploy = tomllib.loads(
             (ROOT / 'deploy/system.toml').read_text(encoding='utf-8')
         )
@@ -149,6 +148,12 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def write_settings(self) -> pathlib.Path:
+        """Write the settings file, and return its path."""
+        path = self.folder / f'{self.name}.conf'
+        path.write_text(self.settings, encoding='utf-8')
+        return path
+
     def kill(self) -> None:
         """End the process, if it runs."""
         if self.process is not None:
