--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -83,12 +83,15 @@
                 settings_file.parse(SETTINGS.replace(old, new))
 
 
+INFO = {'service': 's', 'zone': 'a', 'slots': 3, 'version': 'v1'}
+
+
 class TargetEntryTest(unittest.TestCase):
     def setUp(self):
         self.item = {
             'spec': {
                 'address': '10.0.0.1:80',
-                'info': {'service': 's', 'zone': 'a', 'slots': 3},
+                'info': dict(INFO),
                 'born': 5,
             },
             'status': {'state': 'ready', 'seq': 1, 'warmupLeftMs': 1500},
@@ -114,15 +117,27 @@
         for name, value in (
             ('address', 'nowhere'),
             ('address', 7),
-            ('info', {'service': 's', 'zone': 'a'}),
-            ('info', {'service': 's', 'zone': 'a', 'slots': 'x'}),
-            ('info', {'service': 3, 'zone': 'a', 'slots': 3}),
+            ('info', {**INFO, 'slots': 'x'}),
+            ('info', {**INFO, 'service': 3}),
+            ('info', {**INFO, 'version': None}),
             ('born', 1.5),
         ):
             spec = {**self.item['spec'], name: value}
             with self.assertRaises(entries.EntryError):
                 entries.decode_target('i-1', {**self.item, 'spec': spec})
 
+    def test_each_field_of_an_entry_is_required(self):
+        # Guards against two owners of a key: an entry by another writer, with
+        # a field missing, was taken for a target that replaced the owner.
+        spec = self.item['spec']
+        for fields in (spec, spec['info'], self.item['status']):
+            for name in list(fields):
+                with self.subTest(name=name):
+                    value = fields.pop(name)
+                    with self.assertRaises(entries.EntryError):
+                        entries.decode_target('i-1', self.item)
+                    fields[name] = value
+
 
 class KeyMapTest(unittest.TestCase):
     def test_encode_and_decode(self):
--- a/amaranthcrank/platform/entries.py
+++ b/amaranthcrank/platform/entries.py
@@ -53,9 +53,14 @@
     fields = {**item, **spec}
     info = fields['info']
     status = item.get('status') or spec['status']
-    warm_up_ms = status.get('warmupLeftMs', 0)
+    warm_up_ms = status['warmupLeftMs']
     if not entry_checks.is_number(warm_up_ms):
         raise TypeError('warmupLeftMs is not a number')
+    # They are not used, but only an entry with all fields is by a target.
+    if not entry_checks.is_name(info['version']):
+        raise TypeError('version is not a short printable text')
+    if not entry_checks.is_revision(status['seq']):
+        raise TypeError('seq is not a whole number')
     return model.TargetEntry(
         target_id=name,
         service=info['service'],
@@ -64,7 +69,7 @@
         slots=info['slots'],
         state=status['state'],
         cold_s=warm_up_ms / 1000,
-        incarnation=fields.get('born', 0),
+        incarnation=fields['born'],
     )
 
 
--- a/amaranthcrank/router/control_parts.py
+++ b/amaranthcrank/router/control_parts.py
@@ -144,7 +144,7 @@
     calls = key_calls.KeyCalls(
         common.pool,
         common.log,
-        entry_reads.restart_check(reader),
+        entry_reads.restart_check(reader, path.targets.names_target),
         path.notices,
         common.settings.heartbeat_s,
     )
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -53,6 +53,8 @@
       drain_s: How long a draining target keeps serving.
       evacuation_s: How long after the evacuation of a failure domain its
         targets may still receive requests.
+      services: The services of the ticket in force; none before the first
+        ticket.
       evacuated_since_by_domain: The evacuated failure domains, with the
         earliest time at which the evacuation may have begun, in event loop
         time.
@@ -85,6 +87,7 @@
         self.loaded = False
         self.drain_s = drain_s
         self.evacuation_s = evacuation_s
+        self.services: frozenset[str] = frozenset()
         self.evacuated_since_by_domain: dict[str, float] = {}
         self.cold_services: frozenset[str] = frozenset()
         self.reporting_services: set[str] = set()
@@ -136,6 +139,14 @@
         """Whether entries removed now may have expired in an outage."""
         return self._clock() < self._expiries_possible_until
 
+    def names_target(self, entry: model.TargetEntry) -> bool:
+        """Return whether an entry shows that a target runs at its address.
+
+        The store also contains entries by other writers, for services that
+        no ticket names. They show nothing about the targets.
+        """
+        return entry.service in self.services
+
     def missing_holders(self) -> list[str]:
         """Return the holders that are kept although their entry is missing."""
         return [
--- a/amaranthcrank/router/entry_reads.py
+++ b/amaranthcrank/router/entry_reads.py
@@ -51,18 +51,25 @@
     return read
 
 
-def restart_check(read: ReadEntry) -> RestartCheck:
+def restart_check(
+    read: ReadEntry, names_target: typing.Callable[[model.TargetEntry], bool]
+) -> RestartCheck:
     """Return a function that checks whether a target has restarted.
 
     A grant names a target by its id only, so one that is sent before a
     restart is known would give the next incarnation keys with the fencing
     token of the former one.
+
+    Args:
+      read: Reads the entry of a target.
+      names_target: Returns whether an entry names a target; what another
+        writer left under the id shows nothing.
     """
 
     async def has_restarted(holder: str) -> bool | None:
         target_id, incarnation = model.split_holder(holder)
         entry = await read(target_id)
-        if entry is None:
+        if entry is None or not names_target(entry):
             return None
         return entry.incarnation > incarnation
 
--- a/amaranthcrank/router/entry_reads_test.py
+++ b/amaranthcrank/router/entry_reads_test.py
@@ -12,9 +12,13 @@
 TIMEOUT_S = entry_reads.PRE_GRANT_TIMEOUT_S
 
 
-def _entry(incarnation, state=model.READY):
+def _entry(incarnation, state=model.READY, service='book'):
     address = model.Address('127.0.0.1', 1)
-    return platform_target.entry('book', address, 'a', incarnation, state)
+    return platform_target.entry(service, address, 'a', incarnation, state)
+
+
+def _names_target(entry):
+    return entry.service == 'book'
 
 
 class RestartCheckTest(unittest.IsolatedAsyncioTestCase):
@@ -23,7 +27,8 @@
     def setUp(self):
         self.client = mock.AsyncMock()
         self.has_restarted = entry_reads.restart_check(
-            entry_reads.entry_reader(self.client, mock.Mock(), TIMEOUT_S)
+            entry_reads.entry_reader(self.client, mock.Mock(), TIMEOUT_S),
+            _names_target,
         )
 
     async def test_entries(self):
@@ -32,6 +37,8 @@
             (_entry(6), True),
             (None, None),
             ({'spec': 'bytes of another writer'}, None),
+            # Another writer's entry under the id is no restart.
+            (_entry(6, service='inventory'), None),
         ):
             with self.subTest(item=item):
                 self.client.get.return_value = item
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -94,6 +94,8 @@
         target = self._targets.by_id.get(target_id)
         if target is None or target.entry.incarnation <= incarnation:
             return None
+        if not self._targets.names_target(target.entry):
+            return None
         if target.entry.address != self._address_by_holder.get(holder):
             return None
         return target.entry.holder
@@ -105,13 +107,13 @@
         later has its address.
         """
         target_id, incarnation = model.split_holder(holder)
-        target = self._targets.by_id.get(target_id)
-        if target is not None and target.entry.incarnation > incarnation:
-            return True
         address = self._address_by_holder.get(holder)
-        for other in self._targets.by_id.values():
-            if other.entry.address != address:
+        for target in self._targets.by_id.values():
+            entry = target.entry
+            if entry.target_id != target_id and entry.address != address:
+                continue
+            if entry.incarnation <= incarnation:
                 continue
-            if other.entry.incarnation > incarnation:
+            if self._targets.names_target(entry):
                 return True
         return False
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -167,6 +167,7 @@
         self.targets = directory.Directory(
             loop.time, 2.0, lambda *_, **__: None
         )
+        self.targets.services = frozenset({'book', 'desk'})
         self.targets.replace_all([_entry(1), _entry(2)])
         self.keys = key_table.KeyTable()
         self.store = _Store()
@@ -607,6 +608,38 @@
         await self._wait(lambda: len(self.calls.grants_to(1)) > before + 1)
         self.assertIn('i-1', self._owners())
 
+    async def test_entry_of_another_writer_at_the_address(self):
+        """Guards against two owners of a key because of a foreign entry.
+
+        An entry for a service that no ticket names, at the address of an
+        owner, was taken for the owner's successor.
+        """
+        self._start()
+        await self._wait(self._is_assigned)
+        odd = _entry(9, incarnation=5)._replace(
+            service='inventory', address=model.Address('10.0.0.1', 1)
+        )
+        self.targets.put(odd)
+        before = len(self.calls.grants_to(1))
+        await self._wait(lambda: len(self.calls.grants_to(1)) > before + 1)
+        self.assertEqual(self._owners(), {'i-1', 'i-2'})
+
+    async def test_entry_of_another_writer_under_the_id(self):
+        """Guards against two owners after an owner's entry was overwritten.
+
+        The owner has not restarted, so it must release its keys.
+        """
+        self._start()
+        await self._wait(self._is_assigned)
+        odd = _entry(1, incarnation=5)._replace(
+            service='inventory', address=model.Address('10.0.0.1', 7)
+        )
+        self.targets.put(odd)
+        await self._wait(lambda: self._owners() == {'i-2'})
+        await self._wait(self._is_assigned)
+        paths = {path for _, port, path, _ in self.calls.sent if port == 1}
+        self.assertIn(names.RELEASE_PATH, paths)
+
     async def test_renewal_that_reached_the_next_incarnation(self):
         """Guards against two owners after a restart of a target.
 
--- a/amaranthcrank/router/ticket_application.py
+++ b/amaranthcrank/router/ticket_application.py
@@ -24,6 +24,7 @@
     """
     table = route_table.RouteTable(ticket)
     path.forwarder.table = table
+    path.targets.services = frozenset(ticket.service_by_name)
     controller.domains_by_service = owner_domains.by_service(
         ticket, settings.region_by_domain
     )
