Try a move again whose owner was refused

Cause: Controller._move() returned when the owner refused, was unknown or had another server at its address. Its finished task stayed in _task_by_move, and a plan that wants the same owner makes no new move.

Ruled out: restarting the finished task in _start_moves(), which would ask the former owners for a release once more and lose their handover.

Change: the task waits and tries again; a plan for another owner cancels it as before.

Test: ControllerTest.test_owner_that_refused_its_move_gets_the_keys_later, failing before (no owner within 4 s), passing after.

--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -390,7 +390,11 @@
                 del self._task_by_move[move_id]
 
     async def _move(self, service: str, key_range: model.KeyRange) -> None:
-        """Reclaim a range from all targets that may hold it, then grant it."""
+        """Reclaim a range from all targets that may hold it, then grant it.
+
+        While the new owner cannot be granted the range, this waits. A plan
+        that assigns the keys to another target cancels the task.
+        """
         holder = key_range.holder
         former_holders = [
             former
@@ -405,16 +409,10 @@
         )
         handover = handovers[0] if handovers else ''
         while self._lease.is_held:
-            target = self._targets.find(
-                key_range.target_id, key_range.incarnation
-            )
-            if (
-                target is None
-                or self._refused_holders.is_refused(holder)
-                or self._former_owners.has_ended(holder)
-            ):
-                # The next plan assigns the keys to another target.
-                return
+            target = self._find_grantable(holder)
+            if target is None:
+                await asyncio.sleep(STEP_INTERVAL_S)
+                continue
             result = await self._calls.grant(
                 holder,
                 target.entry.address,
@@ -436,8 +434,15 @@
             )
             if result == key_calls.OTHER_SERVER:
                 self._refused_holders.add_replaced(holder)
-                return
             if result == key_calls.REFUSED:
                 self._refused_holders.add(holder)
-                return
             await asyncio.sleep(STEP_INTERVAL_S)
+
+    def _find_grantable(self, holder: str) -> target_state.Target | None:
+        """Return the target that is a holder, unless a grant would fail."""
+        target = self._targets.find(*model.split_holder(holder))
+        if target is None or self._refused_holders.is_refused(holder):
+            return None
+        if self._former_owners.has_ended(holder):
+            return None
+        return target
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -15,6 +15,7 @@
 from amaranthcrank.router import key_renewals
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
+from amaranthcrank.router import refused_holders
 from standins import platform_target
 
 GRANT_MAX_S = 1.0
@@ -380,6 +381,24 @@
         waited_s = await self._wait_for_move_after_loss(key_calls.REFUSED)
         self.assertGreaterEqual(waited_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR)
 
+    async def test_owner_that_refused_its_move_gets_the_keys_later(self):
+        """Guards against keys without an owner after a refused grant.
+
+        The move to an owner that could not be reached was given up. No plan
+        made another one, as no other target could own the keys.
+        """
+        patch = mock.patch.object(refused_holders, 'REFUSAL_TTL_S', 0.2)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await self._lose_first()
+        self.calls.result_by_port[2] = key_calls.REFUSED
+        await self._wait(lambda: not self._is_assigned())
+        await self._wait(lambda: not self.calls.may_hold('i-1/1'))
+        await asyncio.sleep(0.1)
+        del self.calls.result_by_port[2]
+        await self._wait(self._is_assigned)
+        self.assertEqual(self._owners(), {'i-2'})
+
     async def test_failed_renewals_do_not_delay_the_move(self):
         """Guards against keys that have no owner for longer than a grant.
 
