--- a/amaranthcrank/router/crash_checks_test.py
+++ b/amaranthcrank/router/crash_checks_test.py
@@ -99,6 +99,22 @@
         response = await self._call('/post/9', 'a2')
         self.assertEqual(response.status, 200)
 
+    async def test_refusal_at_the_address_withdraws_no_report(self):
+        """Guards against a crashing request that is let through again.
+
+        The next life of a crashed target listens at its address and refuses
+        what is sent to the former one (review case 8).
+        """
+        fingerprint = crash_reports.fingerprint(b'POST', b'/post/9', b'')
+        for target in self.router.targets.by_id.values():
+            self.router.crashes.record_crash(fingerprint, target.entry.holder)
+        for target_id, target in self.site.target_by_id.items():
+            target.target_id = f'{target_id}-next'
+        for number in range(TARGETS):
+            response = await self._call('/post/1', f'b{number}')
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.router.crashes.count(fingerprint), TARGETS)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/amaranthcrank/router/crash_reports.py
+++ b/amaranthcrank/router/crash_reports.py
@@ -5,8 +5,8 @@
 target. A response to the request clears its reports.
 
 A report is a guess: the target reset a connection and refused the next one,
-as one that is cut off does too. A target that answers later had not crashed,
-so the reports on it are withdrawn.
+as one that is cut off does too. A target that runs a request later had not
+crashed, so the reports on it are withdrawn.
 """
 
 import hashlib
@@ -79,7 +79,7 @@
         return True
 
     def withdraw(self, holder: str) -> bool:
-        """Remove the reports on a target that has answered.
+        """Remove the reports on a target that has run a request.
 
         Args:
           holder: The target, as `id/incarnation`.
--- a/amaranthcrank/router/sender.py
+++ b/amaranthcrank/router/sender.py
@@ -54,7 +54,7 @@
       on_crash_cleared: Called with the fingerprint of such a request once it
         was answered.
       on_crash_withdrawn: Called with a target, as `id/incarnation`, that has
-        answered although it was reported as crashed.
+        run a request although it was reported as crashed.
     """
 
     def __init__(
@@ -140,7 +140,6 @@
             return Attempt(
                 retry_rules.MAYBE_RUN, None, 'no answer before the deadline'
             )
-        self._withdraw_crash(target)
         elapsed_s = loop.time() - sent_at
         if not calls.is_refusal(response):
             self._return_connection(target, connection)
@@ -239,6 +238,7 @@
         if response_error:
             target.record_failure(now)
             return Attempt(retry_rules.MAYBE_RUN, None, response_error)
+        self._withdraw_crash(target)
         if response.status < 500:
             typical_s = self._times.of_route(call.route.name)
             target.record_success(elapsed_s, typical_s, now)
@@ -282,7 +282,10 @@
                 self.on_crash(fingerprint, target.entry.holder)
 
     def _withdraw_crash(self, target: target_state.Target) -> None:
-        """Withdraw the reports on a target that has answered."""
+        """Withdraw the reports on a target that has run a request.
+
+        A refusal shows nothing: another server at the address refuses too.
+        """
         holder = target.entry.holder
         was_reported = self._crashes.withdraw(holder)
         if was_reported and self.on_crash_withdrawn is not None:
