--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -82,9 +82,14 @@
 
 
 def _optional_amount(fields: dict[str, str], name: str) -> float | None:
-    if name not in fields:
+    """Return a number of at least 0, or None if the field has no value.
+
+    Fields of features that are not in use may be missing or empty.
+    """
+    text = fields.get(name, '')
+    if not text:
         return None
-    value = float(fields[name])
+    value = float(text)
     if not 0 <= value < math.inf:
         raise ValueError(f'{name} is not a number from 0')
     return value
