Survive a settings file with bytes that are not UTF-8

Cause: UnicodeDecodeError is neither OSError nor SettingsError, so main.reload() did not catch it and the failed job stopped the process.

Ruled out: catching ValueError in reload() alone, which leaves the start failing for a field that nobody uses.

Change: settings_file.read(), used by the router and by check-config, replaces such bytes; a needed field that holds one is a SettingsError.

Test, failing before with UnicodeDecodeError (read() as the callers did it): SettingsTest.test_bytes_that_are_no_text.

--- a/amaranthcrank/cli/config_commands.py
+++ b/amaranthcrank/cli/config_commands.py
@@ -94,8 +94,8 @@
     if settings is None:
         return None
     try:
-        host = settings_file.parse(_read(settings))
-    except settings_file.SettingsError as error:
+        host = settings_file.read(settings)
+    except (OSError, settings_file.SettingsError) as error:
         site_commands.exit_with_error(
             printing.EXIT_BAD_INPUT, f'{settings}: {error}'
         )
--- a/amaranthcrank/platform/decoding_test.py
+++ b/amaranthcrank/platform/decoding_test.py
@@ -1,4 +1,5 @@
 import json
+import tempfile
 import unittest
 
 from amaranthcrank.platform import entries
@@ -82,6 +83,26 @@
             with self.assertRaises(settings_file.SettingsError, msg=value):
                 settings_file.parse(f'{SETTINGS}{prefix}coldSlack={value}')
 
+    def _read(self, data):
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(data)
+            file.flush()
+            return settings_file.read(file.name)
+
+    def test_bytes_that_are_no_text(self):
+        # Guards against a router that ends, or does not start, because of a
+        # field that it does not use.
+        data = SETTINGS.encode()
+        settings = self._read(data + b'a.new.field=\xff\n\xff=1\n')
+        self.assertEqual(settings, settings_file.parse(SETTINGS))
+        for old, new in (
+            (b'self.zone=a', b'self.zone=\xff'),
+            (b'graceS=6', b'graceS=6\xff'),
+            (b'network.zones.b=', b'network.zones.\xff='),
+        ):
+            with self.assertRaises(settings_file.SettingsError, msg=new):
+                self._read(data.replace(old, new))
+
     def test_malformed_values(self):
         for old, new in (
             ('10.200.1.7:8384', 'store'),
--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import math
+import os
 import re
 
 from amaranthcrank.router import model
@@ -9,10 +10,30 @@
 _ADDRESS = re.compile(r'(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})')
 
 
+# Stands for bytes that are not UTF-8.
+_REPLACEMENT = '\ufffd'
+
+
 class SettingsError(Exception):
     """A field of the settings file is missing or malformed."""
 
 
+def read(path: str | os.PathLike[str]) -> model.HostSettings:
+    """Read and parse a settings file.
+
+    Bytes that are not UTF-8 only matter in fields that are used.
+
+    Args:
+      path: The path of the file.
+
+    Raises:
+      OSError: The file cannot be read.
+      SettingsError: A field is missing or malformed.
+    """
+    with open(path, encoding='utf-8', errors='replace') as file:
+        return parse(file.read())
+
+
 def parse(text: str) -> model.HostSettings:
     """Parse a settings file with lines of the form `a.b=value`.
 
@@ -42,15 +63,15 @@
         raise ValueError('network.internalPorts is not two ascending ports')
     prefix = 'network.zones.'
     region_by_domain = {
-        name.removeprefix(prefix): value
+        _text(name.removeprefix(prefix)): _text(value)
         for name, value in fields.items()
         if name.startswith(prefix)
     }
     return model.HostSettings(
-        host_id=fields['self.nodeName'],
-        ip=fields['self.ip'],
-        failure_domain=fields['self.zone'],
-        region=fields['self.region'],
+        host_id=_text(fields['self.nodeName']),
+        ip=_text(fields['self.ip']),
+        failure_domain=_text(fields['self.zone']),
+        region=_text(fields['self.region']),
         region_by_domain=region_by_domain,
         listen_address=parse_address(fields['network.listen.front']),
         readiness_address=parse_address(fields['network.listen.readiness']),
@@ -64,6 +85,12 @@
     )
 
 
+def _text(value: str) -> str:
+    if _REPLACEMENT in value:
+        raise ValueError(f'{value[:40]!r} was not UTF-8')
+    return value
+
+
 def _bounds(fields: dict[str, str]) -> model.Bounds:
     prefix = 'terms.bounds.'
     evacuation_ms = _optional_amount(fields, prefix + 'evacMs')
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -194,8 +194,7 @@
     def reload(self) -> None:
         """Reload the settings file; an invalid one changes nothing."""
         try:
-            with open(self.settings_path, encoding='utf-8') as file:
-                settings = settings_file.parse(file.read())
+            settings = settings_file.read(self.settings_path)
         except (OSError, settings_file.SettingsError) as error:
             self.log.event('settings_rejected', error=str(error))
             return
@@ -288,8 +287,7 @@
     process_options = options.parse(sys.argv[1:])
     path = os.environ.get(names.SETTINGS_VARIABLE, '')
     try:
-        with open(path, encoding='utf-8') as file:
-            settings = settings_file.parse(file.read())
+        settings = settings_file.read(path)
     except (OSError, settings_file.SettingsError) as error:
         print(f'cannot use the settings file {path!r}: {error}', flush=True)
         return EXIT_BAD_SETTINGS
