--- a/amaranthcrank/router/control_parts.py
+++ b/amaranthcrank/router/control_parts.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import cold_quota_updates
 from amaranthcrank.router import common_parts
 from amaranthcrank.router import controller_lease
+from amaranthcrank.router import crash_messages
 from amaranthcrank.router import departure_queries
 from amaranthcrank.router import entry_reads
 from amaranthcrank.router import evacuation_feed
@@ -85,7 +86,6 @@
         path.targets,
         path.keys,
         path.admission,
-        path.crashes,
         lease,
         controller,
         own,
@@ -93,6 +93,7 @@
         random.random,
     )
     _set_callbacks(path, controller, reports)
+    _share_crashes(common, path, reports)
     tickets = ticket_feed.TicketFeed(
         common.store,
         common.peers,
@@ -207,9 +208,19 @@
 ) -> None:
     path.forwarder.on_keyed_request = reports.record_keyed_request
     path.sender.on_misdirected = reports.send_misdirected
-    path.sender.on_crash = reports.broadcast_crash
-    path.sender.on_crash_cleared = reports.broadcast_crash_cleared
-    path.sender.on_crash_withdrawn = reports.broadcast_crash_withdrawn
     controller.cold_load_s = cold_quota_updates.owner_load(path)
     controller.on_move_completed = reports.broadcast_move_completed
     controller.on_map_written = reports.broadcast_key_map_change
+
+
+def _share_crashes(
+    common: common_parts.CommonParts,
+    path: request_path.RequestPath,
+    reports: host_reports.HostReports,
+) -> None:
+    messages = crash_messages.CrashMessages(common.peers, path.crashes)
+    path.sender.on_crash = messages.broadcast_crash
+    path.sender.on_crash_cleared = messages.broadcast_cleared
+    path.sender.on_crash_withdrawn = messages.broadcast_withdrawn
+    path.forwarder.on_blocked = messages.renew
+    reports.on_host_joined = messages.tell_joined
--- a/amaranthcrank/router/crash_reports.py
+++ b/amaranthcrank/router/crash_reports.py
@@ -10,15 +10,22 @@
 """
 
 import hashlib
+import math
 import typing
 
+_Key = typing.TypeVar('_Key')
+
 # Number of targets that must have crashed on a request before it is blocked.
 # One or two may have crashed for other reasons while they ran a frequent
 # request.
 BLOCKING_CRASHES = 3
 # Reports expire after this time, so that a repaired service receives its
-# requests again.
-REPORT_RETENTION_S = 60.0
+# requests again. Callers may repeat a request as seldom as every few minutes.
+REPORT_RETENTION_S = 3600.0
+# Between messages to the other hosts about a request that is repeated.
+RENEWAL_INTERVAL_S = 10.0
+# How many requests with reports are kept, and how many of what was cleared or
+# withdrawn.
 MAX_REQUESTS = 1000
 
 
@@ -31,6 +38,50 @@
     return digest.digest()
 
 
+class Crash(typing.NamedTuple):
+    """A crash of a target on a request, as sent between hosts.
+
+    Attributes:
+      holder: The target, as `id/incarnation`.
+      age_s: How long ago it crashed.
+    """
+
+    holder: str
+    age_s: float
+
+
+class Refuted(typing.NamedTuple):
+    """Which reports of another host are known to be wrong.
+
+    Attributes:
+      is_cleared: Whether the request was answered since.
+      withdrawn: The targets that have run a request since.
+    """
+
+    is_cleared: bool
+    withdrawn: tuple[str, ...]
+
+
+class _Reports:
+    """The reports on one request.
+
+    Attributes:
+      crashed_at_by_holder: When each target crashed.
+      told_at: When the other hosts were last told of the reports.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.crashed_at_by_holder: dict[str, float] = {}
+        self.told_at = now
+
+    def count(self, now: float) -> int:
+        oldest_at = now - REPORT_RETENTION_S
+        return sum(
+            crashed_at >= oldest_at
+            for crashed_at in self.crashed_at_by_holder.values()
+        )
+
+
 class CrashReports:
     """The targets that crashed on each request, as reported by all hosts.
 
@@ -40,24 +91,62 @@
     def __init__(self, clock: typing.Callable[[], float]) -> None:
         """Start without reports."""
         self._clock = clock
-        self._crash_times_by_request: dict[bytes, dict[str, float]] = {}
+        self._reports_by_request: dict[bytes, _Reports] = {}
         self._requests_by_holder: dict[str, set[bytes]] = {}
+        # What was found wrong. A host that missed it may still report it.
+        self._cleared_at_by_request: dict[bytes, float] = {}
+        self._withdrawn_at_by_holder: dict[str, float] = {}
 
     def record_crash(self, request: bytes, holder: str) -> None:
-        """Record that a target crashed on a request.
+        """Record that a target crashed on a request just now.
 
         Args:
           request: The request's fingerprint.
           holder: The target, as `id/incarnation`.
         """
-        if len(self._crash_times_by_request) >= MAX_REQUESTS:
-            self._evict_expired()
-        if len(self._crash_times_by_request) < MAX_REQUESTS:
-            time_by_holder = self._crash_times_by_request.setdefault(
-                request, {}
-            )
-            time_by_holder[holder] = self._clock()
-            self._requests_by_holder.setdefault(holder, set()).add(request)
+        self._add(request, Crash(holder, 0.0))
+
+    def merge(
+        self, request: bytes, crashes: typing.Iterable[Crash]
+    ) -> Refuted:
+        """Add the reports of another host at which a request is blocked.
+
+        Returns:
+          What was found wrong since the crashes and is not added. The other
+          host has missed that.
+        """
+        now = self._clock()
+        cleared_at = self._cleared_at_by_request.get(request, -math.inf)
+        is_cleared = False
+        withdrawn = []
+        for crash in crashes:
+            crashed_at = now - crash.age_s
+            if crashed_at <= cleared_at:
+                is_cleared = True
+                continue
+            if crashed_at <= self._withdrawn_at(crash.holder):
+                withdrawn.append(crash.holder)
+                continue
+            self._add(request, crash)
+        reports = self._reports_by_request.get(request)
+        if reports is not None:
+            reports.told_at = now
+        return Refuted(is_cleared, tuple(withdrawn))
+
+    def _withdrawn_at(self, holder: str) -> float:
+        return self._withdrawn_at_by_holder.get(holder, -math.inf)
+
+    def _add(self, request: bytes, crash: Crash) -> None:
+        now = self._clock()
+        reports = self._reports_by_request.get(request)
+        if reports is None:
+            self._make_room(now)
+            reports = self._reports_by_request[request] = _Reports(now)
+        known_at = reports.crashed_at_by_holder.get(crash.holder, -math.inf)
+        reports.crashed_at_by_holder[crash.holder] = max(
+            now - crash.age_s, known_at
+        )
+        self._requests_by_holder.setdefault(crash.holder, set()).add(request)
 
     def clear(self, request: bytes) -> bool:
         """Remove the reports on an answered request.
@@ -68,14 +157,10 @@
         Returns:
           Whether there were any.
         """
-        time_by_holder = self._crash_times_by_request.pop(request, None)
-        if time_by_holder is None:
+        if request not in self._reports_by_request:
             return False
-        for holder in time_by_holder:
-            requests = self._requests_by_holder[holder]
-            requests.discard(request)
-            if not requests:
-                del self._requests_by_holder[holder]
+        self._remove(request)
+        _record_time(self._cleared_at_by_request, request, self._clock())
         return True
 
     def withdraw(self, holder: str) -> bool:
@@ -90,26 +175,91 @@
         requests = self._requests_by_holder.pop(holder, None)
         if requests is None:
             return False
+        _record_time(self._withdrawn_at_by_holder, holder, self._clock())
         for request in requests:
-            time_by_holder = self._crash_times_by_request[request]
-            del time_by_holder[holder]
-            if not time_by_holder:
-                del self._crash_times_by_request[request]
+            crashed_at_by_holder = self._reports_by_request[
+                request
+            ].crashed_at_by_holder
+            del crashed_at_by_holder[holder]
+            if not crashed_at_by_holder:
+                del self._reports_by_request[request]
         return True
 
     def count(self, request: bytes) -> int:
         """Return how many targets crashed on a request recently."""
-        time_by_holder = self._crash_times_by_request.get(request)
-        if time_by_holder is None:
+        reports = self._reports_by_request.get(request)
+        if reports is None:
             return 0
-        oldest_at = self._clock() - REPORT_RETENTION_S
-        return sum(at >= oldest_at for at in time_by_holder.values())
+        return reports.count(self._clock())
 
     def is_blocked(self, request: bytes) -> bool:
         """Return whether a request must not be sent."""
         return self.count(request) >= BLOCKING_CRASHES
 
-    def _evict_expired(self) -> None:
-        for request in list(self._crash_times_by_request):
-            if not self.count(request):
-                self.clear(request)
+    def is_renewal_due(self, request: bytes) -> bool:
+        """Return whether to tell the other hosts of a blocked request.
+
+        It is due at intervals while the request is repeated. Hosts that were
+        started since the crashes, or missed a message, learn of them.
+        """
+        now = self._clock()
+        reports = self._reports_by_request[request]
+        if now - reports.told_at < RENEWAL_INTERVAL_S:
+            return False
+        reports.told_at = now
+        return True
+
+    def blocked(self) -> list[bytes]:
+        """Return the requests that must not be sent."""
+        return [
+            request
+            for request in self._reports_by_request
+            if self.is_blocked(request)
+        ]
+
+    def latest_crashes(self, request: bytes) -> list[Crash]:
+        """Return the latest crashes on a request, as many as block it."""
+        reports = self._reports_by_request.get(request)
+        if reports is None:
+            return []
+        now = self._clock()
+        crashes = [
+            Crash(holder, now - crashed_at)
+            for holder, crashed_at in reports.crashed_at_by_holder.items()
+        ]
+        crashes.sort(key=lambda crash: crash.age_s)
+        return crashes[:BLOCKING_CRASHES]
+
+    def _make_room(self, now: float) -> None:
+        """Evict requests so that there is room for one more."""
+        if len(self._reports_by_request) < MAX_REQUESTS:
+            return
+        for request, reports in list(self._reports_by_request.items()):
+            if not reports.count(now):
+                self._remove(request)
+        if len(self._reports_by_request) < MAX_REQUESTS:
+            return
+        fewest = min(
+            self._reports_by_request,
+            key=lambda request: self._reports_by_request[request].count(now),
+        )
+        self._remove(fewest)
+
+    def _remove(self, request: bytes) -> None:
+        reports = self._reports_by_request.pop(request)
+        for holder in reports.crashed_at_by_holder:
+            requests = self._requests_by_holder[holder]
+            requests.discard(request)
+            if not requests:
+                del self._requests_by_holder[holder]
+
+
+def _record_time(
+    time_by_key: dict[_Key, float], key: _Key, now: float
+) -> None:
+    """Record the time of an event, and forget the oldest of too many."""
+    time_by_key.pop(key, None)
+    time_by_key[key] = now
+    if len(time_by_key) > MAX_REQUESTS:
+        # Entries are in the order of their times.
+        del time_by_key[next(iter(time_by_key))]
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -40,6 +40,8 @@
       table: The routes in force; None until a ticket is known.
       on_keyed_request: Called with the service, the key and the typical
         service time in seconds of each keyed request.
+      on_blocked: Called with the fingerprint of each request that is refused
+        because it crashes targets.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.on_keyed_request: (
             typing.Callable[[str, int, float], None] | None
         ) = None
+        self.on_blocked: typing.Callable[[bytes], None] | None = None
         self._admission = request_queue
         self._sender = request_sender
         self._budget = budget
@@ -157,6 +160,8 @@
         now = asyncio.get_running_loop().time()
         self._budget.record_request(call.service, now)
         if self._crashes.is_blocked(call.fingerprint):
+            if self.on_blocked is not None:
+                self.on_blocked(call.fingerprint)
             return self._refuse(
                 call.request_id,
                 503,
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -1,4 +1,4 @@
-"""Messages between hosts: heartbeats, key moves, crashes and load."""
+"""Messages between hosts: heartbeats, key moves and load."""
 
 import asyncio
 import typing
@@ -6,7 +6,6 @@
 from amaranthcrank.router import admission
 from amaranthcrank.router import change_parts
 from amaranthcrank.router import controller_lease
-from amaranthcrank.router import crash_reports
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_controller
 from amaranthcrank.router import key_table
@@ -48,7 +47,13 @@
 
 
 class HostReports:
-    """Sends this host's reports and applies those of the others."""
+    """Sends this host's reports and applies those of the others.
+
+    Attributes:
+      on_host_joined: Called with the id of a host that announces itself.
+      domain_load: The load of the other hosts of the failure domain.
+      read_schedule: Tells when the shared objects are to be read.
+    """
 
     def __init__(
         self,
@@ -56,7 +61,6 @@
         targets: directory.Directory,
         keys: key_table.KeyTable,
         request_queue: admission.Admission,
-        crashes: crash_reports.CrashReports,
         lease: controller_lease.Lease,
         controller: key_controller.Controller,
         own: peers.Peer,
@@ -70,7 +74,6 @@
           targets: The targets, whose load from other hosts is updated.
           keys: The key table, which receives changes of key maps.
           request_queue: Assigns waiting requests when keys or load change.
-          crashes: Receives reports of requests that crash targets.
           lease: Shows whether this host is the controller.
           controller: Receives the load by key while this host is the
             controller.
@@ -78,6 +81,7 @@
           clock: Returns the event loop's time.
           random: Returns floats in [0, 1).
         """
+        self.on_host_joined: typing.Callable[[str], None] | None = None
         self.domain_load = peers.DomainLoad(clock)
         self.read_schedule = shared_read_schedule.SharedReadSchedule(
             clock,
@@ -92,7 +96,6 @@
         self._targets = targets
         self._keys = keys
         self._admission = request_queue
-        self._crashes = crashes
         self._lease = lease
         self._controller = controller
         self._clock = clock
@@ -114,9 +117,6 @@
                 message_kinds.USAGE_BY_OTHERS: self._on_usage_by_others,
                 message_kinds.KEY_LOAD: self._on_key_load,
                 message_kinds.MISDIRECTED: self._on_misdirected,
-                message_kinds.CRASHED: self._on_crash,
-                message_kinds.CRASH_CLEARED: self._on_crash_cleared,
-                message_kinds.CRASH_WITHDRAWN: self._on_crash_withdrawn,
                 message_kinds.HEARTBEAT: self._on_heartbeat,
                 message_kinds.RESIGNED: self._on_resigned,
                 message_kinds.MOVE_COMPLETED: self._on_move_completed,
@@ -200,6 +200,8 @@
         self._messenger.by_id[host_id] = peers.Peer(
             host_id, model.Address(ip, port), failure_domain
         )
+        if self.on_host_joined is not None:
+            self.on_host_joined(host_id)
 
     # Load by key, and targets that do not hold the keys of a request.
 
@@ -301,29 +303,6 @@
         self._keys.mark_move_completed(*content)
         self._admission.assign_waiting(content[0])
 
-    # Requests that crash targets.
-
-    def broadcast_crash(self, request: bytes, holder: str) -> None:
-        """Notify all hosts that a target ended while it ran a request."""
-        self._messenger.send_to_all(message_kinds.CRASHED, [request, holder])
-
-    def broadcast_crash_cleared(self, request: bytes) -> None:
-        """Notify all hosts that a request with crash reports was answered."""
-        self._messenger.send_to_all(message_kinds.CRASH_CLEARED, request)
-
-    def broadcast_crash_withdrawn(self, holder: str) -> None:
-        """Notify all hosts that a target answered after a crash report."""
-        self._messenger.send_to_all(message_kinds.CRASH_WITHDRAWN, holder)
-
-    def _on_crash(self, host_id: str, content: typing.Any) -> None:
-        self._crashes.record_crash(*content)
-
-    def _on_crash_cleared(self, host_id: str, content: typing.Any) -> None:
-        self._crashes.clear(content)
-
-    def _on_crash_withdrawn(self, host_id: str, content: typing.Any) -> None:
-        self._crashes.withdraw(content)
-
     # Load.
 
     async def report_load(self) -> None:
--- a/amaranthcrank/router/message_checks.py
+++ b/amaranthcrank/router/message_checks.py
@@ -162,6 +162,9 @@
     message_kinds.CRASHED: _fields(_is_fingerprint, entry_checks.is_holder),
     message_kinds.CRASH_CLEARED: _is_fingerprint,
     message_kinds.CRASH_WITHDRAWN: entry_checks.is_holder,
+    message_kinds.BLOCKED: _fields(
+        _is_fingerprint, _list_of(_fields(entry_checks.is_holder, _is_age_ms))
+    ),
     message_kinds.MOVE_COMPLETED: _fields(
         _is_name, _is_key, _is_key, _is_revision
     ),
--- a/amaranthcrank/router/message_checks_test.py
+++ b/amaranthcrank/router/message_checks_test.py
@@ -32,6 +32,7 @@
     message_kinds.CRASHED: [b'12345678', 'i-1/5'],
     message_kinds.CRASH_CLEARED: b'12345678',
     message_kinds.CRASH_WITHDRAWN: 'i-1/5',
+    message_kinds.BLOCKED: [b'12345678', [['i-1/5', 1500], ['i-2/5', 20]]],
     message_kinds.MOVE_COMPLETED: ['book', 0, 99, 2],
     message_kinds.KEY_MAP_CHANGE: ['book', 3, 8, 0, 1, [RANGE]],
     message_kinds.HELLO: ['10.0.0.2', 7200, 'a'],
