Look again at a request that waited for a target when it is blocked

Cause: Forwarder looked at the reports once, at the arrival of the request.

Change: it looks again when a target is assigned, and refuses. Nothing was sent by this attempt, so the refusal is true; what an earlier attempt may have run is answered as before.

Test, failing before (200 for 503): CrashChecksTest.test_request_that_waits_ when_it_is_blocked.

--- a/amaranthcrank/router/crash_checks_test.py
+++ b/amaranthcrank/router/crash_checks_test.py
@@ -99,6 +99,27 @@
         response = await self._call('/post/9', 'a2')
         self.assertEqual(response.status, 200)
 
+    async def test_request_that_waits_when_it_is_blocked(self):
+        """Guards against a send long after the third crash.
+
+        A request that waited for a target was not looked at again.
+        """
+        targets = list(self.site.target_by_id.values())
+        for target in targets:
+            target.work_s = 0.6
+        fingerprint = crash_reports.fingerprint(b'POST', b'/post/9', b'')
+        async with asyncio.TaskGroup() as group:
+            slots = self.router.targets.ready_slots()
+            for number in range(slots):
+                group.create_task(self._call('/post/1', f'b{number}'))
+            await asyncio.sleep(0.2)
+            waiting = group.create_task(self._call('/post/9', 'a1'))
+            await asyncio.sleep(0.1)
+            for number in range(crash_reports.BLOCKING_CRASHES):
+                self.router.crashes.record_crash(fingerprint, f'i-{number}/9')
+        self.assertEqual(waiting.result().status, 503)
+        self.assertFalse(any('a1' in target.ran for target in targets))
+
     async def test_refusal_at_the_address_withdraws_no_report(self):
         """Guards against a crashing request that is let through again.
 
--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -208,13 +208,18 @@
         """Wait for a target and send the request to it.
 
         Raises:
-          demand.RefusedError: No target will be free in time.
+          demand.RefusedError: No target will be free in time, or the request
+            crashes targets.
         """
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         target = await self._admission.acquire(
             self._demand(call, progress.excluded)
         )
+        if self._crashes.is_blocked(call.fingerprint):
+            # It was blocked while the request waited.
+            self._admission.release(target)
+            raise demand.RefusedError(CRASHING_REASON, CRASHING_RETRY_AFTER_S)
         sent_at = loop.time()
         if (
             self._hedging is not None
