Withdraw crash reports once the target is known not to have restarted

Callers would see: a request that crashes targets let through again where a crashed target starts under its former id (BUDGET).

Cause: requests name a target by its id only, so the next incarnation runs what is sent to the former until its entry is known, and this counted as an answer by the one that had crashed.

Change: an answer withdraws the reports a heartbeat and the drain time later, if the same incarnation is still known and has not crashed since.

--- a/amaranthcrank/router/control_parts.py
+++ b/amaranthcrank/router/control_parts.py
@@ -221,6 +221,6 @@
     messages = crash_messages.CrashMessages(common.peers, path.crashes)
     path.sender.on_crash = messages.broadcast_crash
     path.sender.on_crash_cleared = messages.broadcast_cleared
-    path.sender.on_crash_withdrawn = messages.broadcast_withdrawn
+    path.withdrawals.on_withdrawn = messages.broadcast_withdrawn
     path.forwarder.on_blocked = messages.renew
     reports.on_host_joined = messages.tell_joined
--- a/amaranthcrank/router/crash_reports.py
+++ b/amaranthcrank/router/crash_reports.py
@@ -163,18 +163,32 @@
         _record_time(self._cleared_at_by_request, request, self._clock())
         return True
 
-    def withdraw(self, holder: str) -> bool:
+    def is_reported(self, holder: str) -> bool:
+        """Return whether a target, as `id/incarnation`, has reports."""
+        return holder in self._requests_by_holder
+
+    def withdraw(self, holder: str, ran_at: float = math.inf) -> bool:
         """Remove the reports on a target that has run a request.
 
         Args:
           holder: The target, as `id/incarnation`.
+          ran_at: When it ran the request, by the clock of the reports. A
+            target that has crashed since keeps its reports.
 
         Returns:
-          Whether there were any.
+          Whether reports were removed.
         """
-        requests = self._requests_by_holder.pop(holder, None)
-        if requests is None:
+        requests = self._requests_by_holder.get(holder, ())
+        last_crash_at = max(
+            (
+                self._reports_by_request[request].crashed_at_by_holder[holder]
+                for request in requests
+            ),
+            default=math.inf,
+        )
+        if last_crash_at > ran_at or not requests:
             return False
+        del self._requests_by_holder[holder]
         _record_time(self._withdrawn_at_by_holder, holder, self._clock())
         for request in requests:
             crashed_at_by_holder = self._reports_by_request[
--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -362,6 +362,10 @@
             return None
         return target
 
+    def is_current(self, holder: str) -> bool:
+        """Return whether a target, as `id/incarnation`, is known."""
+        return self.find(*model.split_holder(holder)) is not None
+
     def _upsert(self, entry: model.TargetEntry) -> None:
         now = self._clock()
         if entry.holder in self._leaving_since_by_holder:
--- a/amaranthcrank/router/request_path.py
+++ b/amaranthcrank/router/request_path.py
@@ -7,6 +7,7 @@
 from amaranthcrank.router import cold_quota
 from amaranthcrank.router import common_parts
 from amaranthcrank.router import crash_reports
+from amaranthcrank.router import crash_withdrawals
 from amaranthcrank.router import directory
 from amaranthcrank.router import forwarder
 from amaranthcrank.router import hedged_attempts
@@ -31,6 +32,7 @@
       admission: Assigns requests to targets, or keeps or refuses them.
       cold_quota: Limits what is sent to cold targets.
       notices: Handles what targets say about themselves.
+      withdrawals: Withdraws reports of crashes that were wrong.
       sender: Sends single attempts.
       forwarder: Handles whole requests.
       server: Serves callers.
@@ -44,6 +46,7 @@
     admission: admission.Admission
     cold_quota: cold_quota.ColdQuota
     notices: target_notices.TargetNotices
+    withdrawals: crash_withdrawals.CrashWithdrawals
     sender: sender.Sender
     forwarder: forwarder.Forwarder
     server: http_server.Server
@@ -68,7 +71,12 @@
     admitting = _new_admission(common, targets, keys, times)
     admitting.selection.cold_quota = quota
     notices = target_notices.TargetNotices(targets, common.pool, common.peers)
-    sending = sender.Sender(common.pool, times, crashes, notices)
+    withdrawals = crash_withdrawals.CrashWithdrawals(
+        crashes,
+        targets.is_current,
+        common.settings.heartbeat_s + bounds.drain_s,
+    )
+    sending = sender.Sender(common.pool, times, crashes, withdrawals, notices)
     hedging = None
     if common.options.hedge_ratio:
         hedging = hedged_attempts.HedgedAttempts(
@@ -100,6 +108,7 @@
         admitting,
         quota,
         notices,
+        withdrawals,
         sending,
         forwarding,
         server,
--- a/amaranthcrank/router/sender.py
+++ b/amaranthcrank/router/sender.py
@@ -7,6 +7,7 @@
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import crash_checks
 from amaranthcrank.router import crash_reports
+from amaranthcrank.router import crash_withdrawals
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
 from amaranthcrank.router import retry_rules
@@ -53,8 +54,6 @@
         `id/incarnation`, that crashed on it.
       on_crash_cleared: Called with the fingerprint of such a request once it
         was answered.
-      on_crash_withdrawn: Called with a target, as `id/incarnation`, that has
-        run a request although it was reported as crashed.
     """
 
     def __init__(
@@ -62,6 +61,7 @@
         pool: connection_pool.Pool,
         times: service_times.ServiceTimes,
         crashes: crash_reports.CrashReports,
+        withdrawals: crash_withdrawals.CrashWithdrawals,
         notices: target_notices.TargetNotices,
     ) -> None:
         """Create a sender.
@@ -70,15 +70,16 @@
           pool: The connections to targets.
           times: Records the service times.
           crashes: Records the requests that targets crashed on.
+          withdrawals: Withdraws reports on targets that have not crashed.
           notices: Reads what targets say about themselves.
         """
         self.on_misdirected: typing.Callable[[str], None] | None = None
         self.on_crash: typing.Callable[[bytes, str], None] | None = None
         self.on_crash_cleared: typing.Callable[[bytes], None] | None = None
-        self.on_crash_withdrawn: typing.Callable[[str], None] | None = None
         self._pool = pool
         self._times = times
         self._crashes = crashes
+        self._withdrawals = withdrawals
         self._notices = notices
         self._checks = crash_checks.CrashChecks(pool, self._report_crashes)
         self._detached: set[asyncio.Task[typing.Any]] = set()
@@ -238,7 +239,8 @@
         if response_error:
             target.record_failure(now)
             return Attempt(retry_rules.MAYBE_RUN, None, response_error)
-        self._withdraw_crash(target)
+        # A refusal shows nothing: another server at the address refuses too.
+        self._withdrawals.record_run(target.entry.holder)
         if response.status < 500:
             typical_s = self._times.of_route(call.route.name)
             target.record_success(elapsed_s, typical_s, now)
@@ -281,16 +283,6 @@
             if self.on_crash is not None:
                 self.on_crash(fingerprint, target.entry.holder)
 
-    def _withdraw_crash(self, target: target_state.Target) -> None:
-        """Withdraw the reports on a target that has run a request.
-
-        A refusal shows nothing: another server at the address refuses too.
-        """
-        holder = target.entry.holder
-        was_reported = self._crashes.withdraw(holder)
-        if was_reported and self.on_crash_withdrawn is not None:
-            self.on_crash_withdrawn(holder)
-
     def _record_not_run(
         self,
         call: calls.Call,
--- a/standins/hedging_host.py
+++ b/standins/hedging_host.py
@@ -10,6 +10,7 @@
 
 from amaranthcrank.router import admission
 from amaranthcrank.router import crash_reports
+from amaranthcrank.router import crash_withdrawals
 from amaranthcrank.router import directory
 from amaranthcrank.router import forwarder
 from amaranthcrank.router import hedged_attempts
@@ -132,6 +133,9 @@
             self.pool,
             self.times,
             self.crashes,
+            crash_withdrawals.CrashWithdrawals(
+                self.crashes, self.directory.is_current, 1.0
+            ),
             target_notices.TargetNotices(
                 self.directory, self.pool, peers.Messenger('host-1', 'a')
             ),
