Move the targets that may serve a request into a module of their own

Nothing that is decided changes; the tests of admission, cold targets, regions and evacuations pass.

--- a/amaranthcrank/platform/settings_file.py
+++ b/amaranthcrank/platform/settings_file.py
@@ -8,8 +8,6 @@
 from amaranthcrank.router import model
 
 _ADDRESS = re.compile(r'(?P<ip>[0-9.]{7,15}):(?P<port>[0-9]{1,5})')
-
-
 # Stands for bytes that are not UTF-8.
 _REPLACEMENT = '\ufffd'
 
--- a/amaranthcrank/router/crash_reports.py
+++ b/amaranthcrank/router/crash_reports.py
@@ -13,8 +13,6 @@
 import math
 import typing
 
-_Key = typing.TypeVar('_Key')
-
 # Number of targets that must have crashed on a request before it is blocked.
 # One or two may have crashed for other reasons while they ran a frequent
 # request.
@@ -28,6 +26,8 @@
 # withdrawn.
 MAX_REQUESTS = 1000
 
+_Key = typing.TypeVar('_Key')
+
 
 def fingerprint(method: bytes, path: bytes, body: bytes) -> bytes:
     """Return a digest that is the same for each repetition of a request."""
@@ -179,17 +179,16 @@
           Whether reports were removed.
         """
         requests = self._requests_by_holder.get(holder, ())
-        last_crash_at = max(
-            (
-                self._reports_by_request[request].crashed_at_by_holder[holder]
-                for request in requests
-            ),
-            default=math.inf,
-        )
-        if last_crash_at > ran_at or not requests:
+        reported = [self._reports_by_request[request] for request in requests]
+        if not reported:
+            return False
+        if (
+            max(each.crashed_at_by_holder[holder] for each in reported)
+            > ran_at
+        ):
             return False
-        del self._requests_by_holder[holder]
         _record_time(self._withdrawn_at_by_holder, holder, self._clock())
+        del self._requests_by_holder[holder]
         for request in requests:
             crashed_at_by_holder = self._reports_by_request[
                 request
--- a/amaranthcrank/router/target_selection.py
+++ b/amaranthcrank/router/target_selection.py
@@ -3,8 +3,7 @@
 import math
 import typing
 
-import xxhash
-
+from amaranthcrank.router import allowed_targets
 from amaranthcrank.router import cold_quota
 from amaranthcrank.router import demand as demands
 from amaranthcrank.router import directory
@@ -52,10 +51,6 @@
     contended_regions: frozenset[str] = frozenset()
 
 
-# Targets of equal distance, from the nearest to the farthest.
-_ByDistance = tuple[list[target_state.Target], ...]
-
-
 class TargetSelection:
     """Knows which targets may serve a request, and chooses one.
 
@@ -87,19 +82,11 @@
         self._keys = keys
         self._locality = locality
         self._random = random
-        self._seed = int(random() * 2**32)
-        self._allowed: dict[
-            tuple[str, demands.Regions], list[target_state.Target]
-        ] = {}
-        self._by_distance: dict[tuple[str, demands.Regions], _ByDistance] = {}
+        self._allowed = allowed_targets.AllowedTargets(
+            targets, locality, int(random() * 2**32)
+        )
         self._cold: dict[str, tuple[float, list[target_state.Target]]] = {}
-        targets.listeners.append(self._forget)
-
-    def _forget(self) -> None:
-        """Forget what was derived from the directory, which has changed."""
-        self._allowed.clear()
-        self._by_distance.clear()
-        self._cold.clear()
+        targets.listeners.append(self._cold.clear)
 
     def owner(self, service: str, key: int) -> target_state.Target | None:
         """Return the target that holds a key, or None while there is none."""
@@ -108,38 +95,6 @@
             return None
         return self._targets.find(key_range.target_id, key_range.incarnation)
 
-    def is_allowed(
-        self, target: target_state.Target, demand: demands.Demand
-    ) -> bool:
-        """Return whether a target may serve a request at all."""
-        entry = target.entry
-        if entry.target_id in demand.excluded:
-            return False
-        if demand.regions is None:
-            return True
-        region = self._locality.region_by_domain.get(entry.failure_domain)
-        return region in demand.regions
-
-    def allowed(self, demand: demands.Demand) -> list[target_state.Target]:
-        """Return the ready targets that may serve a request without key."""
-        key = (demand.service, demand.regions)
-        found = self._allowed.get(key)
-        if found is None:
-            any_target = demand._replace(excluded=frozenset())
-            found = [
-                target
-                for target in self._targets.ready(demand.service)
-                if self.is_allowed(target, any_target)
-            ]
-            self._allowed[key] = found
-        if not demand.excluded:
-            return found
-        return [
-            target
-            for target in found
-            if target.entry.target_id not in demand.excluded
-        ]
-
     def is_servable(self, demand: demands.Demand, now: float) -> bool:
         """Return whether regions and evacuations leave a request a target.
 
@@ -152,24 +107,26 @@
             return False
         if demand.key is not None:
             owner = self.owner(demand.service, demand.key)
-            if owner is not None and not self.is_allowed(owner, demand):
+            if owner is not None and not self._allowed.is_allowed(
+                owner, demand
+            ):
                 return False
             if owner is not None and self._accepts_keyed(owner, now):
                 return True
         return any(
-            not target.is_silent(now) for target in self.allowed(demand)
+            not target.is_silent(now) for target in self._allowed.ready(demand)
         )
 
     def concurrency(self, demand: demands.Demand, now: float) -> int:
         """Return how many requests this host may have in flight at once."""
         concurrency = 0
         quota = self._quota(demand.service)
-        for target in self.allowed(demand):
+        for target in self._allowed.ready(demand):
             if target.is_paused(now):
                 continue
             if quota is not None and quota.is_limited(target, now):
                 continue
-            if self._distance(target) == 0:
+            if self._allowed.distance(target) == 0:
                 concurrency += target_choice.per_host_limit(
                     target.entry.slots, self.domain_hosts
                 )
@@ -203,7 +160,7 @@
         if not cold_targets:
             return 0.0
         wait_s = math.inf
-        for target in self.allowed(demand):
+        for target in self._allowed.ready(demand):
             if target not in cold_targets:
                 return 0.0
             wait_s = min(wait_s, quota.wait_s(target, False, ahead, now))
@@ -217,7 +174,7 @@
             target = self.owner(demand.service, demand.key)
             return 0.0 if target is None else target.held_off_until
         return min(
-            (target.held_off_until for target in self.allowed(demand)),
+            (target.held_off_until for target in self._allowed.ready(demand)),
             default=0.0,
         )
 
@@ -277,7 +234,7 @@
 
     def _choose_outside(
         self,
-        by_distance: _ByDistance,
+        by_distance: allowed_targets.ByDistance,
         contended: frozenset[str],
         selection_pass: SelectionPass,
     ) -> target_state.Target | None:
@@ -362,32 +319,10 @@
 
     def _usable_by_distance(
         self, demand: demands.Demand, now: float
-    ) -> _ByDistance:
+    ) -> allowed_targets.ByDistance:
         """Return the allowed targets that this host may send to now."""
-        by_distance = self._allowed_by_distance(demand)
         left_out = self._held_back_ids(demand.service, now) | demand.excluded
-        if not left_out:
-            return by_distance
-        return tuple(
-            [
-                target
-                for target in targets
-                if target.entry.target_id not in left_out
-            ]
-            for targets in by_distance
-        )
-
-    def _allowed_by_distance(self, demand: demands.Demand) -> _ByDistance:
-        key = (demand.service, demand.regions)
-        found = self._by_distance.get(key)
-        if found is None:
-            found = tuple([] for _ in SPILLOVER_SHARE_BY_DISTANCE)
-            for target in self.allowed(demand._replace(excluded=frozenset())):
-                found[self._distance(target)].append(target)
-            for targets in found:
-                targets.sort(key=self._rank)
-            self._by_distance[key] = found
-        return found
+        return self._allowed.by_distance(demand, left_out)
 
     def _held_back_ids(self, service: str, now: float) -> frozenset[str]:
         """Return the cold targets that this host may not send to now."""
@@ -412,7 +347,7 @@
         """Return the owner of a key if it has capacity."""
         now = selection_pass.now
         target = self.owner(demand.service, key)
-        if target is None or not self.is_allowed(target, demand):
+        if target is None or not self._allowed.is_allowed(target, demand):
             return None
         if not self._accepts_keyed(target, now):
             return None
@@ -456,17 +391,6 @@
         send_window_s = EVACUATED_SEND_SHARE * targets.evacuation_s
         return now <= evacuated_since + send_window_s
 
-    def _rank(self, target: target_state.Target) -> int:
-        """Return a number that orders targets differently at each host."""
-        return xxhash.xxh3_64_intdigest(
-            target.entry.target_id.encode(), self._seed
-        )
-
-    def _distance(self, target: target_state.Target) -> int:
-        return target_choice.distance(
-            self._locality, target.entry.failure_domain
-        )
-
 
 def _has_active_target(
     groups: typing.Iterable[list[target_state.Target]], now: float
