Show that a request at a silent target gets no answer at shutdown

Cause: shutdown_limits allows a send while the work would end in time, and the response is awaited until the deadline, which lies beyond the end. At the end the server closes its connections, and the request is only logged as caller_left.

--- a/amaranthcrank/router/shutdown_limits_test.py
+++ b/amaranthcrank/router/shutdown_limits_test.py
@@ -100,6 +100,19 @@
         self.assertEqual(self.target.ran + self.owner.ran, ['b1'])
         self.assertEqual((await busy).status, 200)
 
+    async def test_request_at_a_silent_target_is_answered(self):
+        """Guards against callers that learn nothing when the host ends.
+
+        A full target says nothing, and the deadline lies beyond the end. The
+        request may have run, so it is no refusal that the caller should get.
+        """
+        connection = await self._connect()
+        self.router.stopping.set()
+        await asyncio.sleep(1.0)
+        self.target.queue_length = 0
+        response = await self._send(connection, 'a1')
+        self.assertIn(response.status, (502, 504))
+
     async def test_request_that_was_passed_on_is_answered(self):
         connection = await self._connect()
         self.router.stopping.set()
