Log what shows that keys have no owner, and grants without a response

The logs could not tell the hypotheses of docs/incidents/two-owners-across-controllers.md apart: nothing said on what evidence a former owner was taken for free, and a grant that was sent and not answered looked like one that was not sent.

Each call's id now begins with the sending host, so that the records of targets name the sender. No decision changes.

--- a/amaranthcrank/router/control_parts.py
+++ b/amaranthcrank/router/control_parts.py
@@ -20,6 +20,7 @@
 from amaranthcrank.router import key_controller
 from amaranthcrank.router import model
 from amaranthcrank.router import outage_grace
+from amaranthcrank.router import ownership_events
 from amaranthcrank.router import peers
 from amaranthcrank.router import reader_election
 from amaranthcrank.router import request_path
@@ -142,12 +143,15 @@
     reader = entry_reads.entry_reader(
         common.store, common.log, entry_reads.PRE_GRANT_TIMEOUT_S
     )
+    events = ownership_events.OwnershipEvents(common.log, common.metrics)
     calls = key_calls.KeyCalls(
         common.pool,
         common.log,
         entry_reads.restart_check(reader, path.targets.names_target),
         path.notices,
         common.settings.heartbeat_s,
+        events,
+        common.settings.host_id,
     )
     return key_controller.Controller(
         common.store,
@@ -157,6 +161,7 @@
         path.keys,
         common.log,
         common.settings.bounds.grant_max_s,
+        events,
     )
 
 
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -4,9 +4,9 @@
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
-from amaranthcrank.router import event_log
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
+from amaranthcrank.router import ownership_events
 
 RELEASE_RETRY_S = 0.1
 # The retry interval for a target that refuses connections: it has ended, is
@@ -26,7 +26,7 @@
         calls: key_calls.KeyCalls,
         targets: directory.Directory,
         address_by_holder: dict[str, model.Address],
-        log: event_log.EventLog,
+        events: ownership_events.OwnershipEvents,
     ) -> None:
         """Share the state of the controller.
 
@@ -35,12 +35,12 @@
           targets: The known targets and their states.
           address_by_holder: Where each holder listens; the controller keeps
             it up to date.
-          log: Logs the reason when keys are reclaimed without a release.
+          events: Records what showed that keys were no longer held.
         """
         self._calls = calls
         self._targets = targets
         self._address_by_holder = address_by_holder
-        self._log = log
+        self._events = events
 
     async def reclaim(self, former: str, key_range: model.KeyRange) -> str:
         """Wait until a former owner no longer holds a range.
@@ -48,11 +48,21 @@
         Returns:
           The handover of the former owner, or '' if there is none.
         """
+        evidence, handover = await self._await_end(former, key_range)
+        self._events.keys_reclaimed(
+            former, key_range, evidence, self._calls.has_unknown_grants
+        )
+        return handover
+
+    async def _await_end(
+        self, former: str, key_range: model.KeyRange
+    ) -> tuple[str, str]:
+        """Return what showed the end of a hold, and the handover."""
         hold_end = self._calls.hold_end(former)
         while clock.now() < hold_end():
             restarted = self._find_restarted(former)
             if restarted is None and self.has_ended(former):
-                return ''
+                return ownership_events.REPLACED, ''
             address = self._address_by_holder.get(former)
             if address is None:
                 await asyncio.sleep(RELEASE_RETRY_S)
@@ -69,19 +79,18 @@
                 key_range.fence,
             )
             if result == key_calls.OTHER_SERVER:
-                self._log.event('former_owner_replaced', former=former)
-                return ''
+                return ownership_events.REPLACED, ''
             if result == key_calls.REFUSED:
                 await asyncio.sleep(REFUSED_RETRY_S)
                 continue
             if result == key_calls.RELEASED and restarted is not None:
                 # Grants that the former incarnation had not answered ended
                 # with it.
-                return handover
+                return ownership_events.RESTARTED, handover
             if result == key_calls.RELEASED and none_pending:
-                return handover
+                return ownership_events.RELEASED, handover
             await asyncio.sleep(RELEASE_RETRY_S)
-        return ''
+        return ownership_events.EXPIRED, ''
 
     def _find_restarted(self, holder: str) -> str | None:
         """Return the target's later incarnation at the same address, or None.
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -17,6 +17,7 @@
 from amaranthcrank.router import event_log
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
+from amaranthcrank.router import ownership_events
 from amaranthcrank.router import target_notices
 
 CONNECT_TIMEOUT_S = 0.4
@@ -80,6 +81,8 @@
         has_restarted: entry_reads.RestartCheck,
         notices: target_notices.TargetNotices,
         registration_s: float,
+        events: ownership_events.OwnershipEvents,
+        host_id: str,
     ) -> None:
         """Send calls over a pool of connections.
 
@@ -91,6 +94,9 @@
           notices: Reads what targets say about themselves.
           registration_s: How long a target may listen before it is
             registered in the store, seconds.
+          events: Records grants without a response.
+          host_id: Begins the id of each call, so that the records of targets
+            name the sender.
         """
         self.held_until_by_holder: dict[str, float] = {}
         self._pending_by_holder: dict[str, list[_PendingGrant]] = {}
@@ -104,6 +110,8 @@
         # Holders whose later incarnation is known.
         self._restarted: set[str] = set()
         self._notices = notices
+        self._events = events
+        self._host_id = host_id
 
     def assume_prior_grants(self, grant_max_s: float) -> None:
         """Forget all grants; assume the longest ones by a former controller.
@@ -116,6 +124,11 @@
         self._prior_held_until = _latest_expiry(grant_max_s)
         self._pending_by_holder.clear()
 
+    @property
+    def has_unknown_grants(self) -> bool:
+        """Whether grants by an earlier controller may not have ended."""
+        return clock.now() < self._prior_held_until
+
     def held_until(self, holder: str) -> float:
         """Return until when a holder may hold keys by the grants sent."""
         return max(
@@ -184,6 +197,7 @@
 
         pending = self._pending_by_holder.setdefault(holder, [])
         pending.append(grant)
+        request_id = self._new_request_id()
         result, _ = await self._post(
             holder,
             address,
@@ -191,10 +205,15 @@
             body,
             GRANT_TIMEOUT_S,
             before_send,
+            request_id,
         )
         if result in (GRANTED, REJECTED, REFUSED, OTHER_SERVER):
             # The grant has taken effect or never will.
             pending.remove(grant)
+        elif is_sent:
+            self._events.grant_unanswered(
+                holder, key_range, hold_s, request_id
+            )
         if not is_sent:
             grant.until = 0.0
         now = clock.now()
@@ -259,6 +278,7 @@
             body,
             RELEASE_TIMEOUT_S,
             _skip_restart_check,
+            self._new_request_id(),
         )
         if result != GRANTED or response is None:
             return result, ''
@@ -268,6 +288,9 @@
             return UNANSWERED, ''
         return RELEASED, handover.decode('latin-1')
 
+    def _new_request_id(self) -> str:
+        return f'{self._host_id}-{uuid.uuid4().hex}'
+
     async def _post(
         self,
         holder: str,
@@ -276,10 +299,10 @@
         body: bytes,
         timeout_s: float,
         before_send: _BeforeSend,
+        request_id: str,
     ) -> tuple[str, http_client.Response | None]:
-        request_id = uuid.uuid4().hex.encode()
         headers = [
-            (names.REQUEST_ID, request_id),
+            (names.REQUEST_ID, request_id.encode()),
             (b'host', f'{address.ip}:{address.port}'.encode()),
             (b'content-type', b'application/json'),
             (b'content-length', str(len(body)).encode()),
@@ -295,7 +318,7 @@
                 body,
                 CONNECT_TIMEOUT_S,
                 timeout_s,
-                request_id=request_id,
+                request_id=request_id.encode(),
                 is_reusable=_is_safe_to_repeat,
                 before_send=before_send,
                 on_head=self._notices.reader(holder, address),
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -43,6 +43,8 @@
             self.has_restarted,
             mock.Mock(),
             REGISTRATION_S,
+            mock.Mock(),
+            'host-1',
         )
         # The bytes that precede the response to a call, by the number of the
         # call on its connection, from 1.
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -27,6 +27,7 @@
 from amaranthcrank.router import key_renewals
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
+from amaranthcrank.router import ownership_events
 from amaranthcrank.router import refused_holders
 from amaranthcrank.router import target_state
 
@@ -69,6 +70,7 @@
         keys: key_table.KeyTable,
         log: event_log.EventLog,
         grant_max_s: float,
+        events: ownership_events.OwnershipEvents,
     ) -> None:
         """Use the target directory and key table of the request path."""
         self.keyed_services: tuple[str, ...] = ()
@@ -90,6 +92,7 @@
         self._targets = targets
         self._keys = keys
         self._log = log
+        self._events = events
         self._grant_max_s = grant_max_s
         self._map_by_service: dict[str, model.KeyMap] = {}
         self._completed_by_service: dict[str, list[model.KeyRange]] = {}
@@ -101,7 +104,7 @@
             calls,
             targets,
             self._address_by_holder,
-            log,
+            events,
         )
         self._refused_holders = refused_holders.RefusedHolders()
         self._renewals = key_renewals.KeyRenewals(
@@ -428,6 +431,7 @@
                 if self.on_move_completed is not None:
                     self.on_move_completed(service, key_range)
                 self._renewals.record_grant(holder)
+                self._events.keys_granted(key_range)
                 return
             self._log.event(
                 'grant_failed', target=key_range.target_id, result=result
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -99,6 +99,8 @@
             mock.AsyncMock(return_value=False),
             mock.Mock(),
             0.0,
+            mock.Mock(),
+            'host-1',
         )
         self.result_by_port = {}
         self.sent = []
@@ -110,7 +112,9 @@
         result = self.result_by_port.get((port, path))
         return result or self.result_by_port.get(port, key_calls.GRANTED)
 
-    async def _post(self, holder, address, path, body, timeout_s, before_send):
+    async def _post(
+        self, holder, address, path, body, timeout_s, before_send, request_id
+    ):
         if self._result(address.port, path) == key_calls.REFUSED:
             # The connection is refused, so nothing is sent.
             await asyncio.sleep(0.001)
@@ -187,6 +191,7 @@
             self.keys,
             mock.Mock(),
             GRANT_MAX_S,
+            mock.Mock(),
         )
         self.controller.keyed_services = ('book',)
         self.task = asyncio.create_task(self.controller.run())
--- /dev/null
+++ b/amaranthcrank/router/ownership_events.py
@@ -0,0 +1,88 @@
+"""Logs and counts what decides which target holds which keys.
+
+With the lines of all hosts, the grants of one controller can be compared with
+the moves of the next: which grants had no response, and what showed that a
+former owner no longer held its keys.
+"""
+
+from amaranthcrank.router import event_log
+from amaranthcrank.router import metrics
+from amaranthcrank.router import model
+
+# What shows that a former owner holds a range no longer.
+RELEASED = 'released'
+RESTARTED = 'restarted'
+REPLACED = 'replaced'
+EXPIRED = 'expired'
+
+
+class OwnershipEvents:
+    """Writes the lines and counters of one host's grants and releases."""
+
+    def __init__(
+        self, log: event_log.EventLog, registry: metrics.Registry
+    ) -> None:
+        """Write to a log and a registry."""
+        self._log = log
+        self._registry = registry
+
+    def grant_unanswered(
+        self,
+        holder: str,
+        key_range: model.KeyRange,
+        hold_s: float,
+        request_id: str,
+    ) -> None:
+        """Record that a grant was sent and got no clear response.
+
+        Args:
+          holder: The target, as `id/incarnation`.
+          key_range: The keys, with their fencing token.
+          hold_s: The duration of the grant.
+          request_id: The id that the call carried.
+        """
+        self._registry.add('grants_unanswered')
+        self._log.event(
+            'grant_unanswered',
+            holder=holder,
+            keys=(key_range.first, key_range.last),
+            fence=key_range.fence,
+            hold_s=round(hold_s, 2),
+            id=request_id,
+        )
+
+    def keys_reclaimed(
+        self,
+        former: str,
+        key_range: model.KeyRange,
+        evidence: str,
+        unknown_grants: bool,
+    ) -> None:
+        """Record that a former owner no longer holds a range.
+
+        Args:
+          former: The former owner, as `id/incarnation`.
+          key_range: The keys, with the fencing token of their next owner.
+          evidence: RELEASED, RESTARTED, REPLACED or EXPIRED.
+          unknown_grants: Whether grants by an earlier controller may not have
+            ended yet.
+        """
+        self._registry.add(f'keys_reclaimed_{evidence}')
+        self._log.event(
+            'keys_reclaimed',
+            former=former,
+            keys=(key_range.first, key_range.last),
+            fence=key_range.fence,
+            evidence=evidence,
+            unknown_grants=unknown_grants,
+        )
+
+    def keys_granted(self, key_range: model.KeyRange) -> None:
+        """Record that the new owner of a moved range was granted it."""
+        self._registry.add('moves_completed')
+        self._log.event(
+            'keys_granted',
+            holder=key_range.holder,
+            keys=(key_range.first, key_range.last),
+            fence=key_range.fence,
+        )
