Let a former owner reject earlier grants before its keys move on (OWNER)

Cause: a controller took a former owner's answer to a release for the end of its hold. A grant of the previous controller that had got no response could take effect afterwards, as the platform allows. Only the token in the release kept it out, and the platform promises that a target rejects grants below the tokens that it has seen, not that those of releases count. The controller's own unanswered grants were waited for; those of its predecessor it does not know. Class: an answer taken for more than it promises.

Ruled out: a release before the fence alone does not do, as a grant may take effect between the two; the fence before the release would end running work. So: release, fence, release.

Change: where an earlier grant may be under way, the former owner is granted the range for 1 ms with a token between the owners', on a connection of its own, and released once more. A target that has answered it rejects all earlier grants, which is what the platform promises. A controller's own unanswered grants are now ended in the same way, not waited for.

Former owners are reclaimed one after the other, so that their tokens ascend.

Tests: test_grant_of_the_former_controller_that_takes_effect_late fails before. test_release_carries_the_next_token asked for the token of the next owner in the release; its successor asks for one between the two owners, as the fence needs it. That a new incarnation's release ends unanswered grants was too much (it may have received them): now it does if it takes the fence, and a second test covers one that does not answer.

--- a/amaranthcrank/router/connection_pool.py
+++ b/amaranthcrank/router/connection_pool.py
@@ -51,6 +51,7 @@
         max_idle_s: float = http_client.MAX_IDLE_S,
         group: str = '',
         max_response_bytes: int = http_client.MAX_RESPONSE_BYTES,
+        is_shared: bool = True,
     ) -> http_client.Connection:
         """Return an idle connection, or open one.
 
@@ -61,11 +62,12 @@
           group: What its responses are counted as, such as a service; '' for
             calls of the host itself.
           max_response_bytes: The limit of a response's body.
+          is_shared: Whether an idle connection may be used.
 
         Raises:
           ConnectError: No connection could be opened.
         """
-        idle = self._idle_by_address.get(address)
+        idle = self._idle_by_address.get(address) if is_shared else None
         now = self._clock()
         while idle:
             connection = idle.pop()
@@ -158,6 +160,7 @@
         typing.Callable[[int, header_fields.Headers], None] | None
     ) = None,
     max_response_bytes: int = http_client.MAX_RESPONSE_BYTES,
+    is_shared: bool = True,
 ) -> http_client.Response:
     """Send a request over a pooled connection and return the response.
 
@@ -179,6 +182,7 @@
         an exception from it closes the connection and is passed on.
       on_head: Called with the status and the headers of each final response.
       max_response_bytes: The limit of the response's body.
+      is_shared: Whether the connection may have been used before.
 
     Raises:
       ConnectError: No connection could be opened.
@@ -187,7 +191,10 @@
       TimeoutError: There was no complete response in time.
     """
     connection = await pool.acquire(
-        address, connect_timeout_s, max_response_bytes=max_response_bytes
+        address,
+        connect_timeout_s,
+        max_response_bytes=max_response_bytes,
+        is_shared=is_shared,
     )
     connection.on_head = on_head
     try:
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -1,6 +1,7 @@
 """Reclaims keys from their former owners before they are granted anew."""
 
 import asyncio
+import typing
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
@@ -42,23 +43,37 @@
         self._address_by_holder = address_by_holder
         self._events = events
 
-    async def reclaim(self, former: str, key_range: model.KeyRange) -> str:
+    async def reclaim(
+        self,
+        former: str,
+        key_range: model.KeyRange,
+        hold_end: typing.Callable[[], float],
+    ) -> str:
         """Wait until a former owner no longer holds a range.
 
+        Args:
+          former: The former owner, as `id/incarnation`.
+          key_range: The keys, with a fencing token above all that were granted
+            before and below that of the next owner.
+          hold_end: Returns when all grants to the former owner have expired.
+
         Returns:
           The handover of the former owner, or '' if there is none.
         """
-        evidence, handover = await self._await_end(former, key_range)
+        evidence, handover = await self._await_end(former, key_range, hold_end)
         self._events.keys_reclaimed(
             former, key_range, evidence, self._calls.has_unknown_grants
         )
         return handover
 
     async def _await_end(
-        self, former: str, key_range: model.KeyRange
+        self,
+        former: str,
+        key_range: model.KeyRange,
+        hold_end: typing.Callable[[], float],
     ) -> tuple[str, str]:
         """Return what showed the end of a hold, and the handover."""
-        hold_end = self._calls.hold_end(former)
+        is_fenced_off = False
         while clock.now() < hold_end():
             restarted = self._find_restarted(former)
             if restarted is None and self.has_ended(former):
@@ -67,10 +82,9 @@
             if address is None:
                 await asyncio.sleep(RELEASE_RETRY_S)
                 continue
-            # A grant in transit may arrive after the release. The release
-            # carries the next owner's fencing token, so that the target
-            # rejects such a grant.
-            none_pending = self._calls.has_no_pending_grant(former)
+            may_hold_again = (
+                not is_fenced_off and self._calls.may_take_effect_late(former)
+            )
             result, handover = await self._calls.release(
                 former,
                 address,
@@ -78,20 +92,42 @@
                 key_range.last,
                 key_range.fence,
             )
+            if result == key_calls.RELEASED and may_hold_again:
+                is_fenced_off = await self._fence_off(
+                    former, address, key_range
+                )
+                if is_fenced_off:
+                    # A grant may have taken effect since the release.
+                    continue
+            elif result == key_calls.RELEASED and restarted is not None:
+                return ownership_events.RESTARTED, handover
+            elif result == key_calls.RELEASED:
+                return ownership_events.RELEASED, handover
             if result == key_calls.OTHER_SERVER:
                 return ownership_events.REPLACED, ''
             if result == key_calls.REFUSED:
                 await asyncio.sleep(REFUSED_RETRY_S)
                 continue
-            if result == key_calls.RELEASED and restarted is not None:
-                # Grants that the former incarnation had not answered ended
-                # with it.
-                return ownership_events.RESTARTED, handover
-            if result == key_calls.RELEASED and none_pending:
-                return ownership_events.RELEASED, handover
             await asyncio.sleep(RELEASE_RETRY_S)
         return ownership_events.EXPIRED, ''
 
+    async def _fence_off(
+        self, former: str, address: model.Address, key_range: model.KeyRange
+    ) -> bool:
+        """Let a former owner reject grants that take effect from now on.
+
+        A release alone does not: the platform promises that a target rejects
+        grants below the tokens that it has seen, and does not say whether that
+        of a release is one of them.
+
+        Returns:
+          Whether no earlier grant can take effect any more.
+        """
+        result = await self._calls.fence_off(former, address, key_range)
+        if result != key_calls.GRANTED:
+            self._events.not_fenced_off(former, key_range, result)
+        return result == key_calls.GRANTED
+
     def _find_restarted(self, holder: str) -> str | None:
         """Return the target's later incarnation at the same address, or None.
 
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -28,6 +28,9 @@
 MAX_RESPONSE_BYTES = 64 * 1024
 # A target responds to a release only when its work on the keys has ended.
 RELEASE_TIMEOUT_S = 4.0
+# The duration of a grant that only shows a target a fencing token: the least
+# that the platform's unit of milliseconds allows.
+BARRIER_S = 0.001
 # A target's clock may run two per cent slow; the margin covers the time that
 # a grant takes to arrive.
 CLOCK_RATE_FACTOR = 1.03
@@ -154,6 +157,14 @@
 
         return end
 
+    def may_take_effect_late(self, holder: str) -> bool:
+        """Return whether a grant to a holder may still take effect.
+
+        A new controller does not know which grants of its predecessor had no
+        response.
+        """
+        return self.has_unknown_grants or not self.has_no_pending_grant(holder)
+
     def has_no_pending_grant(self, holder: str) -> bool:
         """Return whether no grant to a holder may still take effect."""
         now = clock.now()
@@ -291,6 +302,39 @@
     def _new_request_id(self) -> str:
         return f'{self._host_id}-{uuid.uuid4().hex}'
 
+    async def fence_off(
+        self,
+        holder: str,
+        address: model.Address,
+        key_range: model.KeyRange,
+    ) -> str:
+        """Make a target reject all grants of a range with lower tokens.
+
+        The target is granted the range for an instant, as only grants are sure
+        to count among the fencing tokens that it has seen. If this call takes
+        effect late, its instant is over.
+
+        Args:
+          holder: The target, as `id/incarnation`.
+          address: Where the target listens.
+          key_range: The keys, with a token above all that were granted before.
+
+        Returns:
+          GRANTED, REJECTED, REFUSED, OTHER_SERVER or UNANSWERED.
+        """
+        result, _ = await self._post(
+            holder,
+            address,
+            names.GRANT_PATH,
+            grants.grant_body(key_range, BARRIER_S, ''),
+            GRANT_TIMEOUT_S,
+            _skip_restart_check,
+            self._new_request_id(),
+            # On a used connection, an earlier response could be repeated.
+            is_shared=False,
+        )
+        return result
+
     async def _post(
         self,
         holder: str,
@@ -300,6 +344,7 @@
         timeout_s: float,
         before_send: _BeforeSend,
         request_id: str,
+        is_shared: bool = True,
     ) -> tuple[str, http_client.Response | None]:
         headers = [
             (names.REQUEST_ID, request_id.encode()),
@@ -323,6 +368,7 @@
                 before_send=before_send,
                 on_head=self._notices.reader(holder, address),
                 max_response_bytes=MAX_RESPONSE_BYTES,
+                is_shared=is_shared,
             )
         except _RestartedError:
             self._log.event('grant_not_sent', holder=holder)
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -118,6 +118,8 @@
         )
         self._rebalanced_at_by_service: dict[str, float] = {}
         self._held_keys_by_service: dict[str, held_keys.HeldKeys] = {}
+        # Services whose moves were begun by an earlier controller.
+        self._inherited_services: set[str] = set()
         self._first_completed_at = 0.0
         self._renewal_task: asyncio.Task[None] | None = None
         self._observed_owners_by_service: dict[
@@ -156,6 +158,7 @@
         self._completed_by_service = {}
         self._renewals.reset()
         self._refused_holders.clear()
+        self._inherited_services.clear()
         self.contended_services = frozenset()
 
     def _stop_tasks(self) -> None:
@@ -174,6 +177,7 @@
         for key_map in maps:
             self._map_by_service[key_map.service] = key_map
             self._address_by_holder.update(key_map.address_by_holder)
+            self._inherited_services.add(key_map.service)
             self._keys.put(key_map)
         return True
 
@@ -190,10 +194,13 @@
         self._record_addresses(service)
         completed = self._pop_completed(service)
         ranges = key_ranges.mark_completed(key_map.ranges, completed)
-        moves = self._plan(service, ranges)
         fence = key_map.fence
+        if service in self._inherited_services:
+            # Its former holders must be fenced off with tokens of this host.
+            ranges, fence = key_ranges.renew_moving(ranges, fence)
+        moves = self._plan(service, ranges)
         if moves:
-            fence += 1
+            fence = key_ranges.next_fence(fence, ranges, moves)
             ranges = key_ranges.apply(ranges, moves, fence)
         ranges = key_ranges.merge(ranges)
         if ranges != key_map.ranges:
@@ -207,6 +214,7 @@
             self._map_by_service[service] = updated
             if not await self._write(updated):
                 return False
+            self._inherited_services.discard(service)
             if self.on_map_written is not None:
                 self.on_map_written(key_map, self._map_by_service[service])
             if moves:
@@ -404,13 +412,7 @@
             for former in key_range.former_holders.split()
             if former != holder
         ]
-        handovers = await asyncio.gather(
-            *(
-                self._former_owners.reclaim(former, key_range)
-                for former in former_holders
-            )
-        )
-        handover = handovers[0] if handovers else ''
+        handover = await self._reclaim_all(former_holders, key_range)
         while self._lease.is_held:
             target = self._find_grantable(holder)
             if target is None:
@@ -442,6 +444,29 @@
                 self._refused_holders.add(holder)
             await asyncio.sleep(STEP_INTERVAL_S)
 
+    async def _reclaim_all(
+        self, former_holders: list[str], key_range: model.KeyRange
+    ) -> str:
+        """Reclaim a range from its former holders, one after the other.
+
+        Each is fenced off with a token of its own, higher than those before
+        it.
+
+        Returns:
+          The handover of the first of them, the last known owner.
+        """
+        hold_ends = [self._calls.hold_end(former) for former in former_holders]
+        handovers = []
+        first_fence = key_range.fence - len(former_holders)
+        for index, former in enumerate(former_holders):
+            handover = await self._former_owners.reclaim(
+                former,
+                key_range._replace(fence=first_fence + index),
+                hold_ends[index],
+            )
+            handovers.append(handover)
+        return handovers[0] if handovers else ''
+
     def _find_grantable(self, holder: str) -> target_state.Target | None:
         """Return the target that is a holder, unless a grant would fail."""
         target = self._targets.find(*model.split_holder(holder))
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -41,6 +41,50 @@
     return tuple(sorted(result))
 
 
+def next_fence(
+    fence: int,
+    ranges: typing.Sequence[model.KeyRange],
+    moves: typing.Sequence[key_plan.Move],
+) -> int:
+    """Return the fencing token for moves.
+
+    Those between the present token and this one are left to fence off the
+    former holders, one token for each.
+    """
+    most = 0
+    for move in moves:
+        for _, _, former_holders in _split_by_former_holders(ranges, move):
+            most = max(most, len(former_holders.split()))
+    return fence + most + 1
+
+
+def renew_moving(
+    ranges: typing.Sequence[model.KeyRange], fence: int
+) -> tuple[tuple[model.KeyRange, ...], int]:
+    """Give ranges that are moving a new fencing token.
+
+    Args:
+      ranges: The present ranges, in order.
+      fence: The highest token so far.
+
+    Returns:
+      The ranges, and the token of those that move; unchanged if none does.
+    """
+    counts = [
+        len(key_range.former_holders.split())
+        for key_range in ranges
+        if key_range.moving
+    ]
+    if not counts:
+        return tuple(ranges), fence
+    fence += max(counts) + 1
+    renewed = tuple(
+        key_range._replace(fence=fence) if key_range.moving else key_range
+        for key_range in ranges
+    )
+    return renewed, fence
+
+
 def subtract(
     key_range: model.KeyRange,
     moves: typing.Sequence[key_plan.Move | model.KeyRange],
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -77,6 +77,25 @@
             unknown_grants=unknown_grants,
         )
 
+    def not_fenced_off(
+        self, former: str, key_range: model.KeyRange, result: str
+    ) -> None:
+        """Record that a former owner may still take an earlier grant.
+
+        Args:
+          former: The former owner, as `id/incarnation`.
+          key_range: The keys, with the token that it should have seen.
+          result: What the call that shows it the token returned.
+        """
+        self._registry.add('not_fenced_off')
+        self._log.event(
+            'not_fenced_off',
+            former=former,
+            keys=(key_range.first, key_range.last),
+            fence=key_range.fence,
+            result=result,
+        )
+
     def keys_granted(self, key_range: model.KeyRange) -> None:
         """Record that the new owner of a moved range was granted it."""
         self._registry.add('moves_completed')
