Check the lease just before a grant or a release is sent (OWNER)

What callers would see: a target that is granted keys by a host that is not the controller any more, beside an owner by the grants of the next one.

Cause: the lease was checked before `KeyCalls.grant`, which then opens a connection (0.4 s) and reads the target's entry (0.2 s). After SIGTERM the lease is given back at once and taken within milliseconds, so the next controller may have moved the keys when the grant is sent. Class: a permission that is checked, and used later.

Change: calls check the lease after all waits, and nothing is awaited between the check and the write. A former controller takes no keys back either.

Test: test_lease_that_ends_before_a_grant_is_sent fails without the check ('granted' != 'unanswered').

--- a/amaranthcrank/router/control_parts.py
+++ b/amaranthcrank/router/control_parts.py
@@ -152,6 +152,7 @@
         common.settings.heartbeat_s,
         events,
         common.settings.host_id,
+        lambda: lease.is_held,
     )
     return key_controller.Controller(
         common.store,
--- a/amaranthcrank/router/controller_change_test.py
+++ b/amaranthcrank/router/controller_change_test.py
@@ -72,6 +72,7 @@
             0.0,
             mock.Mock(),
             'host-2',
+            lambda: True,
         )
         self._target_by_holder = target_by_holder
 
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -57,6 +57,10 @@
     """The target could not be reached, and may have restarted since."""
 
 
+class _LeaseEndedError(Exception):
+    """This host no longer holds the controller's lease."""
+
+
 class _PendingGrant:
     """A grant without a response so far.
 
@@ -86,6 +90,7 @@
         registration_s: float,
         events: ownership_events.OwnershipEvents,
         host_id: str,
+        is_lease_held: typing.Callable[[], bool],
     ) -> None:
         """Send calls over a pool of connections.
 
@@ -100,6 +105,7 @@
           events: Records grants without a response.
           host_id: Begins the id of each call, so that the records of targets
             name the sender.
+          is_lease_held: Returns whether this host may send calls.
         """
         self.held_until_by_holder: dict[str, float] = {}
         self._pending_by_holder: dict[str, list[_PendingGrant]] = {}
@@ -115,6 +121,7 @@
         self._notices = notices
         self._events = events
         self._host_id = host_id
+        self._is_lease_held = is_lease_held
 
     def assume_prior_grants(self, grant_max_s: float) -> None:
         """Forget all grants; assume the longest ones by a former controller.
@@ -201,6 +208,7 @@
             nonlocal is_sent
             if is_new:
                 await self._check_incarnation(holder)
+            self._check_lease()
             # The grant counts from its arrival, and connecting takes time.
             grant.until = _latest_expiry(hold_s)
             self._extend_hold(holder, grant.until)
@@ -231,6 +239,25 @@
         pending[:] = [each for each in pending if each.until > now]
         return result
 
+    def _check_lease(self) -> None:
+        """Check the lease just before a call is sent.
+
+        It may end while the caller waits for a connection or for the store.
+
+        Raises:
+          _LeaseEndedError: The lease has ended.
+        """
+        if not self._is_lease_held():
+            raise _LeaseEndedError
+
+    async def _check_lease_only(self, _: bool) -> None:
+        """Check the lease; calls that take keys back reach any incarnation.
+
+        Raises:
+          _LeaseEndedError: The lease has ended.
+        """
+        self._check_lease()
+
     async def _check_incarnation(self, holder: str) -> None:
         """Check that a new connection does not lead to a later incarnation.
 
@@ -288,7 +315,7 @@
             names.RELEASE_PATH,
             body,
             RELEASE_TIMEOUT_S,
-            _skip_restart_check,
+            self._check_lease_only,
             self._new_request_id(),
         )
         if result != GRANTED or response is None:
@@ -328,7 +355,7 @@
             names.GRANT_PATH,
             grants.grant_body(key_range, BARRIER_S, ''),
             GRANT_TIMEOUT_S,
-            _skip_restart_check,
+            self._check_lease_only,
             self._new_request_id(),
             # On a used connection, an earlier response could be repeated.
             is_shared=False,
@@ -375,6 +402,9 @@
             return OTHER_SERVER, None
         except _UnconfirmedError:
             return UNANSWERED, None
+        except _LeaseEndedError:
+            self._log.event('key_call_not_sent', path=path, holder=holder)
+            return UNANSWERED, None
         except http_client.ConnectError as error:
             self._reached_at_by_lost_holder[holder] = None
             return (REFUSED if error.refused else UNANSWERED), None
@@ -401,10 +431,6 @@
     return clock.now() + hold_s * CLOCK_RATE_FACTOR + MARGIN_S
 
 
-async def _skip_restart_check(_: bool) -> None:
-    """Do nothing: keys are taken back from any incarnation."""
-
-
 def _is_success(response: http_client.Response) -> bool:
     return response.status == 200
 
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -37,6 +37,7 @@
         self.pool = connection_pool.Pool(asyncio.get_running_loop().time)
         self.stack.callback(self.pool.close)
         self.has_restarted = mock.AsyncMock(return_value=False)
+        self.is_lease_held = True
         self.calls = key_calls.KeyCalls(
             self.pool,
             mock.Mock(),
@@ -45,6 +46,7 @@
             REGISTRATION_S,
             mock.Mock(),
             'host-1',
+            lambda: self.is_lease_held,
         )
         # The bytes that precede the response to a call, by the number of the
         # call on its connection, from 1.
@@ -247,6 +249,28 @@
         await self._grant()
         self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
 
+    async def test_lease_that_ends_before_a_grant_is_sent(self):
+        """Guards against a grant beside those of the next controller.
+
+        The lease was checked before the connection was opened and the target's
+        entry was read, and could end meanwhile.
+        """
+
+        async def lose_lease(_):
+            self.is_lease_held = False
+            return False
+
+        self.has_restarted.side_effect = lose_lease
+        self.assertEqual(await self._grant(), key_calls.UNANSWERED)
+        self.assertEqual(self.arrived, 0)
+        self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
+
+    async def test_no_release_after_the_lease(self):
+        """Guards against keys that a former controller takes back."""
+        self.is_lease_held = False
+        self.assertEqual(await self._release(), key_calls.UNANSWERED)
+        self.assertEqual(self.arrived, 0)
+
     async def test_grants_reuse_a_connection(self):
         for _ in range(3):
             self.assertEqual(await self._grant(), key_calls.GRANTED)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -103,6 +103,7 @@
             0.0,
             mock.Mock(),
             'host-1',
+            lambda: True,
         )
         self.result_by_port = {}
         self.sent = []
