Count the hold of an unanswered grant from its latest arrival (OWNER)

What callers would see: two targets with the same keys for up to about a second, after the keys of an owner that was not reached have moved.

Cause: the end of a hold was counted from the sending plus 0.25 s. TCP repeats what got lost for USER_TIMEOUT_MS (0.9 s), also after the connection was closed here. Class: a time limit taken from the usual case.

Change: a grant with a response has arrived, so its hold counts from there; one without may be in transit for 1 s. The same for the grants of a previous controller. Cost: the keys of an owner that crashed before it answered the last grant move up to 0.75 s later.

Not covered: a call that something between the two has taken and delivers later still, and a target that does not read for seconds. No bound is known for these; they end where the target can be reached, as it must take a token then.

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -1,9 +1,9 @@
 """Sends grants and releases to targets and tracks which may hold keys.
 
 A grant that gets no response may take effect seconds later. Its duration
-counts from its arrival, and targets with slow clocks hold it longer. So the
-time after which no key is held counts from when the last grant was sent, with
-a margin for both.
+counts from its arrival, and targets with slow clocks hold it longer. A grant
+with a response arrived before that; one without arrived at the latest when TCP
+gave it up. The time after which no key is held counts from there.
 """
 
 import typing
@@ -31,9 +31,12 @@
 # The duration of a grant that only shows a target a fencing token: the least
 # that the platform's unit of milliseconds allows.
 BARRIER_S = 0.001
-# A target's clock may run two per cent slow; the margin covers the time that
-# a grant takes to arrive.
+# A target's clock may run two per cent slow.
 CLOCK_RATE_FACTOR = 1.03
+# How long a call may be in transit: TCP repeats it for USER_TIMEOUT_MS, also
+# after its connection was closed here.
+TRANSIT_S = 1.0
+# A repeated response may be taken for that to a call that is still in transit.
 MARGIN_S = 0.25
 
 GRANTED = 'granted'
@@ -61,8 +64,8 @@
     """This host no longer holds the controller's lease."""
 
 
-class _PendingGrant:
-    """A grant without a response so far.
+class _Grant:
+    """A grant that was begun.
 
     Attributes:
       until: When it expires at the latest, by `clock.now`; in the past if it
@@ -74,12 +77,7 @@
 
 
 class KeyCalls:
-    """Sends grants and releases; tracks how long targets may hold keys.
-
-    Attributes:
-      held_until_by_holder: The latest expiry of any grant that was sent, on
-        the clock of `clock.now`, by holder as `id/incarnation`.
-    """
+    """Sends grants and releases; tracks how long targets may hold keys."""
 
     def __init__(
         self,
@@ -107,8 +105,9 @@
             name the sender.
           is_lease_held: Returns whether this host may send calls.
         """
-        self.held_until_by_holder: dict[str, float] = {}
-        self._pending_by_holder: dict[str, list[_PendingGrant]] = {}
+        # The latest expiry of the grants with a response, by `clock.now`.
+        self._answered_until_by_holder: dict[str, float] = {}
+        self._pending_by_holder: dict[str, list[_Grant]] = {}
         self._prior_held_until = 0.0
         self._pool = pool
         self._log = log
@@ -129,9 +128,9 @@
         Args:
           grant_max_s: The longest duration of a grant.
         """
-        self.held_until_by_holder.clear()
+        self._answered_until_by_holder.clear()
         self._reached_at_by_lost_holder.clear()
-        self._prior_held_until = _latest_expiry(grant_max_s)
+        self._prior_held_until = _expiry_if_unanswered(grant_max_s)
         self._pending_by_holder.clear()
 
     @property
@@ -143,9 +142,13 @@
         """Return until when a holder may hold keys by the grants sent."""
         return max(
             self._prior_held_until,
-            self.held_until_by_holder.get(holder, 0.0),
+            self._answered_until_by_holder.get(holder, 0.0),
+            *(grant.until for grant in self._pending(holder)),
         )
 
+    def _pending(self, holder: str) -> tuple[_Grant, ...]:
+        return tuple(self._pending_by_holder.get(holder, ()))
+
     def may_hold(self, holder: str) -> bool:
         """Return whether a holder may hold keys by the grants sent so far."""
         return clock.now() < self.held_until(holder)
@@ -154,10 +157,14 @@
         """Return a function that returns when the grants begun so far expire.
 
         The time moves while one of these grants still waits to be sent, for
-        example for a connection. Grants that begin later do not count.
+        example for a connection, or for a response. Grants that begin later do
+        not count.
         """
-        known_until = self.held_until(holder)
-        pending = tuple(self._pending_by_holder.get(holder, ()))
+        known_until = max(
+            self._prior_held_until,
+            self._answered_until_by_holder.get(holder, 0.0),
+        )
+        pending = self._pending(holder)
 
         def end() -> float:
             return max([known_until, *(grant.until for grant in pending)])
@@ -175,8 +182,7 @@
     def has_no_pending_grant(self, holder: str) -> bool:
         """Return whether no grant to a holder may still take effect."""
         now = clock.now()
-        pending = self._pending_by_holder.get(holder, ())
-        return all(grant.until <= now for grant in pending)
+        return all(grant.until <= now for grant in self._pending(holder))
 
     async def grant(
         self,
@@ -201,7 +207,7 @@
           OTHER_SERVER or UNANSWERED.
         """
         body = grants.grant_body(key_range, hold_s, handover)
-        grant = _PendingGrant(_latest_expiry(hold_s))
+        grant = _Grant(_expiry_if_unanswered(hold_s))
         is_sent = False
 
         async def before_send(is_new: bool) -> None:
@@ -210,8 +216,7 @@
                 await self._check_incarnation(holder)
             self._check_lease()
             # The grant counts from its arrival, and connecting takes time.
-            grant.until = _latest_expiry(hold_s)
-            self._extend_hold(holder, grant.until)
+            grant.until = _expiry_if_unanswered(hold_s)
             is_sent = True
 
         pending = self._pending_by_holder.setdefault(holder, [])
@@ -226,15 +231,19 @@
             before_send,
             request_id,
         )
-        if result in (GRANTED, REJECTED, REFUSED, OTHER_SERVER):
-            # The grant has taken effect or never will.
-            pending.remove(grant)
-        elif is_sent:
+        if not is_sent:
+            grant.until = 0.0
+        elif result == UNANSWERED:
             self._events.grant_unanswered(
                 holder, key_range, hold_s, request_id
             )
-        if not is_sent:
-            grant.until = 0.0
+        else:
+            # It has arrived, so it expires sooner than was assumed.
+            grant.until = _expiry_if_answered(hold_s)
+            self._extend_hold(holder, grant.until)
+        if result != UNANSWERED:
+            # The grant has taken effect or never will.
+            pending.remove(grant)
         now = clock.now()
         pending[:] = [each for each in pending if each.until > now]
         return result
@@ -291,8 +300,8 @@
         self._reached_at_by_lost_holder.pop(holder, None)
 
     def _extend_hold(self, holder: str, until: float) -> None:
-        known_until = self.held_until_by_holder.get(holder, 0.0)
-        self.held_until_by_holder[holder] = max(until, known_until)
+        known_until = self._answered_until_by_holder.get(holder, 0.0)
+        self._answered_until_by_holder[holder] = max(until, known_until)
 
     async def release(
         self,
@@ -426,9 +435,14 @@
         return UNANSWERED, response
 
 
-def _latest_expiry(hold_s: float) -> float:
+def _expiry_if_answered(hold_s: float) -> float:
+    """Return when a grant that has a response now expires."""
+    return clock.now() + MARGIN_S + hold_s * CLOCK_RATE_FACTOR
+
+
+def _expiry_if_unanswered(hold_s: float) -> float:
     """Return when a grant that is sent now expires, by the slowest clock."""
-    return clock.now() + hold_s * CLOCK_RATE_FACTOR + MARGIN_S
+    return clock.now() + TRANSIT_S + hold_s * CLOCK_RATE_FACTOR
 
 
 def _is_success(response: http_client.Response) -> bool:
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -14,6 +14,7 @@
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
+from amaranthcrank.router import sockets
 from standins import scripted_server
 
 IP = '127.0.0.1'
@@ -225,6 +226,21 @@
             held_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR + key_calls.MARGIN_S
         )
 
+    async def test_unanswered_grant_may_be_in_transit(self):
+        """Guards against two owners after lost packets.
+
+        TCP repeats a call for `USER_TIMEOUT_MS`, also after its connection was
+        given up, and the hold counts from its arrival.
+        """
+        self._respond = lambda head, number: b''
+        with mock.patch.object(key_calls, 'GRANT_TIMEOUT_S', 0.05):
+            self.assertEqual(await self._grant(), key_calls.UNANSWERED)
+        held_s = self.calls.held_until(HOLDER) - clock.now()
+        transit_s = sockets.USER_TIMEOUT_MS / 1000
+        self.assertGreater(
+            held_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR + transit_s
+        )
+
     async def test_hold_end_follows_a_grant_that_is_not_sent_yet(self):
         # The caller of hold_end began to wait before the grant was sent.
         async def wait(_):
