Play changes of the controller on a whole site of real processes

The soak had one process for all targets, whose calls are never carried out late, and no busy keys, so that keys hardly move.

Each hold names its sender by the id of the call.

--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -100,9 +100,9 @@
                 if is_fenced_off:
                     # A grant may have taken effect since the release.
                     continue
-            elif result == key_calls.RELEASED and restarted is not None:
-                return ownership_events.RESTARTED, handover
             elif result == key_calls.RELEASED:
+                if restarted is not None:
+                    return ownership_events.RESTARTED, handover
                 return ownership_events.RELEASED, handover
             if result == key_calls.OTHER_SERVER:
                 return ownership_events.REPLACED, ''
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,8 @@
 MEAN_PAUSE_S = 0.05
 RECONNECT_DELAY_S = 0.1
 
+KeyChoice = typing.Callable[[random.Random], int]
+
 
 class RequestKind(typing.NamedTuple):
     """A kind of request that callers send.
@@ -65,8 +67,16 @@
     body: bytes
 
 
+def any_key(rng: random.Random) -> int:
+    """Return one of all keys at random."""
+    return rng.randrange(model.KEY_COUNT)
+
+
 def _headers(
-    request_id: str, kind: RequestKind, rng: random.Random
+    request_id: str,
+    kind: RequestKind,
+    rng: random.Random,
+    choose_key: KeyChoice,
 ) -> list[tuple[bytes, bytes]]:
     headers = [
         (b'host', platform_site.HOST.encode()),
@@ -74,7 +84,7 @@
         (names.DEADLINE_MS, str(DEADLINE_MS).encode()),
     ]
     if kind.keyed:
-        key = rng.randrange(model.KEY_COUNT)
+        key = choose_key(rng)
         headers.append((names.KEY, str(key).encode()))
     if kind.method == b'POST':
         headers.append((b'content-length', b'0'))
@@ -87,6 +97,7 @@
     request_id: str,
     kind: RequestKind,
     rng: random.Random,
+    choose_key: KeyChoice = any_key,
 ) -> Result:
     """Send one request over an open connection and wait for its response."""
     sent_at = asyncio.get_running_loop().time()
@@ -96,7 +107,7 @@
             response = await connection.exchange(
                 kind.method,
                 (kind.prefix + request_id).encode(),
-                _headers(request_id, kind, rng),
+                _headers(request_id, kind, rng, choose_key),
                 b'',
                 None,
             )
@@ -118,6 +129,7 @@
     address: model.Address,
     rng: random.Random,
     results: list[Result],
+    choose_key: KeyChoice = any_key,
 ) -> None:
     """Send requests to a router until cancelled, one connection at a time.
 
@@ -127,6 +139,7 @@
       address: Where the router accepts callers.
       rng: Source of every random choice of this caller.
       results: Receives the result of each request.
+      choose_key: Chooses the key of each keyed request.
     """
     connection: http_client.Connection | None = None
     number = 0
@@ -147,6 +160,7 @@
             f'{name}-{number}',
             rng.choice(REQUEST_KINDS),
             rng,
+            choose_key,
         )
         results.append(result)
         if result.status == 0:
--- a/soak/holds.py
+++ b/soak/holds.py
@@ -14,6 +14,7 @@
       fence: The fencing token.
       since: The start of the period, monotonic seconds.
       until: The end, or the expiry of the grant if it has not ended yet.
+      sender: The host that sent the grant, '' if it is not known.
     """
 
     target: str
@@ -23,6 +24,7 @@
     fence: int
     since: float
     until: float
+    sender: str = ''
 
 
 # Shorter overlaps are ignored: the event loop processes events of different
