Release keys everywhere before any former owner is fenced off (OWNER)

What callers would see: a target gets keys for a millisecond while another one holds them, or still works on them.

Cause: a former owner was fenced off, which grants it the range for an instant, as soon as it had released the range itself. Two others could have it then: the new owner of a move that an earlier controller had granted and not written as completed; and the next former owner, while its release waits for its work.

Change: first all possible holders release the range, then each is fenced off and releases it once more, with ascending tokens. The new owner of a move that is found counts among them. A fence is not sent so late that it could arrive after the end of all holds. A target that takes no new connections, as it is leaving, is fenced off on a used one. `not_fenced_off` is logged once a range.

Where all grants have been answered since the release was sent, a second release does, and no fence is needed.

--- a/amaranthcrank/router/controller_change_test.py
+++ b/amaranthcrank/router/controller_change_test.py
@@ -26,6 +26,9 @@
 GRANT_MAX_S = 1.0
 FORMER_FENCE = 5
 LAST_KEY = model.KEY_COUNT - 1
+OWNED = model.KeyRange(0, LAST_KEY, 'i-1', 1, FORMER_FENCE, False, '')
+# The former controller wrote the move to the second target, and ended.
+MOVING = model.KeyRange(0, LAST_KEY, 'i-2', 1, FORMER_FENCE + 2, True, 'i-1/1')
 
 
 class _Target:
@@ -34,6 +37,8 @@
     def __init__(self, entry):
         self.entry = entry
         self.holds = []
+        # How long its work on released keys takes.
+        self.work_s = 0.0
         self.highest_fence = 0
 
     def take_grant(self, call, arrived_at):
@@ -56,7 +61,15 @@
             )
         return True
 
-    def release(self, first, last):
+    async def release(self, first, last):
+        """Release keys; a hold ends when the work on its keys has ended."""
+        now = clock.now()
+        working = any(
+            hold.first <= last and first <= hold.last and hold.until > now
+            for hold in self.holds
+        )
+        if working:
+            await asyncio.sleep(self.work_s)
         self.holds = key_holds.release(self.holds, first, last, clock.now())
 
 
@@ -92,7 +105,7 @@
         await asyncio.sleep(0.001)
         fields = json.loads(body)
         if path == names.RELEASE_PATH:
-            target.release(*platform_target.parse_release(fields))
+            await target.release(*platform_target.parse_release(fields))
             response = http_client.Response(200, [(names.HANDOVER, b'w')], b'')
             return key_calls.GRANTED, response
         call = platform_target.parse_grant(fields)
@@ -118,6 +131,17 @@
         return self.item
 
 
+def _find_shared(targets):
+    """Return pairs of holds in which two targets held a key together.
+
+    However short that is: also a target that is fenced off holds for an
+    instant.
+    """
+    holds = [hold for target in targets for hold in target.holds]
+    with mock.patch.object(key_holds, 'OVERLAP_TOLERANCE_S', 0.0):
+        return key_holds.overlaps(holds)
+
+
 def _entry(number):
     return model.TargetEntry(
         f'i-{number}',
@@ -139,6 +163,7 @@
             self.addCleanup(patch.stop)
         self.former = _Target(_entry(1))
         self.next = _Target(_entry(2))
+        self.third = _Target(_entry(3))
         self.targets = directory.Directory(
             asyncio.get_running_loop().time, 2.0, lambda *_, **__: None
         )
@@ -148,19 +173,26 @@
             is_held=True, was_last_holder=False, held_until=clock.now() + 1000
         )
 
-    async def _run_next_controller(self, seconds):
-        owned = model.KeyRange(0, LAST_KEY, 'i-1', 1, FORMER_FENCE, False, '')
+    async def _run_next_controller(self, seconds, owned=OWNED):
         key_map = model.KeyMap(
             'book',
-            FORMER_FENCE,
+            owned.fence,
             (owned,),
             7,
-            {'i-1/1': self.former.entry.address},
+            {
+                target.entry.holder: target.entry.address
+                for target in (self.former, self.next, self.third)
+            },
         )
         controller = key_controller.Controller(
             _Store(key_map),
             self.lease,
-            _Calls({'i-1/1': self.former, 'i-2/1': self.next}),
+            _Calls(
+                {
+                    target.entry.holder: target
+                    for target in (self.former, self.next, self.third)
+                }
+            ),
             self.targets,
             key_table.KeyTable(),
             mock.Mock(),
@@ -172,6 +204,14 @@
         await asyncio.sleep(seconds)
         task.cancel()
 
+    def _check(self, owner):
+        """Check that one target at a time held keys, at last the owner."""
+        targets = (self.former, self.next, self.third)
+        self.assertGreater(owner.holds[-1].until, clock.now())
+        self.assertEqual(_find_shared(targets), [])
+        holds = [hold for target in targets for hold in target.holds]
+        self.assertEqual(key_holds.stale_fences(holds), [])
+
     async def test_grant_of_the_former_controller_that_takes_effect_late(self):
         """Guards against two owners after a change of the controller.
 
@@ -186,9 +226,48 @@
             0.2, lambda: self.former.take_grant(late, arrived_at)
         )
         await self._run_next_controller(0.6)
-        self.assertTrue(self.next.holds)
-        shared = key_holds.overlaps([*self.former.holds, *self.next.holds])
-        self.assertEqual(shared, [])
+        self._check(self.next)
+
+    async def test_inherited_move_whose_new_owner_holds_the_keys(self):
+        """Guards against a fence that gives keys back beside their owner.
+
+        The former controller had granted the keys to their new owner and ended
+        before it wrote that.
+        """
+        moved = platform_target.GrantCall(0, LAST_KEY, MOVING.fence, 0.8, '')
+        self.next.take_grant(moved, clock.now())
+        await self._run_next_controller(0.4, MOVING)
+        self._check(self.next)
+
+    async def test_inherited_move_whose_grant_takes_effect_late(self):
+        """Guards against two owners after a change of the controller.
+
+        The new owner had left the former controller's grant unanswered, and
+        drains when it takes effect.
+        """
+        late = platform_target.GrantCall(0, LAST_KEY, MOVING.fence, 0.8, '')
+        arrived_at = clock.now()
+        draining = self.next.entry._replace(state=model.DRAINING)
+        self.targets.put(draining)
+        self.targets.put(self.third.entry)
+        asyncio.get_running_loop().call_later(
+            0.2, lambda: self.next.take_grant(late, arrived_at)
+        )
+        await self._run_next_controller(0.6, MOVING)
+        self._check(self.third)
+
+    async def test_several_former_owners_of_which_one_still_works(self):
+        """Guards against a fence that gives keys back while another works.
+
+        A second move began before the first owner had released the keys.
+        """
+        self.former.work_s = 0.2
+        owned = platform_target.GrantCall(0, LAST_KEY, FORMER_FENCE, 0.8, '')
+        self.former.take_grant(owned, clock.now())
+        self.targets.put(self.next.entry._replace(state=model.DRAINING))
+        self.targets.put(self.third.entry)
+        await self._run_next_controller(0.5, MOVING)
+        self._check(self.third)
 
     async def test_later_entry_at_the_address_of_a_live_owner(self):
         """Guards against two owners when the clocks of targets differ.
@@ -203,9 +282,7 @@
         granted = platform_target.GrantCall(0, LAST_KEY, FORMER_FENCE, 0.8, '')
         self.former.take_grant(granted, clock.now())
         await self._run_next_controller(0.6)
-        self.assertTrue(self.next.holds)
-        shared = key_holds.overlaps([*self.former.holds, *self.next.holds])
-        self.assertEqual(shared, [])
+        self._check(self.next)
 
 
 if __name__ == '__main__':
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -15,6 +15,24 @@
 REFUSED_RETRY_S = 0.3
 
 
+class _End(typing.NamedTuple):
+    """How a target came to hold a range no longer.
+
+    Attributes:
+      evidence: What showed it, as in `ownership_events`.
+      handover: Its handover, or '' if there is none.
+      may_hold_again: Whether an earlier grant may still take effect.
+    """
+
+    evidence: str
+    handover: str = ''
+    may_hold_again: bool = False
+
+
+_REPLACED = _End(ownership_events.REPLACED)
+_EXPIRED = _End(ownership_events.EXPIRED)
+
+
 class FormerOwners:
     """Reclaims keys from targets, or detects that the targets have ended.
 
@@ -45,89 +63,127 @@
         self._events = events
 
     async def reclaim(
-        self,
-        former: str,
-        key_range: model.KeyRange,
-        hold_end: typing.Callable[[], float],
+        self, holders: typing.Sequence[str], key_range: model.KeyRange
     ) -> str:
-        """Wait until a former owner no longer holds a range.
+        """Wait until none of the possible holders holds a range.
+
+        First all of them release it, so that none gets the range back, for an
+        instant, while another one still holds it or works on it.
 
         Args:
-          former: The former owner, as `id/incarnation`.
-          key_range: The keys, with a fencing token above all that were granted
-            before and below that of the next owner.
-          hold_end: Returns when all grants to the former owner have expired.
+          holders: The targets that may hold the range, as `id/incarnation`.
+          key_range: The keys, with the fencing token of their next owner. One
+            token for each holder is left below it.
 
         Returns:
-          The handover of the former owner, or '' if there is none.
+          The handover of the first holder that gave one, or ''.
         """
-        evidence, handover = await self._await_end(former, key_range, hold_end)
-        self._events.keys_reclaimed(
-            former, key_range, evidence, self._calls.has_unknown_grants
+        hold_ends = [self._calls.hold_end(holder) for holder in holders]
+        first_fence = key_range.fence - len(holders)
+        parts = [
+            key_range._replace(fence=first_fence + index)
+            for index in range(len(holders))
+        ]
+        ends = await asyncio.gather(
+            *map(self._await_release, holders, parts, hold_ends)
         )
-        return handover
+        for index, holder in enumerate(holders):
+            if ends[index].may_hold_again:
+                ends[index] = await self._fence_off(
+                    holder, parts[index], hold_ends[index], ends[index]
+                )
+            self._events.keys_reclaimed(
+                holder,
+                parts[index],
+                ends[index].evidence,
+                self._calls.has_unknown_grants,
+            )
+        handovers = [end.handover for end in ends if end.handover]
+        return handovers[0] if handovers else ''
 
-    async def _await_end(
+    async def _await_release(
         self,
-        former: str,
+        holder: str,
         key_range: model.KeyRange,
         hold_end: typing.Callable[[], float],
-    ) -> tuple[str, str]:
-        """Return what showed the end of a hold, and the handover."""
-        is_fenced_off = False
+    ) -> _End:
+        """Wait until a target has released a range, or cannot hold it."""
         while clock.now() < hold_end():
-            restarted = self._find_restarted(former)
-            address = self._address_by_holder.get(former)
-            if restarted is not None:
-                address = restarted.address
-            if address is None:
-                await asyncio.sleep(RELEASE_RETRY_S)
-                continue
-            may_hold_again = (
-                not is_fenced_off and self._calls.may_take_effect_late(former)
-            )
-            result, handover = await self._calls.release(
-                former,
-                address,
-                key_range.first,
-                key_range.last,
-                key_range.fence,
-            )
-            if result == key_calls.RELEASED and may_hold_again:
-                is_fenced_off = await self._fence_off(
-                    former, address, key_range
-                )
-                if is_fenced_off:
-                    # A grant may have taken effect since the release.
+            may_hold_again = self._calls.may_take_effect_late(holder)
+            result, handover = await self._release(holder, key_range)
+            if result == key_calls.RELEASED:
+                if may_hold_again and not self._calls.may_take_effect_late(
+                    holder
+                ):
+                    # A grant that has been answered since may have arrived
+                    # after the release.
                     continue
-            elif result == key_calls.RELEASED:
-                if restarted is not None:
-                    return ownership_events.RESTARTED, handover
-                return ownership_events.RELEASED, handover
+                evidence = ownership_events.RELEASED
+                if self._find_restarted(holder) is not None:
+                    evidence = ownership_events.RESTARTED
+                return _End(evidence, handover, may_hold_again)
             if result == key_calls.OTHER_SERVER:
-                return ownership_events.REPLACED, ''
-            if result == key_calls.REFUSED:
-                await asyncio.sleep(REFUSED_RETRY_S)
-                continue
-            await asyncio.sleep(RELEASE_RETRY_S)
-        return ownership_events.EXPIRED, ''
+                return _REPLACED
+            await asyncio.sleep(_retry_s(result))
+        return _EXPIRED
 
     async def _fence_off(
-        self, former: str, address: model.Address, key_range: model.KeyRange
-    ) -> bool:
-        """Let a former owner reject grants that take effect from now on.
+        self,
+        holder: str,
+        key_range: model.KeyRange,
+        hold_end: typing.Callable[[], float],
+        released: _End,
+    ) -> _End:
+        """Let a target reject the grants that may still take effect at it.
 
         A release alone does not: the platform promises that a target rejects
         grants below the tokens that it has seen, and does not say whether that
-        of a release is one of them.
-
-        Returns:
-          Whether no earlier grant can take effect any more.
+        of a release is one of them. What took effect between the release and
+        the token is released as well.
         """
-        result = await self._calls.fence_off(former, address, key_range)
-        if result != key_calls.GRANTED:
-            self._events.not_fenced_off(former, key_range, result)
-        return result == key_calls.GRANTED
+        is_logged = False
+        while clock.now() < hold_end():
+            result = key_calls.UNANSWERED
+            address = self._address(holder)
+            # Sent later, the call could arrive when the next owner holds the
+            # keys.
+            in_time = clock.now() < hold_end() - key_calls.TRANSIT_S
+            if address is not None and in_time:
+                result = await self._calls.fence_off(
+                    holder, address, key_range
+                )
+            if result != key_calls.GRANTED and not is_logged:
+                is_logged = True
+                self._events.not_fenced_off(holder, key_range, result)
+            handover = ''
+            if result == key_calls.GRANTED:
+                result, handover = await self._release(holder, key_range)
+            if result == key_calls.RELEASED:
+                return released._replace(
+                    handover=handover or released.handover,
+                    may_hold_again=False,
+                )
+            if result == key_calls.OTHER_SERVER:
+                return _REPLACED
+            await asyncio.sleep(_retry_s(result))
+        return _EXPIRED
+
+    async def _release(
+        self, holder: str, key_range: model.KeyRange
+    ) -> tuple[str, str]:
+        """Ask a target, or its next life, to release a range once."""
+        address = self._address(holder)
+        if address is None:
+            return key_calls.UNANSWERED, ''
+        return await self._calls.release(
+            holder, address, key_range.first, key_range.last, key_range.fence
+        )
+
+    def _address(self, holder: str) -> model.Address | None:
+        restarted = self._find_restarted(holder)
+        if restarted is not None:
+            return restarted.address
+        return self._address_by_holder.get(holder)
 
     def _find_restarted(self, holder: str) -> model.TargetEntry | None:
         """Return the entry of the target's later incarnation, or None.
@@ -162,3 +218,10 @@
             if self._targets.names_target(entry):
                 return True
         return False
+
+
+def _retry_s(result: str) -> float:
+    """Return how long to wait after a call that did not succeed, seconds."""
+    if result == key_calls.REFUSED:
+        return REFUSED_RETRY_S
+    return RELEASE_RETRY_S
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -347,8 +347,8 @@
         """Make a target reject all grants of a range with lower tokens.
 
         The target is granted the range for an instant, as only grants are sure
-        to count among the fencing tokens that it has seen. If this call takes
-        effect late, its instant is over.
+        to count among the fencing tokens that it has seen. It counts from the
+        arrival of the call, so one that is carried out late grants nothing.
 
         Args:
           holder: The target, as `id/incarnation`.
@@ -358,17 +358,21 @@
         Returns:
           GRANTED, REJECTED, REFUSED, OTHER_SERVER or UNANSWERED.
         """
-        result, _ = await self._post(
-            holder,
-            address,
-            names.GRANT_PATH,
-            grants.grant_body(key_range, BARRIER_S, ''),
-            GRANT_TIMEOUT_S,
-            self._check_lease_only,
-            self._new_request_id(),
-            # On a used connection, an earlier response could be repeated.
-            is_shared=False,
-        )
+        # On a used connection, an earlier response could be repeated. Only a
+        # target that takes no new ones, as it is leaving, is called on one.
+        for is_shared in (False, True):
+            result, _ = await self._post(
+                holder,
+                address,
+                names.GRANT_PATH,
+                grants.grant_body(key_range, BARRIER_S, ''),
+                GRANT_TIMEOUT_S,
+                self._check_lease_only,
+                self._new_request_id(),
+                is_shared=is_shared,
+            )
+            if result != REFUSED:
+                break
         return result
 
     async def _post(
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -196,7 +196,7 @@
         ranges = key_ranges.mark_completed(key_map.ranges, completed)
         fence = key_map.fence
         if service in self._inherited_services:
-            # Its former holders must be fenced off with tokens of this host.
+            # This host does not know which of the holders were granted them.
             ranges, fence = key_ranges.renew_moving(ranges, fence)
         moves = self._plan(service, ranges)
         if moves:
@@ -407,12 +407,9 @@
         that assigns the keys to another target cancels the task.
         """
         holder = key_range.holder
-        former_holders = [
-            former
-            for former in key_range.former_holders.split()
-            if former != holder
-        ]
-        handover = await self._reclaim_all(former_holders, key_range)
+        handover = await self._former_owners.reclaim(
+            key_range.former_holders.split(), key_range
+        )
         while self._lease.is_held:
             target = self._find_grantable(holder)
             if target is None:
@@ -444,29 +441,6 @@
                 self._refused_holders.add(holder)
             await asyncio.sleep(STEP_INTERVAL_S)
 
-    async def _reclaim_all(
-        self, former_holders: list[str], key_range: model.KeyRange
-    ) -> str:
-        """Reclaim a range from its former holders, one after the other.
-
-        Each is fenced off with a token of its own, higher than those before
-        it.
-
-        Returns:
-          The handover of the first of them, the last known owner.
-        """
-        hold_ends = [self._calls.hold_end(former) for former in former_holders]
-        handovers = []
-        first_fence = key_range.fence - len(former_holders)
-        for index, former in enumerate(former_holders):
-            handover = await self._former_owners.reclaim(
-                former,
-                key_range._replace(fence=first_fence + index),
-                hold_ends[index],
-            )
-            handovers.append(handover)
-        return handovers[0] if handovers else ''
-
     def _find_grantable(self, holder: str) -> target_state.Target | None:
         """Return the target that is a holder, unless a grant would fail."""
         target = self._targets.find(*model.split_holder(holder))
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -61,7 +61,10 @@
 def renew_moving(
     ranges: typing.Sequence[model.KeyRange], fence: int
 ) -> tuple[tuple[model.KeyRange, ...], int]:
-    """Give ranges that are moving a new fencing token.
+    """Give ranges that an earlier controller was moving a new token.
+
+    Their new owners may have been granted them already, so these are among the
+    targets that may hold them.
 
     Args:
       ranges: The present ranges, in order.
@@ -70,19 +73,28 @@
     Returns:
       The ranges, and the token of those that move; unchanged if none does.
     """
-    counts = [
-        len(key_range.former_holders.split())
+    holders_by_range = {
+        key_range: list(
+            dict.fromkeys(
+                [key_range.holder, *key_range.former_holders.split()]
+            )
+        )
         for key_range in ranges
         if key_range.moving
-    ]
-    if not counts:
+    }
+    if not holders_by_range:
         return tuple(ranges), fence
-    fence += max(counts) + 1
-    renewed = tuple(
-        key_range._replace(fence=fence) if key_range.moving else key_range
-        for key_range in ranges
-    )
-    return renewed, fence
+    fence += max(map(len, holders_by_range.values())) + 1
+    renewed = []
+    for key_range in ranges:
+        holders = holders_by_range.get(key_range)
+        if holders is None:
+            renewed.append(key_range)
+            continue
+        renewed.append(
+            key_range._replace(fence=fence, former_holders=' '.join(holders))
+        )
+    return tuple(renewed), fence
 
 
 def subtract(
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -62,7 +62,7 @@
 
         Args:
           former: The former owner, as `id/incarnation`.
-          key_range: The keys, with the fencing token of their next owner.
+          key_range: The keys, with the token of this release.
           evidence: RELEASED, RESTARTED, REPLACED or EXPIRED.
           unknown_grants: Whether grants by an earlier controller may not have
             ended yet.
