--- a/amaranthcrank/router/faulty_targets_test.py
+++ b/amaranthcrank/router/faulty_targets_test.py
@@ -72,8 +72,8 @@
         return self.script(request_id, number)
 
 
-class StaleRefusalTest(unittest.IsolatedAsyncioTestCase):
-    """A stale refusal must not be attributed to a later request."""
+class _ScriptedTargetTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base class with a site whose targets are defined by a test."""
 
     async def asyncSetUp(self):
         self.stack = contextlib.AsyncExitStack()
@@ -108,6 +108,46 @@
             while self.router.admission.selection.owner('book', key) is None:
                 await asyncio.sleep(0.02)
 
+
+class InvalidStatusTest(_ScriptedTargetTestCase):
+    """A response whose status HTTP does not define must not reach a caller."""
+
+    async def test_status_outside_the_protocol(self):
+        """Guards against responses that callers cannot interpret.
+
+        Targets in trouble answered with the status 000, which callers received
+        as a response, and with statuses above 599.
+        """
+        status = b''
+
+        def script(request_id, _):
+            return success(request_id).replace(b'200 OK', status + b' Odd')
+
+        target = await self._start('desk', script)
+        for number, status in enumerate(
+            (b'000', b'001', b'099', b'101', b'199', b'600', b'700', b'999')
+        ):
+            with self.subTest(status=status):
+                response = await self.site.call(
+                    self.router, '/post/1', f'a{number}', 'POST', None, 500
+                )
+                self.assertIn(response.status, (502, 504))
+                self.assertIsNone(response.header(b'x-response-signature'))
+        self.assertEqual(len(target.ids), 8)
+
+    async def test_status_that_http_does_not_name(self):
+        # HTTP defines the class of each status from 100 to 599.
+        def script(request_id, _):
+            return success(request_id).replace(b'200 OK', b'599 Odd')
+
+        await self._start('desk', script)
+        response = await self.site.call(self.router, '/post/1', 'a', 'POST')
+        self.assertEqual(response.status, 599)
+
+
+class StaleRefusalTest(_ScriptedTargetTestCase):
+    """A stale refusal must not be attributed to a later request."""
+
     async def test_stale_refusal_without_an_id(self):
         """Guards against 'not run' for a request that is running.
 
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -36,6 +36,7 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 TOO_LONG = 'the answer is too long'
+MAX_STATUS = 599
 # Interim (1xx) responses, and responses to earlier requests, accepted before
 # the awaited response.
 MAX_SKIPPED_RESPONSES = 16
@@ -246,6 +247,7 @@
                 self._count_skipped_response()
                 continue
             if isinstance(event, h11.Response):
+                _check_status(event)
                 self._response_head = event
                 self._discard_body()
                 self._check_announced_length(event)
@@ -379,6 +381,17 @@
         self.abort()
 
 
+def _check_status(head: h11.Response) -> None:
+    """Reject a final response whose status is of no class of HTTP.
+
+    Raises:
+      RemoteProtocolError: The status is above 599; the parser rejects those
+        below 100.
+    """
+    if head.status_code > MAX_STATUS:
+        raise h11.RemoteProtocolError(f'status {head.status_code}')
+
+
 def _new_http_state() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
