Change the controller amid late calls in the plays of whole sites

The plays changed the controller and delayed calls independently, and keys moved seldom. Now the controller also ends while calls are left unanswered, and the busy keys change every 1.5 to 4 s.

--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -51,6 +51,8 @@
 # Keyed requests that go to the busy keys, and how many keys are busy.
 BUSY_SHARE = 0.5
 BUSY_KEYS = 200
+# How long the same keys stay busy, from and to.
+BUSY_PERIOD_S = (1.5, 4.0)
 WARM_UP_S = 6.0
 # Longer than any grant and any late call.
 SETTLE_S = 14.0
@@ -282,10 +284,23 @@
                 )
         pool.close()
 
+    async def change_controller_amid_late_calls(self) -> None:
+        """Let the controller end while calls are left unanswered."""
+        delay = asyncio.ensure_future(self.delay_calls())
+        await asyncio.sleep(self.rng.uniform(1.0, LATE_PERIOD_S))
+        await self.rng.choice((self.stop_controller, self.kill_controller))()
+        await delay
+
     async def shift_busy_keys(self) -> None:
         """Make other keys busy."""
         self.busy_from = self.rng.randrange(model.KEY_COUNT)
 
+    async def keep_shifting(self) -> None:
+        """Make other keys busy again and again, so that keys move."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(*BUSY_PERIOD_S))
+            await self.shift_busy_keys()
+
     def _random_owner(self) -> TargetProcess | None:
         owners = [
             target
@@ -336,7 +351,8 @@
             self.kill_controller,
             self.suspend_controller,
             self.delay_calls,
-            self.delay_calls,
+            self.change_controller_amid_late_calls,
+            self.change_controller_amid_late_calls,
             self.shift_busy_keys,
             self.drain_target,
             self.crash_target,
@@ -349,8 +365,6 @@
             fault = self.rng.choice(faults)
             self.faults[fault.__name__] += 1
             running.append(asyncio.ensure_future(fault()))
-            # A change of the busy keys makes keys move.
-            await self.shift_busy_keys()
             await asyncio.sleep(self.rng.expovariate(1 / MEAN_FAULT_GAP_S))
         await asyncio.gather(*running)
 
@@ -392,6 +406,8 @@
         site = Site(stack, seed, folder, counts_releases)
         await site.start(shape)
         results: list[callers.Result] = []
+        shifting = asyncio.create_task(site.keep_shifting())
+        stack.callback(shifting.cancel)
         for router in site.routers:
             for number in range(CALLERS_PER_ROUTER):
                 task = asyncio.create_task(
