--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -21,6 +21,7 @@
 from amaranthcrank.router import route_table
 from amaranthcrank.router import sender
 from amaranthcrank.router import service_times
+from amaranthcrank.router import shutdown_timeout
 from amaranthcrank.router import wait_order
 
 # Delay before a keyed request is retried after its target did not hold the
@@ -29,6 +30,7 @@
 # Retry-After for a request that is blocked because it crashes targets.
 CRASHING_RETRY_AFTER_S = 30.0
 CRASHING_REASON = 'the request crashes targets'
+ENDING_REASON = 'the host ends before the target has answered'
 # Basis of Retry-After for a request whose attempts failed.
 FAILED_RETRY_AFTER_S = 0.2
 
@@ -42,6 +44,7 @@
         service time in seconds of each keyed request.
       on_blocked: Called with the fingerprint of each request that is refused
         because it crashes targets.
+      shutdown: Ends the requests in progress when the process ends.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
             typing.Callable[[str, int, float], None] | None
         ) = None
         self.on_blocked: typing.Callable[[bytes], None] | None = None
+        self.shutdown = shutdown_timeout.ShutdownTimeout()
         self._admission = request_queue
         self._sender = request_sender
         self._budget = budget
@@ -169,8 +173,14 @@
                 CRASHING_RETRY_AFTER_S,
                 call,
             )
+        progress = calls.Progress()
         try:
-            response = await self._run_attempts(call)
+            async with self.shutdown.limit():
+                response = await self._run_attempts(call, progress)
+        except TimeoutError:
+            response = self._refuse(
+                call.request_id, 502, ENDING_REASON, None, call, progress
+            )
         except asyncio.CancelledError:
             self._log.event('caller_left', **self._describe(call, None))
             self._metrics.add('callers_left')
@@ -181,8 +191,9 @@
         )
         return response
 
-    async def _run_attempts(self, call: calls.Call) -> http_server.Response:
-        progress = calls.Progress()
+    async def _run_attempts(
+        self, call: calls.Call, progress: calls.Progress
+    ) -> http_server.Response:
         while True:
             try:
                 attempt = await self._attempt(call, progress)
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -30,6 +30,8 @@
 # The process ends by itself this long before SIGKILL is due.
 EXIT_MARGIN_S = 0.15
 DRAIN_CHECK_INTERVAL_S = 0.05
+# The time for responses that say that the process ends.
+LAST_RESPONSES_S = 0.25
 
 EXIT_BAD_SETTINGS = 2
 STANDARD_OUTPUT = 1
@@ -228,6 +230,7 @@
                 loop.time() + LISTEN_AFTER_SIGTERM_S, end_at
             )
         )
+        self.forwarder.shutdown.begin(end_at - LAST_RESPONSES_S)
         resigning = loop.create_task(self._resign())
         await asyncio.sleep(LISTEN_AFTER_SIGTERM_S)
         self.server.stop_listening()
--- /dev/null
+++ b/amaranthcrank/router/shutdown_timeout.py
@@ -0,0 +1,34 @@
+"""Ends the requests that are still in progress when the process ends."""
+
+import asyncio
+from collections import abc
+import contextlib
+
+
+class ShutdownTimeout:
+    """A time limit for all requests in progress, once a shutdown began."""
+
+    def __init__(self) -> None:
+        """Start without a limit."""
+        self._end_at: float | None = None
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    def begin(self, end_at: float) -> None:
+        """Set the limit, in event loop time, also of requests in progress."""
+        self._end_at = end_at
+        for timeout in self._timeouts:
+            timeout.reschedule(end_at)
+
+    @contextlib.asynccontextmanager
+    async def limit(self) -> abc.AsyncIterator[None]:
+        """Limit the handling of a request.
+
+        Raises:
+          TimeoutError: The limit has passed.
+        """
+        async with asyncio.timeout_at(self._end_at) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._timeouts.discard(timeout)
