--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -392,14 +392,19 @@
             )
             wanted.add(move_id)
             if move_id not in self._task_by_move:
-                self._task_by_move[move_id] = asyncio.create_task(
-                    self._move(service, key_range)
-                )
+                task = asyncio.create_task(self._move(service, key_range))
+                task.add_done_callback(self._on_move_end)
+                self._task_by_move[move_id] = task
         for move_id, task in list(self._task_by_move.items()):
             if move_id[0] == service and move_id not in wanted:
                 task.cancel()
                 del self._task_by_move[move_id]
 
+    def _on_move_end(self, task: asyncio.Task[None]) -> None:
+        """Log a fault of the program, which ends only this move."""
+        if not task.cancelled() and task.exception() is not None:
+            self._log.event('move_failed', error=repr(task.exception()))
+
     async def _move(self, service: str, key_range: model.KeyRange) -> None:
         """Reclaim a range from all targets that may hold it, then grant it.
 
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -811,6 +811,27 @@
         async with asyncio.timeout(2.0):
             await self.task
 
+    async def test_fault_in_a_move_is_logged(self):
+        """Guards against keys without an owner and without a log line."""
+        log = mock.Mock()
+        with mock.patch.object(
+            self.calls,
+            'release',
+            autospec=True,
+            side_effect=RuntimeError('fault'),
+        ):
+            self._start()
+            self.controller._log = log
+            await self._wait(self._is_assigned)
+            self.targets.put(_entry(1, model.DRAINING))
+            await self._wait(lambda: log.event.call_args_list)
+            await self._wait(
+                lambda: (
+                    mock.call('move_failed', error=mock.ANY)
+                    in log.event.call_args_list
+                )
+            )
+
     async def test_lost_lease_stops_the_renewals(self):
         self._start()
         await self._wait(self._is_assigned)
