--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -359,7 +359,8 @@
           GRANTED, REJECTED, REFUSED, OTHER_SERVER or UNANSWERED.
         """
         # On a used connection, an earlier response could be repeated. Only a
-        # target that takes no new ones, as it is leaving, is called on one.
+        # target that takes no new ones, as it is leaving or full, is called on
+        # one.
         for is_shared in (False, True):
             result, _ = await self._post(
                 holder,
@@ -371,7 +372,7 @@
                 self._new_request_id(),
                 is_shared=is_shared,
             )
-            if result != REFUSED:
+            if result not in (REFUSED, UNANSWERED):
                 break
         return result
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -13,12 +13,14 @@
 # 128 + SIGTERM, as shells report it.
 STOPPED_EXIT_STATUS = 143
 
+_Outcome = typing.TypeVar('_Outcome')
+
 app = typer.Typer(add_completion=False)
 
 
-async def _run_until_stopped(
-    soak: typing.Coroutine[typing.Any, typing.Any, run.Outcome],
-) -> run.Outcome:
+async def run_until_stopped(
+    soak: typing.Coroutine[typing.Any, typing.Any, _Outcome],
+) -> _Outcome:
     """Run a soak; SIGTERM cancels it, so that it ends its processes."""
     task = asyncio.ensure_future(soak)
     loop = asyncio.get_running_loop()
@@ -53,7 +55,7 @@
             folder.mkdir(parents=True, exist_ok=True)
         try:
             outcome = asyncio.run(
-                _run_until_stopped(
+                run_until_stopped(
                     run.run_soak(seed, seconds, routers, targets, folder)
                 )
             )
--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -29,6 +29,7 @@
 from amaranthcrank.router import model
 from soak import callers
 from soak import holds as key_holds
+from soak import main
 from soak import owner_process
 from soak import ownership_checks
 from soak import routers
@@ -438,7 +439,7 @@
 
 
 @app.command()
-def main(
+def play_seeds(
     seeds: typing.Annotated[
         list[int], typer.Argument(help='Seeds, one after the other.')
     ],
@@ -463,7 +464,9 @@
             folder = logs / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
         outcome = asyncio.run(
-            play(seed, seconds, SHAPES[site], folder, counts_releases)
+            main.run_until_stopped(
+                play(seed, seconds, SHAPES[site], folder, counts_releases)
+            )
         )
         failed += bool(outcome.violations)
         print(
