--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -5,6 +5,7 @@
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
+from amaranthcrank.router import hold_times
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
 from amaranthcrank.router import ownership_events
@@ -78,7 +79,9 @@
         Returns:
           The handover of the first holder that gave one, or ''.
         """
-        hold_ends = [self._calls.hold_end(holder) for holder in holders]
+        hold_ends = [
+            self._calls.hold_times.hold_end(holder) for holder in holders
+        ]
         first_fence = key_range.fence - len(holders)
         parts = [
             key_range._replace(fence=first_fence + index)
@@ -96,7 +99,7 @@
                 holder,
                 parts[index],
                 ends[index].evidence,
-                self._calls.has_unknown_grants,
+                self._calls.hold_times.has_unknown_grants,
             )
         handovers = [end.handover for end in ends if end.handover]
         return handovers[0] if handovers else ''
@@ -109,11 +112,14 @@
     ) -> _End:
         """Wait until a target has released a range, or cannot hold it."""
         while clock.now() < hold_end():
-            may_hold_again = self._calls.may_take_effect_late(holder)
+            may_hold_again = self._calls.hold_times.may_take_effect_late(
+                holder
+            )
             result, handover = await self._release(holder, key_range)
             if result == key_calls.RELEASED:
-                if may_hold_again and not self._calls.may_take_effect_late(
-                    holder
+                if (
+                    may_hold_again
+                    and not self._calls.hold_times.may_take_effect_late(holder)
                 ):
                     # A grant that has been answered since may have arrived
                     # after the release.
@@ -147,7 +153,7 @@
             address = self._address(holder)
             # Sent later, the call could arrive when the next owner holds the
             # keys.
-            in_time = clock.now() < hold_end() - key_calls.TRANSIT_S
+            in_time = clock.now() < hold_end() - hold_times.TRANSIT_S
             if address is not None and in_time:
                 result = await self._calls.fence_off(
                     holder, address, key_range
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -1,9 +1,7 @@
-"""Sends grants and releases to targets and tracks which may hold keys.
+"""Sends grants and releases to targets.
 
-A grant that gets no response may take effect seconds later. Its duration
-counts from its arrival, and targets with slow clocks hold it longer. A grant
-with a response arrived before that; one without arrived at the latest when TCP
-gave it up. The time after which no key is held counts from there.
+A call is sent only while this host holds the controller's lease, and only to
+the target that it names.
 """
 
 import typing
@@ -15,6 +13,7 @@
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
+from amaranthcrank.router import hold_times
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
 from amaranthcrank.router import ownership_events
@@ -31,14 +30,6 @@
 # The duration of a grant that only shows a target a fencing token: the least
 # that the platform's unit of milliseconds allows.
 BARRIER_S = 0.001
-# A target's clock may run two per cent slow.
-CLOCK_RATE_FACTOR = 1.03
-# How long a call may be in transit: TCP repeats it for USER_TIMEOUT_MS, also
-# after its connection was closed here.
-TRANSIT_S = 1.0
-# A repeated response may be taken for that to a call that is still in transit.
-MARGIN_S = 0.25
-
 GRANTED = 'granted'
 REJECTED = 'rejected'
 REFUSED = 'refused'
@@ -64,18 +55,6 @@
     """This host no longer holds the controller's lease."""
 
 
-class _Grant:
-    """A grant that was begun.
-
-    Attributes:
-      until: When it expires at the latest, by `clock.now`; in the past if it
-        was never sent.
-    """
-
-    def __init__(self, until: float) -> None:
-        self.until = until
-
-
 class KeyCalls:
     """Sends grants and releases; tracks how long targets may hold keys."""
 
@@ -105,10 +84,7 @@
             name the sender.
           is_lease_held: Returns whether this host may send calls.
         """
-        # The latest expiry of the grants with a response, by `clock.now`.
-        self._answered_until_by_holder: dict[str, float] = {}
-        self._pending_by_holder: dict[str, list[_Grant]] = {}
-        self._prior_held_until = 0.0
+        self.hold_times = hold_times.HoldTimes()
         self._pool = pool
         self._log = log
         self._has_restarted = has_restarted
@@ -128,61 +104,8 @@
         Args:
           grant_max_s: The longest duration of a grant.
         """
-        self._answered_until_by_holder.clear()
+        self.hold_times.assume_prior_grants(grant_max_s)
         self._reached_at_by_lost_holder.clear()
-        self._prior_held_until = _expiry_if_unanswered(grant_max_s)
-        self._pending_by_holder.clear()
-
-    @property
-    def has_unknown_grants(self) -> bool:
-        """Whether grants by an earlier controller may not have ended."""
-        return clock.now() < self._prior_held_until
-
-    def held_until(self, holder: str) -> float:
-        """Return until when a holder may hold keys by the grants sent."""
-        return max(
-            self._prior_held_until,
-            self._answered_until_by_holder.get(holder, 0.0),
-            *(grant.until for grant in self._pending(holder)),
-        )
-
-    def _pending(self, holder: str) -> tuple[_Grant, ...]:
-        return tuple(self._pending_by_holder.get(holder, ()))
-
-    def may_hold(self, holder: str) -> bool:
-        """Return whether a holder may hold keys by the grants sent so far."""
-        return clock.now() < self.held_until(holder)
-
-    def hold_end(self, holder: str) -> typing.Callable[[], float]:
-        """Return a function that returns when the grants begun so far expire.
-
-        The time moves while one of these grants still waits to be sent, for
-        example for a connection, or for a response. Grants that begin later do
-        not count.
-        """
-        known_until = max(
-            self._prior_held_until,
-            self._answered_until_by_holder.get(holder, 0.0),
-        )
-        pending = self._pending(holder)
-
-        def end() -> float:
-            return max([known_until, *(grant.until for grant in pending)])
-
-        return end
-
-    def may_take_effect_late(self, holder: str) -> bool:
-        """Return whether a grant to a holder may still take effect.
-
-        A new controller does not know which grants of its predecessor had no
-        response.
-        """
-        return self.has_unknown_grants or not self.has_no_pending_grant(holder)
-
-    def has_no_pending_grant(self, holder: str) -> bool:
-        """Return whether no grant to a holder may still take effect."""
-        now = clock.now()
-        return all(grant.until <= now for grant in self._pending(holder))
 
     async def grant(
         self,
@@ -207,20 +130,14 @@
           OTHER_SERVER or UNANSWERED.
         """
         body = grants.grant_body(key_range, hold_s, handover)
-        grant = _Grant(_expiry_if_unanswered(hold_s))
-        is_sent = False
+        grant = self.hold_times.begin(holder, hold_s)
 
         async def before_send(is_new: bool) -> None:
-            nonlocal is_sent
             if is_new:
                 await self._check_incarnation(holder)
             self._check_lease()
-            # The grant counts from its arrival, and connecting takes time.
-            grant.until = _expiry_if_unanswered(hold_s)
-            is_sent = True
+            grant.record_sent()
 
-        pending = self._pending_by_holder.setdefault(holder, [])
-        pending.append(grant)
         request_id = self._new_request_id()
         result, _ = await self._post(
             holder,
@@ -231,21 +148,11 @@
             before_send,
             request_id,
         )
-        if not is_sent:
-            grant.until = 0.0
-        elif result == UNANSWERED:
+        if result == UNANSWERED and grant.is_sent:
             self._events.grant_unanswered(
                 holder, key_range, hold_s, request_id
             )
-        else:
-            # It has arrived, so it expires sooner than was assumed.
-            grant.until = _expiry_if_answered(hold_s)
-            self._extend_hold(holder, grant.until)
-        if result != UNANSWERED:
-            # The grant has taken effect or never will.
-            pending.remove(grant)
-        now = clock.now()
-        pending[:] = [each for each in pending if each.until > now]
+        self.hold_times.finish(holder, grant, result != UNANSWERED)
         return result
 
     def _check_lease(self) -> None:
@@ -299,10 +206,6 @@
             raise _UnconfirmedError
         self._reached_at_by_lost_holder.pop(holder, None)
 
-    def _extend_hold(self, holder: str, until: float) -> None:
-        known_until = self._answered_until_by_holder.get(holder, 0.0)
-        self._answered_until_by_holder[holder] = max(until, known_until)
-
     async def release(
         self,
         holder: str,
@@ -440,16 +343,6 @@
         return UNANSWERED, response
 
 
-def _expiry_if_answered(hold_s: float) -> float:
-    """Return when a grant that has a response now expires."""
-    return clock.now() + MARGIN_S + hold_s * CLOCK_RATE_FACTOR
-
-
-def _expiry_if_unanswered(hold_s: float) -> float:
-    """Return when a grant that is sent now expires, by the slowest clock."""
-    return clock.now() + TRANSIT_S + hold_s * CLOCK_RATE_FACTOR
-
-
 def _is_success(response: http_client.Response) -> bool:
     return response.status == 200
 
--- a/amaranthcrank/router/key_calls_test.py
+++ b/amaranthcrank/router/key_calls_test.py
@@ -12,6 +12,7 @@
 from amaranthcrank.platform import names
 from amaranthcrank.router import clock
 from amaranthcrank.router import connection_pool
+from amaranthcrank.router import hold_times
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
 from amaranthcrank.router import sockets
@@ -146,7 +147,7 @@
         arrived = self.arrived
         self.assertEqual(await self._grant(), key_calls.OTHER_SERVER)
         self.assertEqual(self.arrived, arrived)
-        self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
+        self.assertTrue(self.calls.hold_times.has_no_pending_grant(HOLDER))
         # Keys are taken back from any incarnation.
         self.assertEqual(await self._release(), key_calls.RELEASED)
 
@@ -178,7 +179,7 @@
         """Guards against an owner that loses its keys after a short cut."""
         await self._refuse_once()
         self.assertEqual(await self._grant(), key_calls.UNANSWERED)
-        self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
+        self.assertTrue(self.calls.hold_times.has_no_pending_grant(HOLDER))
         await asyncio.sleep(REGISTRATION_S)
         self.has_restarted.return_value = None
         self.assertEqual(await self._grant(), key_calls.UNANSWERED)
@@ -221,9 +222,9 @@
 
         self.has_restarted.side_effect = wait
         await self._grant()
-        held_s = self.calls.held_until(HOLDER) - self.sending_at
+        held_s = self.calls.hold_times.held_until(HOLDER) - self.sending_at
         self.assertGreaterEqual(
-            held_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR + key_calls.MARGIN_S
+            held_s, HOLD_S * hold_times.CLOCK_RATE_FACTOR + hold_times.MARGIN_S
         )
 
     async def test_unanswered_grant_may_be_in_transit(self):
@@ -235,35 +236,41 @@
         self._respond = lambda head, number: b''
         with mock.patch.object(key_calls, 'GRANT_TIMEOUT_S', 0.05):
             self.assertEqual(await self._grant(), key_calls.UNANSWERED)
-        held_s = self.calls.held_until(HOLDER) - clock.now()
+        held_s = self.calls.hold_times.held_until(HOLDER) - clock.now()
         transit_s = sockets.USER_TIMEOUT_MS / 1000
         self.assertGreater(
-            held_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR + transit_s
+            held_s, HOLD_S * hold_times.CLOCK_RATE_FACTOR + transit_s
         )
 
     async def test_hold_end_follows_a_grant_that_is_not_sent_yet(self):
         # The caller of hold_end began to wait before the grant was sent.
         async def wait(_):
-            self.hold_end = self.calls.hold_end(HOLDER)
+            self.hold_end = self.calls.hold_times.hold_end(HOLDER)
             await asyncio.sleep(0.1)
             return False
 
         self.has_restarted.side_effect = wait
         await self._grant()
-        self.assertEqual(self.hold_end(), self.calls.held_until(HOLDER))
+        self.assertEqual(
+            self.hold_end(), self.calls.hold_times.held_until(HOLDER)
+        )
         await asyncio.sleep(0.05)
         await self._grant()
-        self.assertLess(self.hold_end(), self.calls.held_until(HOLDER))
+        self.assertLess(
+            self.hold_end(), self.calls.hold_times.held_until(HOLDER)
+        )
 
     async def test_grant_that_is_not_sent_yet_is_pending(self):
         # A release that overtakes it would confirm that no key is held.
         async def check(_):
-            self.assertFalse(self.calls.has_no_pending_grant(HOLDER))
+            self.assertFalse(
+                self.calls.hold_times.has_no_pending_grant(HOLDER)
+            )
             return False
 
         self.has_restarted.side_effect = check
         await self._grant()
-        self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
+        self.assertTrue(self.calls.hold_times.has_no_pending_grant(HOLDER))
 
     async def test_lease_that_ends_before_a_grant_is_sent(self):
         """Guards against a grant beside those of the next controller.
@@ -279,7 +286,7 @@
         self.has_restarted.side_effect = lose_lease
         self.assertEqual(await self._grant(), key_calls.UNANSWERED)
         self.assertEqual(self.arrived, 0)
-        self.assertTrue(self.calls.has_no_pending_grant(HOLDER))
+        self.assertTrue(self.calls.hold_times.has_no_pending_grant(HOLDER))
 
     async def test_no_release_after_the_lease(self):
         """Guards against keys that a former controller takes back."""
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -29,15 +29,13 @@
 from amaranthcrank.router import model
 from amaranthcrank.router import ownership_events
 from amaranthcrank.router import refused_holders
+from amaranthcrank.router import target_stability
 from amaranthcrank.router import target_state
 
 STEP_INTERVAL_S = 0.1
 # Moves that complete within this time are written to the store together.
 # Hosts are notified of each at once by datagram.
 BATCH_WINDOW_S = 0.5
-# Keys are first assigned once the set of targets has not changed for this
-# time.
-STABLE_TARGETS_S = 1.2
 # An owner with a higher utilisation than this has a queue at times, so hosts
 # need to know the usage by the other hosts.
 CONTENDED_UTILISATION = 0.5
@@ -122,9 +120,7 @@
         self._inherited_services: set[str] = set()
         self._first_completed_at = 0.0
         self._renewal_task: asyncio.Task[None] | None = None
-        self._observed_owners_by_service: dict[
-            str, tuple[float, list[key_plan.Owner]]
-        ] = {}
+        self._stability = target_stability.TargetStability()
 
     async def run(self) -> None:
         """Act as the controller while the lease is held."""
@@ -297,7 +293,7 @@
                 cold_load_s_by_id[entry.target_id] = cold_load_s
         owners.sort()
         now = time.monotonic()
-        if not ranges and not self._is_stable(service, owners, now):
+        if not ranges and not self._stability.is_stable(service, owners, now):
             return ()
         owners = cold_owners.limit_cold(
             owners, cold_load_s_by_id, key_load.WINDOW_S
@@ -336,7 +332,7 @@
         """
         if self._refused_holders.is_replaced(holder):
             return False
-        return self._calls.may_hold(holder)
+        return self._calls.hold_times.may_hold(holder)
 
     def _update_contention(self, service: str, utilisation: float) -> None:
         """Record whether an owner of a service is likely to have a queue."""
@@ -355,20 +351,6 @@
             slowness = 1.0
         return min(3.0, max(0.5, round(slowness * 4) / 4))
 
-    def _is_stable(
-        self, service: str, owners: list[key_plan.Owner], now: float
-    ) -> bool:
-        """Return whether the set of targets has been stable for long enough.
-
-        At the first start targets register one after the other; keys assigned
-        to the first of them would soon have to move.
-        """
-        known = self._observed_owners_by_service.get(service)
-        if known is None or known[1] != owners:
-            self._observed_owners_by_service[service] = (now, owners)
-            return False
-        return now - known[0] >= STABLE_TARGETS_S
-
     async def _write(self, key_map: model.KeyMap) -> bool:
         """Write a map; return False if this host must stop as controller."""
         written = await self._store.write(key_map)
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -9,6 +9,7 @@
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import directory
+from amaranthcrank.router import hold_times
 from amaranthcrank.router import http_client
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import key_controller
@@ -16,6 +17,7 @@
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from amaranthcrank.router import refused_holders
+from amaranthcrank.router import target_stability
 from standins import platform_target
 
 GRANT_MAX_S = 1.0
@@ -173,7 +175,7 @@
             (key_renewals, 'GRANT_DURATION_S', HOLD_S),
             (key_renewals, 'RENEWAL_INTERVAL_S', 0.2),
             (key_renewals, 'CHECK_INTERVAL_S', 0.02),
-            (key_controller, 'STABLE_TARGETS_S', 0.05),
+            (target_stability, 'STABLE_TARGETS_S', 0.05),
             (key_controller, 'STEP_INTERVAL_S', 0.02),
         ):
             patch = mock.patch.object(module, name, value)
@@ -401,7 +403,9 @@
         still held them when it was reached again (review case 1).
         """
         waited_s = await self._wait_for_move_after_loss(key_calls.REFUSED)
-        self.assertGreaterEqual(waited_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR)
+        self.assertGreaterEqual(
+            waited_s, HOLD_S * hold_times.CLOCK_RATE_FACTOR
+        )
 
     async def test_owner_that_refused_its_move_gets_the_keys_later(self):
         """Guards against keys without an owner after a refused grant.
@@ -415,7 +419,7 @@
         await self._lose_first()
         self.calls.result_by_port[2] = key_calls.REFUSED
         await self._wait(lambda: not self._is_assigned())
-        await self._wait(lambda: not self.calls.may_hold('i-1/1'))
+        await self._wait(lambda: not self.calls.hold_times.may_hold('i-1/1'))
         await asyncio.sleep(0.1)
         del self.calls.result_by_port[2]
         await self._wait(self._is_assigned)
@@ -431,10 +435,10 @@
         await self._wait(self._is_assigned)
         await self._wait(lambda: len(self.calls.grants_to(1)) > 1)
         refused = mock.AsyncMock(return_value=(key_calls.REFUSED, None))
-        held_until = self.calls.held_until('i-1/1')
+        held_until = self.calls.hold_times.held_until('i-1/1')
         with mock.patch.object(self.calls, '_post', refused):
             await self._wait(lambda: refused.await_count > 5)
-        self.assertEqual(self.calls.held_until('i-1/1'), held_until)
+        self.assertEqual(self.calls.hold_times.held_until('i-1/1'), held_until)
 
     async def test_owner_that_is_reached_again_keeps_its_keys(self):
         """Guards against moves, and cold keys, after a short cut."""
@@ -466,7 +470,9 @@
         with mock.patch.object(self.calls, '_post', post_to_others):
             await self._wait(self._first_grant_of_moved_keys)
         waited_s = self._first_grant_of_moved_keys() - last
-        self.assertGreaterEqual(waited_s, HOLD_S * key_calls.CLOCK_RATE_FACTOR)
+        self.assertGreaterEqual(
+            waited_s, HOLD_S * hold_times.CLOCK_RATE_FACTOR
+        )
 
     async def _drain_and_refuse(self, entry):
         """Let the first target close its port while it finishes its requests.
--- a/amaranthcrank/router/key_renewals.py
+++ b/amaranthcrank/router/key_renewals.py
@@ -164,7 +164,9 @@
         if result == key_calls.OTHER_SERVER:
             self._refused_holders.add_replaced(holder)
             return
-        if result == key_calls.REFUSED or not self._calls.may_hold(holder):
+        if result == key_calls.REFUSED or not self._calls.hold_times.may_hold(
+            holder
+        ):
             self._refused_holders.add(holder)
 
 
