Wait for a fence without a response before the keys move on (OWNER)

What callers would see: a former owner gets keys for a millisecond beside their next owner; or keys have no owner for up to 11 s after a change of the controller.

Cause: a call that fences off a former owner and gets no response was repeated and forgotten. And the releases bore ascending tokens: two lives of one target among the former owners are one process, which then rejected the lower of its two tokens.

Change: such a call counts as a grant that is under way, also for later moves, and its arrival is waited for. Only new connections are used again: where a target takes none, the keys wait for the end of the grants that may run. All releases bear the lowest token of the move.

Not closed: where several holders may take late grants, one may do so in the milliseconds until it has its token, while the first has its instant.

--- a/amaranthcrank/router/controller_change_test.py
+++ b/amaranthcrank/router/controller_change_test.py
@@ -39,6 +39,8 @@
         self.holds = []
         # How long its work on released keys takes.
         self.work_s = 0.0
+        # Whether it counts the tokens of releases as well.
+        self.counts_releases = False
         self.highest_fence = 0
 
     def take_grant(self, call, arrived_at):
@@ -61,8 +63,10 @@
             )
         return True
 
-    async def release(self, first, last):
+    async def release(self, first, last, fence):
         """Release keys; a hold ends when the work on its keys has ended."""
+        if self.counts_releases:
+            self.highest_fence = max(self.highest_fence, fence)
         now = clock.now()
         working = any(
             hold.first <= last and first <= hold.last and hold.until > now
@@ -88,6 +92,8 @@
             lambda: True,
         )
         self._target_by_holder = target_by_holder
+        # How many calls that fence off a target arrive late and unanswered.
+        self.lost_fences = 0
 
     async def _post(
         self,
@@ -105,10 +111,18 @@
         await asyncio.sleep(0.001)
         fields = json.loads(body)
         if path == names.RELEASE_PATH:
-            await target.release(*platform_target.parse_release(fields))
+            first, last = platform_target.parse_release(fields)
+            await target.release(first, last, fields['fence'])
             response = http_client.Response(200, [(names.HANDOVER, b'w')], b'')
             return key_calls.GRANTED, response
         call = platform_target.parse_grant(fields)
+        if call.hold_s <= key_calls.FENCE_S and self.lost_fences:
+            self.lost_fences -= 1
+            asyncio.get_running_loop().call_later(
+                0.5, lambda: target.take_grant(call, clock.now())
+            )
+            await asyncio.sleep(0.05)
+            return key_calls.UNANSWERED, None
         if not target.take_grant(call, clock.now()):
             return key_calls.REJECTED, http_client.Response(409, [], b'')
         return key_calls.GRANTED, http_client.Response(200, [], b'', True)
@@ -173,7 +187,7 @@
             is_held=True, was_last_holder=False, held_until=clock.now() + 1000
         )
 
-    async def _run_next_controller(self, seconds, owned=OWNED):
+    async def _run_next_controller(self, seconds, owned=OWNED, lost_fences=0):
         key_map = model.KeyMap(
             'book',
             owned.fence,
@@ -184,15 +198,17 @@
                 for target in (self.former, self.next, self.third)
             },
         )
+        target_by_holder = {
+            target.entry.holder: target
+            for target in (self.former, self.next, self.third)
+        }
+        target_by_holder['i-1/1'] = self.former
+        calls = _Calls(target_by_holder)
+        calls.lost_fences = lost_fences
         controller = key_controller.Controller(
             _Store(key_map),
             self.lease,
-            _Calls(
-                {
-                    target.entry.holder: target
-                    for target in (self.former, self.next, self.third)
-                }
-            ),
+            calls,
             self.targets,
             key_table.KeyTable(),
             mock.Mock(),
@@ -256,6 +272,30 @@
         await self._run_next_controller(0.6, MOVING)
         self._check(self.third)
 
+    async def test_fence_that_arrives_late(self):
+        """Guards against a former owner that gets keys beside the next one.
+
+        The call that fences it off had no response and was repeated. The first
+        one arrived after the keys had been granted to another target.
+        """
+        owned = platform_target.GrantCall(0, LAST_KEY, FORMER_FENCE, 0.8, '')
+        self.former.take_grant(owned, clock.now())
+        await self._run_next_controller(1.6, lost_fences=1)
+        self._check(self.next)
+
+    async def test_two_lives_of_a_target_among_the_former_owners(self):
+        """Guards against keys without an owner for the longest grant.
+
+        Both are released by one process, which rejected the lower token of
+        the two with which it was to be fenced off.
+        """
+        self.former.counts_releases = True
+        self.former.entry = self.former.entry._replace(incarnation=2)
+        self.targets.put(self.former.entry)
+        moving = MOVING._replace(former_holders='i-1/2 i-1/1')
+        await self._run_next_controller(0.5, moving)
+        self._check(self.next)
+
     async def test_several_former_owners_of_which_one_still_works(self):
         """Guards against a fence that gives keys back while another works.
 
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -22,12 +22,12 @@
     Attributes:
       evidence: What showed it, as in `ownership_events`.
       handover: Its handover, or '' if there is none.
-      may_hold_again: Whether an earlier grant may still take effect.
+      may_take_late_grant: Whether an earlier grant may still take effect.
     """
 
     evidence: str
     handover: str = ''
-    may_hold_again: bool = False
+    may_take_late_grant: bool = False
 
 
 _REPLACED = _End(ownership_events.REPLACED)
@@ -68,8 +68,8 @@
     ) -> str:
         """Wait until none of the possible holders holds a range.
 
-        First all of them release it, so that none gets the range back, for an
-        instant, while another one still holds it or works on it.
+        First all of them release it: to be fenced off gives a target the range
+        for an instant, in which no other one may work on it.
 
         Args:
           holders: The targets that may hold the range, as `id/incarnation`.
@@ -82,22 +82,25 @@
         hold_ends = [
             self._calls.hold_times.hold_end(holder) for holder in holders
         ]
-        first_fence = key_range.fence - len(holders)
-        parts = [
-            key_range._replace(fence=first_fence + index)
-            for index in range(len(holders))
-        ]
+        # Two holders may be lives of one target, which would reject a token
+        # below that of an earlier release.
+        lowest_fence = key_range.fence - len(holders)
+        released = key_range._replace(fence=lowest_fence)
         ends = await asyncio.gather(
-            *map(self._await_release, holders, parts, hold_ends)
+            *(
+                self._await_release(holder, released, hold_end)
+                for holder, hold_end in zip(holders, hold_ends, strict=True)
+            )
         )
         for index, holder in enumerate(holders):
-            if ends[index].may_hold_again:
+            fenced = key_range._replace(fence=lowest_fence + index)
+            if ends[index].may_take_late_grant:
                 ends[index] = await self._fence_off(
-                    holder, parts[index], hold_ends[index], ends[index]
+                    holder, fenced, hold_ends[index], ends[index]
                 )
             self._events.keys_reclaimed(
                 holder,
-                parts[index],
+                fenced,
                 ends[index].evidence,
                 self._calls.hold_times.has_unknown_grants,
             )
@@ -111,23 +114,19 @@
         hold_end: typing.Callable[[], float],
     ) -> _End:
         """Wait until a target has released a range, or cannot hold it."""
+        may_take_late_grant = self._calls.hold_times.may_take_effect_late
         while clock.now() < hold_end():
-            may_hold_again = self._calls.hold_times.may_take_effect_late(
-                holder
-            )
+            is_suspect = may_take_late_grant(holder)
             result, handover = await self._release(holder, key_range)
             if result == key_calls.RELEASED:
-                if (
-                    may_hold_again
-                    and not self._calls.hold_times.may_take_effect_late(holder)
-                ):
+                if is_suspect and not may_take_late_grant(holder):
                     # A grant that has been answered since may have arrived
                     # after the release.
                     continue
                 evidence = ownership_events.RELEASED
                 if self._find_restarted(holder) is not None:
                     evidence = ownership_events.RESTARTED
-                return _End(evidence, handover, may_hold_again)
+                return _End(evidence, handover, is_suspect)
             if result == key_calls.OTHER_SERVER:
                 return _REPLACED
             await asyncio.sleep(_retry_s(result))
@@ -147,32 +146,39 @@
         of a release is one of them. What took effect between the release and
         the token is released as well.
         """
+        end = _EXPIRED
+        in_transit_until = 0.0
         is_logged = False
-        while clock.now() < hold_end():
+        # A call that is sent later would only delay the end.
+        while clock.now() < hold_end() - hold_times.TRANSIT_S:
             result = key_calls.UNANSWERED
+            handover = ''
             address = self._address(holder)
-            # Sent later, the call could arrive when the next owner holds the
-            # keys.
-            in_time = clock.now() < hold_end() - hold_times.TRANSIT_S
-            if address is not None and in_time:
-                result = await self._calls.fence_off(
+            if address is not None:
+                result, arrives_until = await self._calls.fence_off(
                     holder, address, key_range
                 )
+                in_transit_until = max(in_transit_until, arrives_until)
             if result != key_calls.GRANTED and not is_logged:
                 is_logged = True
                 self._events.not_fenced_off(holder, key_range, result)
-            handover = ''
             if result == key_calls.GRANTED:
                 result, handover = await self._release(holder, key_range)
             if result == key_calls.RELEASED:
-                return released._replace(
+                end = released._replace(
                     handover=handover or released.handover,
-                    may_hold_again=False,
+                    may_take_late_grant=False,
                 )
+                break
             if result == key_calls.OTHER_SERVER:
-                return _REPLACED
+                end = _REPLACED
+                break
             await asyncio.sleep(_retry_s(result))
-        return _EXPIRED
+        else:
+            in_transit_until = max(in_transit_until, hold_end())
+        # An earlier call would give the range to the target for an instant.
+        await asyncio.sleep(max(0.0, in_transit_until - clock.now()))
+        return end
 
     async def _release(
         self, holder: str, key_range: model.KeyRange
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -27,9 +27,9 @@
 MAX_RESPONSE_BYTES = 64 * 1024
 # A target responds to a release only when its work on the keys has ended.
 RELEASE_TIMEOUT_S = 4.0
-# The duration of a grant that only shows a target a fencing token: the least
-# that the platform's unit of milliseconds allows.
-BARRIER_S = 0.001
+# The duration of a grant that only shows a target a fencing token. It is one
+# millisecond, the unit of durations in grants.
+FENCE_S = 0.001
 GRANTED = 'granted'
 REJECTED = 'rejected'
 REFUSED = 'refused'
@@ -246,12 +246,13 @@
         holder: str,
         address: model.Address,
         key_range: model.KeyRange,
-    ) -> str:
+    ) -> tuple[str, float]:
         """Make a target reject all grants of a range with lower tokens.
 
         The target is granted the range for an instant, as only grants are sure
-        to count among the fencing tokens that it has seen. It counts from the
-        arrival of the call, so one that is carried out late grants nothing.
+        to count among the fencing tokens that it has seen. The instant counts
+        from the arrival of the call, so one that is carried out late grants
+        nothing.
 
         Args:
           holder: The target, as `id/incarnation`.
@@ -259,25 +260,28 @@
           key_range: The keys, with a token above all that were granted before.
 
         Returns:
-          GRANTED, REJECTED, REFUSED, OTHER_SERVER or UNANSWERED.
+          GRANTED, REJECTED, REFUSED, OTHER_SERVER or UNANSWERED; and until
+          when the call may still arrive, by `clock.now`, 0.0 if it cannot.
         """
-        # On a used connection, an earlier response could be repeated. Only a
-        # target that takes no new ones, as it is leaving or full, is called on
-        # one.
-        for is_shared in (False, True):
-            result, _ = await self._post(
-                holder,
-                address,
-                names.GRANT_PATH,
-                grants.grant_body(key_range, BARRIER_S, ''),
-                GRANT_TIMEOUT_S,
-                self._check_lease_only,
-                self._new_request_id(),
-                is_shared=is_shared,
-            )
-            if result not in (REFUSED, UNANSWERED):
-                break
-        return result
+        grant = self.hold_times.begin(holder, FENCE_S)
+
+        async def before_send(_: bool) -> None:
+            self._check_lease()
+            grant.record_sent()
+
+        result, _ = await self._post(
+            holder,
+            address,
+            names.GRANT_PATH,
+            grants.grant_body(key_range, FENCE_S, ''),
+            GRANT_TIMEOUT_S,
+            before_send,
+            self._new_request_id(),
+            # On a used connection, an earlier response could be repeated.
+            is_shared=False,
+        )
+        self.hold_times.finish(holder, grant, result != UNANSWERED)
+        return result, grant.until if result == UNANSWERED else 0.0
 
     async def _post(
         self,
