--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -1,12 +1,14 @@
 """Assigns each key of the keyed services to exactly one target.
 
 One host at a time does this, under the controller's lease. A move is first
-written to the store as moving. Then the former owner releases the keys, or
-its grants expire. After that the new owner is granted the keys with a higher
-fencing token, and the move is written as completed.
+written to the store as moving. Then the former owner releases the keys and is
+fenced off from earlier grants, or its grants expire. After that the new owner
+is granted the keys with a higher fencing token, and the move is written as
+completed.
 """
 
 import asyncio
+import functools
 import math
 import time
 import typing
@@ -40,6 +42,9 @@
 # need to know the usage by the other hosts.
 CONTENDED_UTILISATION = 0.5
 
+# The service, the first key, the last key and the fencing token.
+_MoveId = tuple[str, int, int, int]
+
 
 class Controller:
     """Assigns and moves keys while this host holds the lease.
@@ -94,9 +99,7 @@
         self._grant_max_s = grant_max_s
         self._map_by_service: dict[str, model.KeyMap] = {}
         self._completed_by_service: dict[str, list[model.KeyRange]] = {}
-        self._task_by_move: dict[
-            tuple[str, int, int, int], asyncio.Task[None]
-        ] = {}
+        self._task_by_move: dict[_MoveId, asyncio.Task[None]] = {}
         self._address_by_holder: dict[str, model.Address] = {}
         self._former_owners = former_owners.FormerOwners(
             calls,
@@ -375,17 +378,22 @@
             wanted.add(move_id)
             if move_id not in self._task_by_move:
                 task = asyncio.create_task(self._move(service, key_range))
-                task.add_done_callback(self._on_move_end)
+                task.add_done_callback(
+                    functools.partial(self._on_move_end, move_id)
+                )
                 self._task_by_move[move_id] = task
         for move_id, task in list(self._task_by_move.items()):
             if move_id[0] == service and move_id not in wanted:
                 task.cancel()
                 del self._task_by_move[move_id]
 
-    def _on_move_end(self, task: asyncio.Task[None]) -> None:
-        """Log a fault of the program, which ends only this move."""
-        if not task.cancelled() and task.exception() is not None:
-            self._log.event('move_failed', error=repr(task.exception()))
+    def _on_move_end(self, move_id: _MoveId, task: asyncio.Task[None]) -> None:
+        """Log a fault of the program; the next step tries the move again."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._log.event('move_failed', error=repr(task.exception()))
+        if self._task_by_move.get(move_id) is task:
+            del self._task_by_move[move_id]
 
     async def _move(self, service: str, key_range: model.KeyRange) -> None:
         """Reclaim a range from all targets that may hold it, then grant it.
