Tell the end of the process from other time-outs of a request (LOST)

The answer before the end of the process came 0.25 s before it, but requests were still sent whose deadline lies in that time, "as they end in time", and would be cut. And any time-out that escaped an attempt was logged as the end of the process.

Now the shutdown counts from the last responses, and the limit raises an error of its own.

--- a/amaranthcrank/router/forwarder.py
+++ b/amaranthcrank/router/forwarder.py
@@ -177,7 +177,7 @@
         try:
             async with self.shutdown.limit():
                 response = await self._run_attempts(call, progress)
-        except TimeoutError:
+        except shutdown_timeout.ProcessEndsError:
             response = self._refuse(
                 call.request_id, 502, ENDING_REASON, None, call, progress
             )
--- a/amaranthcrank/router/main.py
+++ b/amaranthcrank/router/main.py
@@ -225,12 +225,13 @@
         end_at = loop.time() + self.settings.bounds.grace_s - EXIT_MARGIN_S
         self.log.event('stopping', busy=self.server.active_requests)
         self.server.draining = True
+        last_responses_at = end_at - LAST_RESPONSES_S
         self.admission.begin_shutdown(
             shutdown_limits.ShutdownLimits(
-                loop.time() + LISTEN_AFTER_SIGTERM_S, end_at
+                loop.time() + LISTEN_AFTER_SIGTERM_S, last_responses_at
             )
         )
-        self.forwarder.shutdown.begin(end_at - LAST_RESPONSES_S)
+        self.forwarder.shutdown.begin(last_responses_at)
         resigning = loop.create_task(self._resign())
         await asyncio.sleep(LISTEN_AFTER_SIGTERM_S)
         self.server.stop_listening()
--- a/amaranthcrank/router/shutdown_limits.py
+++ b/amaranthcrank/router/shutdown_limits.py
@@ -20,7 +20,7 @@
     Attributes:
       listens_until: When the host stops to accept connections. New requests
         rarely arrive later.
-      ends_at: When the process ends.
+      ends_at: When requests in progress are answered, as the process ends.
     """
 
     listens_until: float
--- a/amaranthcrank/router/shutdown_timeout.py
+++ b/amaranthcrank/router/shutdown_timeout.py
@@ -5,6 +5,10 @@
 import contextlib
 
 
+class ProcessEndsError(Exception):
+    """A request was not answered before the end of the process."""
+
+
 class ShutdownTimeout:
     """A time limit for all requests in progress, once a shutdown began."""
 
@@ -24,11 +28,17 @@
         """Limit the handling of a request.
 
         Raises:
-          TimeoutError: The limit has passed.
+          ProcessEndsError: The limit has passed.
         """
-        async with asyncio.timeout_at(self._end_at) as timeout:
-            self._timeouts.add(timeout)
-            try:
-                yield
-            finally:
-                self._timeouts.discard(timeout)
+        timeout = asyncio.timeout_at(self._end_at)
+        try:
+            async with timeout:
+                self._timeouts.add(timeout)
+                try:
+                    yield
+                finally:
+                    self._timeouts.discard(timeout)
+        except TimeoutError as error:
+            if timeout.expired():
+                raise ProcessEndsError from error
+            raise
