--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -149,7 +149,7 @@
         end = _EXPIRED
         in_transit_until = 0.0
         is_logged = False
-        # A call that is sent later would only delay the end.
+        # One that is sent later could be in transit at the end of the hold.
         while clock.now() < hold_end() - hold_times.TRANSIT_S:
             result = key_calls.UNANSWERED
             handover = ''
@@ -176,7 +176,7 @@
             await asyncio.sleep(_retry_s(result))
         else:
             in_transit_until = max(in_transit_until, hold_end())
-        # An earlier call would give the range to the target for an instant.
+        # An earlier one without a response may still arrive.
         await asyncio.sleep(max(0.0, in_transit_until - clock.now()))
         return end
 
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -30,6 +30,7 @@
 # The duration of a grant that only shows a target a fencing token. It is one
 # millisecond, the unit of durations in grants.
 FENCE_S = 0.001
+
 GRANTED = 'granted'
 REJECTED = 'rejected'
 REFUSED = 'refused'
@@ -56,7 +57,11 @@
 
 
 class KeyCalls:
-    """Sends grants and releases; tracks how long targets may hold keys."""
+    """Sends grants and releases; tracks how long targets may hold keys.
+
+    Attributes:
+      hold_times: Until when targets may hold keys by the grants sent.
+    """
 
     def __init__(
         self,
