--- a/soak/environment.py
+++ b/soak/environment.py
@@ -50,10 +50,10 @@
         self,
         stack: contextlib.AsyncExitStack,
         rng: random.Random,
-        network: int,
+        network: str,
         folder: pathlib.Path,
     ) -> None:
-        """Build on loopback addresses 127.`network`.x.y."""
+        """Build on loopback addresses `network`.x.y."""
         self.routers: list[routers.Router] = []
         self.targets: list[target.Target] = []
         self.fault_intervals = drain_checks.FaultIntervals()
@@ -66,7 +66,7 @@
         self.rng = rng
         self._network = network
         self._folder = folder
-        self._store_address = model.Address(f'127.{network}.1.1', 18384)
+        self._store_address = model.Address(f'{network}.1.1', 18384)
         self._manifest_version = 0
         self._resumed_at = 0.0
         self._target_count = 0
@@ -82,16 +82,14 @@
             await self._add_router(number)
 
     async def _add_router(self, number: int) -> None:
-        relay_address = model.Address(
-            f'127.{self._network}.2.{number + 1}', 18384
-        )
+        relay_address = model.Address(f'{self._network}.2.{number + 1}', 18384)
         store_relay = relay.Relay(relay_address, self._store_address)
         await store_relay.listen()
         self._stack.callback(store_relay.close)
         self.store_relays.append(store_relay)
         router = routers.Router(
             f'host-{number}',
-            f'127.{self._network}.3.{number + 1}',
+            f'{self._network}.3.{number + 1}',
             DOMAINS[number % len(DOMAINS)],
             relay_address,
             self._folder,
@@ -126,7 +124,7 @@
         self._target_count += 1
         target_id = target_id or f'{service}-{self._target_count}'
         listen = model.Address(
-            f'127.{self._network}.4.{self._target_count}', 18500
+            f'{self._network}.4.{self._target_count}', 18500
         )
         existing_relay = self._relay_by_target.get(target_id)
         address = (
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import pathlib
 import random
 import tempfile
@@ -13,12 +12,10 @@
 from soak import checks
 from soak import drain_checks
 from soak import environment
+from soak import networks
 
 CALLERS_PER_ROUTER = 3
 WARM_UP_S = 5.0
-# Each soak uses one of the loopback networks 127.x from this x on.
-FIRST_NETWORK = 10
-NETWORK_COUNT = 200
 # Time after the last fault within which the system must serve again.
 RECOVERY_S = 15.0
 STEADY_S = 3.0
@@ -77,8 +74,7 @@
         folder = pathlib.Path(
             stack.enter_context(tempfile.TemporaryDirectory())
         )
-    # The process id is added so that runs of one seed can overlap.
-    network = FIRST_NETWORK + (seed + os.getpid()) % NETWORK_COUNT
+    network = networks.claim(stack, seed)
     env = environment.Environment(stack, random.Random(seed), network, folder)
     await env.start(router_count, target_count)
     results: list[callers.Result] = []
