Log calls without a response where keys change hands

A fence or a release without a response left no line, and keys_reclaimed did not say whether grants of this host had none.

--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -82,6 +82,10 @@
         hold_ends = [
             self._calls.hold_times.hold_end(holder) for holder in holders
         ]
+        had_unanswered = [
+            not self._calls.hold_times.has_no_pending_grant(holder)
+            for holder in holders
+        ]
         # Two holders may be lives of one target, which would reject a token
         # below that of an earlier release.
         lowest_fence = key_range.fence - len(holders)
@@ -103,6 +107,7 @@
                 fenced,
                 ends[index].evidence,
                 self._calls.hold_times.has_unknown_grants,
+                had_unanswered[index],
             )
         handovers = [end.handover for end in ends if end.handover]
         return handovers[0] if handovers else ''
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -226,6 +226,7 @@
           A refusal does not show that the target has ended.
         """
         body = grants.release_body(first, last, fence)
+        request_id = self._new_request_id()
         result, response = await self._post(
             holder,
             address,
@@ -233,15 +234,20 @@
             body,
             RELEASE_TIMEOUT_S,
             self._check_lease_only,
-            self._new_request_id(),
+            request_id,
         )
-        if result != GRANTED or response is None:
-            return result, ''
-        handover = response.header(names.HANDOVER)
-        if handover is None:
+        handover = None
+        if result == GRANTED and response is not None:
+            handover = response.header(names.HANDOVER)
+        if handover is not None:
+            return RELEASED, handover.decode('latin-1')
+        if result == GRANTED:
             # A repeated response to an earlier grant.
-            return UNANSWERED, ''
-        return RELEASED, handover.decode('latin-1')
+            result = UNANSWERED
+        self._events.release_unanswered(
+            holder, (first, last), fence, result, request_id
+        )
+        return result, ''
 
     def _new_request_id(self) -> str:
         return f'{self._host_id}-{uuid.uuid4().hex}'
@@ -274,6 +280,7 @@
             self._check_lease()
             grant.record_sent()
 
+        request_id = self._new_request_id()
         result, _ = await self._post(
             holder,
             address,
@@ -281,10 +288,14 @@
             grants.grant_body(key_range, FENCE_S, ''),
             GRANT_TIMEOUT_S,
             before_send,
-            self._new_request_id(),
+            request_id,
             # On a used connection, an earlier response could be repeated.
             is_shared=False,
         )
+        if result == UNANSWERED and grant.is_sent:
+            self._events.grant_unanswered(
+                holder, key_range, FENCE_S, request_id
+            )
         self.hold_times.finish(holder, grant, result != UNANSWERED)
         return result, grant.until if result == UNANSWERED else 0.0
 
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -51,12 +51,40 @@
             id=request_id,
         )
 
+    def release_unanswered(
+        self,
+        holder: str,
+        key_range: tuple[int, int],
+        fence: int,
+        result: str,
+        request_id: str,
+    ) -> None:
+        """Record that a target did not confirm a release.
+
+        Args:
+          holder: The target, as `id/incarnation`.
+          key_range: The first and the last key.
+          fence: The fencing token of the call.
+          result: What the call returned, as in `key_calls`.
+          request_id: The id that the call carried.
+        """
+        self._registry.add('releases_unanswered')
+        self._log.event(
+            'release_unanswered',
+            holder=holder,
+            keys=key_range,
+            fence=fence,
+            result=result,
+            id=request_id,
+        )
+
     def keys_reclaimed(
         self,
         former: str,
         key_range: model.KeyRange,
         evidence: str,
         unknown_grants: bool,
+        unanswered_grants: bool,
     ) -> None:
         """Record that a former owner no longer holds a range.
 
@@ -66,6 +94,8 @@
           evidence: RELEASED, RESTARTED, REPLACED or EXPIRED.
           unknown_grants: Whether grants by an earlier controller may not have
             ended yet.
+          unanswered_grants: Whether grants by this host had no response when
+            it began to reclaim the range.
         """
         self._registry.add(f'keys_reclaimed_{evidence}')
         self._log.event(
@@ -75,6 +105,7 @@
             fence=key_range.fence,
             evidence=evidence,
             unknown_grants=unknown_grants,
+            unanswered_grants=unanswered_grants,
         )
 
     def not_fenced_off(
