--- a/amaranthcrank/router/controller_change_test.py
+++ b/amaranthcrank/router/controller_change_test.py
@@ -6,21 +6,17 @@
 """
 
 import asyncio
-import json
 import unittest
 from unittest import mock
 
-from amaranthcrank.platform import entries
-from amaranthcrank.platform import names
-from amaranthcrank.platform import store
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
-from amaranthcrank.router import http_client
-from amaranthcrank.router import key_calls
+from amaranthcrank.router import hold_times
 from amaranthcrank.router import key_controller
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from soak import holds as key_holds
+from standins import key_targets
 from standins import platform_target
 
 GRANT_MAX_S = 1.0
@@ -31,120 +27,6 @@
 MOVING = model.KeyRange(0, LAST_KEY, 'i-2', 1, FORMER_FENCE + 2, True, 'i-1/1')
 
 
-class _Target:
-    """Takes grants and releases, and records what it holds."""
-
-    def __init__(self, entry):
-        self.entry = entry
-        self.holds = []
-        # How long its work on released keys takes.
-        self.work_s = 0.0
-        # Whether it counts the tokens of releases as well.
-        self.counts_releases = False
-        self.highest_fence = 0
-
-    def take_grant(self, call, arrived_at):
-        if call.fence < self.highest_fence:
-            return False
-        self.highest_fence = call.fence
-        until = arrived_at + call.hold_s
-        now = clock.now()
-        if until > now:
-            self.holds.append(
-                key_holds.Hold(
-                    self.entry.holder,
-                    'book',
-                    call.first,
-                    call.last,
-                    call.fence,
-                    now,
-                    until,
-                )
-            )
-        return True
-
-    async def release(self, first, last, fence):
-        """Release keys; a hold ends when the work on its keys has ended."""
-        if self.counts_releases:
-            self.highest_fence = max(self.highest_fence, fence)
-        now = clock.now()
-        working = any(
-            hold.first <= last and first <= hold.last and hold.until > now
-            for hold in self.holds
-        )
-        if working:
-            await asyncio.sleep(self.work_s)
-        self.holds = key_holds.release(self.holds, first, last, clock.now())
-
-
-class _Calls(key_calls.KeyCalls):
-    """Delivers calls to the targets."""
-
-    def __init__(self, target_by_holder):
-        super().__init__(
-            mock.Mock(),
-            mock.Mock(),
-            mock.AsyncMock(return_value=False),
-            mock.Mock(),
-            0.0,
-            mock.Mock(),
-            'host-2',
-            lambda: True,
-        )
-        self._target_by_holder = target_by_holder
-        # How many calls that fence off a target arrive late and unanswered.
-        self.lost_fences = 0
-
-    async def _post(
-        self,
-        holder,
-        address,
-        path,
-        body,
-        timeout_s,
-        before_send,
-        request_id,
-        **_,
-    ):
-        await before_send(True)
-        target = self._target_by_holder[holder]
-        await asyncio.sleep(0.001)
-        fields = json.loads(body)
-        if path == names.RELEASE_PATH:
-            first, last = platform_target.parse_release(fields)
-            await target.release(first, last, fields['fence'])
-            response = http_client.Response(200, [(names.HANDOVER, b'w')], b'')
-            return key_calls.GRANTED, response
-        call = platform_target.parse_grant(fields)
-        if call.hold_s <= key_calls.FENCE_S and self.lost_fences:
-            self.lost_fences -= 1
-            asyncio.get_running_loop().call_later(
-                0.5, lambda: target.take_grant(call, clock.now())
-            )
-            await asyncio.sleep(0.05)
-            return key_calls.UNANSWERED, None
-        if not target.take_grant(call, clock.now()):
-            return key_calls.REJECTED, http_client.Response(409, [], b'')
-        return key_calls.GRANTED, http_client.Response(200, [], b'', True)
-
-
-class _Store:
-    """Holds the key map that the former controller wrote."""
-
-    def __init__(self, key_map):
-        spec = entries.encode_key_map(key_map)
-        self.item = {'metadata': {'rev': key_map.revision}, 'spec': spec}
-
-    async def list_all(self, kind, timeout_s):
-        return store.Listing({'keys.book': self.item}, 1)
-
-    async def replace(self, kind, name, revision, spec, timeout_s):
-        if self.item['metadata']['rev'] != revision:
-            raise store.ConflictError(self.item)
-        self.item = {'metadata': {'rev': revision + 1}, 'spec': spec}
-        return self.item
-
-
 def _find_shared(targets):
     """Return pairs of holds in which two targets held a key together.
 
@@ -156,38 +38,27 @@
         return key_holds.overlaps(holds)
 
 
-def _entry(number):
-    return model.TargetEntry(
-        f'i-{number}',
-        'book',
-        model.Address('10.0.0.1', number),
-        'a',
-        3,
-        model.READY,
-        0.0,
-        1,
-    )
-
-
 class UnansweredGrantTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         for name, value in (('STEP_INTERVAL_S', 0.02),):
             patch = mock.patch.object(key_controller, name, value)
             patch.start()
             self.addCleanup(patch.stop)
-        self.former = _Target(_entry(1))
-        self.next = _Target(_entry(2))
-        self.third = _Target(_entry(3))
+        self.former = key_targets.Target(key_targets.entry(1))
+        self.next = key_targets.Target(key_targets.entry(2))
+        self.third = key_targets.Target(key_targets.entry(3))
         self.targets = directory.Directory(
             asyncio.get_running_loop().time, 2.0, lambda *_, **__: None
         )
         self.targets.services = frozenset({'book'})
-        self.targets.replace_all([_entry(1), _entry(2)])
+        self.targets.replace_all([key_targets.entry(1), key_targets.entry(2)])
         self.lease = mock.Mock(
             is_held=True, was_last_holder=False, held_until=clock.now() + 1000
         )
 
-    async def _run_next_controller(self, seconds, owned=OWNED, lost_fences=0):
+    async def _run_next_controller(
+        self, seconds, owned=OWNED, lost_fences=0, fence_delay_s=0.5
+    ):
         key_map = model.KeyMap(
             'book',
             owned.fence,
@@ -203,10 +74,11 @@
             for target in (self.former, self.next, self.third)
         }
         target_by_holder['i-1/1'] = self.former
-        calls = _Calls(target_by_holder)
+        calls = key_targets.Calls(target_by_holder)
         calls.lost_fences = lost_fences
+        calls.fence_delay_s = fence_delay_s
         controller = key_controller.Controller(
-            _Store(key_map),
+            key_targets.Store(key_map),
             self.lease,
             calls,
             self.targets,
@@ -283,6 +155,20 @@
         await self._run_next_controller(1.6, lost_fences=1)
         self._check(self.next)
 
+    async def test_fence_that_arrives_after_a_repeated_one(self):
+        """Guards against a former owner that gets keys beside the next one.
+
+        The call that fences it off was held back for longer than calls are
+        usually in transit. A later attempt was answered, and the keys were
+        granted to another target.
+        """
+        owned = platform_target.GrantCall(0, LAST_KEY, FORMER_FENCE, 0.8, '')
+        self.former.take_grant(owned, clock.now())
+        await self._run_next_controller(
+            1.8, lost_fences=1, fence_delay_s=1.5 * hold_times.TRANSIT_S
+        )
+        self._check(self.next)
+
     async def test_two_lives_of_a_target_among_the_former_owners(self):
         """Guards against keys without an owner for the longest grant.
 
@@ -315,7 +201,7 @@
         A target whose clock is ahead had the address before. Its entry is
         still known and has the later start, so the owner was taken for ended.
         """
-        earlier = _entry(9)._replace(
+        earlier = key_targets.entry(9)._replace(
             incarnation=2, address=self.former.entry.address
         )
         self.targets.put(earlier)
--- /dev/null
+++ b/amaranthcrank/router/stopped_target_test.py
@@ -0,0 +1,117 @@
+"""Tests of keys whose owner is stopped and goes on later.
+
+What was sent to it meanwhile waits at it, also when the connection has been
+closed, and takes effect when it goes on.
+"""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from amaranthcrank.router import clock
+from amaranthcrank.router import directory
+from amaranthcrank.router import key_controller
+from amaranthcrank.router import key_renewals
+from amaranthcrank.router import key_table
+from amaranthcrank.router import model
+from soak import holds as key_holds
+from standins import key_targets
+
+GRANT_MAX_S = 0.8
+LAST_KEY = model.KEY_COUNT - 1
+OWNED = model.KeyRange(0, LAST_KEY, 'i-1', 1, 5, False, '')
+# The platform's bound on how long two targets may hold the same keys.
+MAX_SHARED_S = 0.5
+# How long an owner is stopped before its entry expires, and after that.
+EXPIRY_S = 0.3
+ABSENCE_S = 2.5
+
+
+def _longest_shared_s(targets):
+    holds = [hold for target in targets for hold in target.holds]
+    return max(
+        (
+            min(one.until, other.until) - other.since
+            for one, other in key_holds.overlaps(holds)
+        ),
+        default=0.0,
+    )
+
+
+class StoppedTargetTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        for module, name, value in (
+            (key_controller, 'STEP_INTERVAL_S', 0.02),
+            (key_renewals, 'RENEWAL_INTERVAL_S', 0.1),
+            (key_renewals, 'CHECK_INTERVAL_S', 0.02),
+        ):
+            patch = mock.patch.object(module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.former = key_targets.Target(key_targets.entry(1))
+        self.next = key_targets.Target(key_targets.entry(2))
+        self.targets = directory.Directory(
+            asyncio.get_running_loop().time, 2.0, lambda *_, **__: None
+        )
+        self.targets.services = frozenset({'book'})
+        self.targets.replace_all([self.former.entry, self.next.entry])
+        self.target_by_holder = {
+            target.entry.holder: target for target in (self.former, self.next)
+        }
+        key_map = model.KeyMap(
+            'book',
+            OWNED.fence,
+            (OWNED,),
+            7,
+            {
+                holder: target.entry.address
+                for holder, target in self.target_by_holder.items()
+            },
+        )
+        self.store = key_targets.Store(key_map)
+
+    def _start_controller(self, was_last_holder):
+        controller = key_controller.Controller(
+            self.store,
+            mock.Mock(
+                is_held=True,
+                was_last_holder=was_last_holder,
+                held_until=clock.now() + 1000,
+            ),
+            key_targets.Calls(self.target_by_holder),
+            self.targets,
+            key_table.KeyTable(),
+            mock.Mock(),
+            GRANT_MAX_S,
+            mock.Mock(),
+        )
+        controller.keyed_services = ('book',)
+        task = asyncio.create_task(controller.run())
+        self.addCleanup(task.cancel)
+        return task
+
+    async def _stop_former(self):
+        """Stop the owner for so long that its keys move on."""
+        self.former.is_stopped = True
+        await asyncio.sleep(EXPIRY_S)
+        self.targets.remove(self.former.entry.target_id)
+        await asyncio.sleep(ABSENCE_S)
+        self.assertGreater(self.next.holds[-1].until, clock.now())
+
+    async def test_grants_that_waited_at_a_stopped_owner(self):
+        """Guards against two owners when a stopped owner goes on.
+
+        Renewals had waited at it while their time was taken to run out, and
+        its keys had been granted to another target.
+        """
+        self._start_controller(was_last_holder=True)
+        await asyncio.sleep(0.3)
+        await self._stop_former()
+        self.former.resume()
+        await asyncio.sleep(1.2)
+        shared_s = _longest_shared_s((self.former, self.next))
+        self.assertLessEqual(shared_s, MAX_SHARED_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
