Give each attempt to fence off a former owner a token of its own (OWNER)

What callers saw: nothing; targets saw a former owner that held keys for one millisecond beside their owner, with the lower token.

Cause: the call that fences off was tried again with the same token. A target rejects tokens below the highest that it has seen, so the attempt that was answered kept no earlier one out. The controller waited a second for those, which is too short where a link holds bytes back, or the target was stopped.

Change: eight tokens are left for each former holder, and each attempt that may have been sent takes the next. Once one is answered, all earlier ones are below the highest token seen, so nothing has to be waited for, and the keys move on at once. When the eight are used up, the last grants are waited out.

Ruled out: waiting longer, as nothing bounds how long a stopped target keeps a call. The same class elsewhere: a grant that is tried again at the new owner has one token for all attempts, which only renews what it holds; once the keys move on again, the fence keeps them out. Releases that arrive late take keys from a target that has got them again, which then rejects requests, is reported by the hosts and gets its grant again; no key has two owners by that.

Tests: test_fence_that_arrives_after_a_repeated_one failed before (two holds, the later one with the lower token). test_fence_that_arrives_late is checked after 0.9 s in place of 1.6 s, as the next owner has the keys sooner; before this change it has none by then. test_each_former_holder_has_tokens_of_its_own replaces test_each_former_holder_has_a_token_of_its_own and asks for more.

--- a/amaranthcrank/router/controller_change_test.py
+++ b/amaranthcrank/router/controller_change_test.py
@@ -13,6 +13,7 @@
 from amaranthcrank.router import directory
 from amaranthcrank.router import hold_times
 from amaranthcrank.router import key_controller
+from amaranthcrank.router import key_renewals
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 from soak import holds as key_holds
@@ -152,7 +153,7 @@
         """
         owned = platform_target.GrantCall(0, LAST_KEY, FORMER_FENCE, 0.8, '')
         self.former.take_grant(owned, clock.now())
-        await self._run_next_controller(1.6, lost_fences=1)
+        await self._run_next_controller(0.9, lost_fences=1)
         self._check(self.next)
 
     async def test_fence_that_arrives_after_a_repeated_one(self):
@@ -164,9 +165,10 @@
         """
         owned = platform_target.GrantCall(0, LAST_KEY, FORMER_FENCE, 0.8, '')
         self.former.take_grant(owned, clock.now())
-        await self._run_next_controller(
-            1.8, lost_fences=1, fence_delay_s=1.5 * hold_times.TRANSIT_S
-        )
+        with mock.patch.object(key_renewals, 'RENEWAL_INTERVAL_S', 0.3):
+            await self._run_next_controller(
+                1.8, lost_fences=1, fence_delay_s=1.5 * hold_times.TRANSIT_S
+            )
         self._check(self.next)
 
     async def test_two_lives_of_a_target_among_the_former_owners(self):
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -7,6 +7,7 @@
 from amaranthcrank.router import directory
 from amaranthcrank.router import hold_times
 from amaranthcrank.router import key_calls
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
 from amaranthcrank.router import ownership_events
 
@@ -73,8 +74,8 @@
 
         Args:
           holders: The targets that may hold the range, as `id/incarnation`.
-          key_range: The keys, with the fencing token of their next owner. One
-            token for each holder is left below it.
+          key_range: The keys, with the fencing token of their next owner. The
+            tokens to fence off each holder are left below it.
 
         Returns:
           The handover of the first holder that gave one, or ''.
@@ -88,7 +89,8 @@
         ]
         # Two holders may be lives of one target, which would reject a token
         # below that of an earlier release.
-        lowest_fence = key_range.fence - len(holders)
+        fences_per_holder = key_ranges.FENCES_PER_HOLDER
+        lowest_fence = key_range.fence - len(holders) * fences_per_holder
         released = key_range._replace(fence=lowest_fence)
         ends = await asyncio.gather(
             *(
@@ -97,7 +99,9 @@
             )
         )
         for index, holder in enumerate(holders):
-            fenced = key_range._replace(fence=lowest_fence + index)
+            fenced = key_range._replace(
+                fence=lowest_fence + index * fences_per_holder
+            )
             if ends[index].may_take_late_grant:
                 ends[index] = await self._fence_off(
                     holder, fenced, hold_ends[index], ends[index]
@@ -150,13 +154,27 @@
         grants below the tokens that it has seen, and does not say whether that
         of a release is one of them. What took effect between the release and
         the token is released as well.
+
+        An attempt without a response may arrive at any time. The next one has
+        a higher token, so that its response keeps the earlier ones out too.
+
+        Args:
+          holder: The target, as `id/incarnation`.
+          key_range: The keys, with the first of the tokens for this holder.
+          hold_end: Returns when its earlier grants have expired.
+          released: How it came to release the range.
         """
         end = _EXPIRED
         in_transit_until = 0.0
         is_logged = False
+        last_fence = key_range.fence + key_ranges.FENCES_PER_HOLDER - 1
         # One that is sent later could be in transit at the end of the hold.
         while clock.now() < hold_end() - hold_times.TRANSIT_S:
+            if key_range.fence > last_fence:
+                in_transit_until = max(in_transit_until, hold_end())
+                break
             result = key_calls.UNANSWERED
+            arrives_until = 0.0
             handover = ''
             address = self._address(holder)
             if address is not None:
@@ -168,6 +186,7 @@
                 is_logged = True
                 self._events.not_fenced_off(holder, key_range, result)
             if result == key_calls.GRANTED:
+                in_transit_until = 0.0
                 result, handover = await self._release(holder, key_range)
             if result == key_calls.RELEASED:
                 end = released._replace(
@@ -178,10 +197,12 @@
             if result == key_calls.OTHER_SERVER:
                 end = _REPLACED
                 break
+            if arrives_until or result == key_calls.REJECTED:
+                key_range = key_range._replace(fence=key_range.fence + 1)
             await asyncio.sleep(_retry_s(result))
         else:
             in_transit_until = max(in_transit_until, hold_end())
-        # An earlier one without a response may still arrive.
+        # One without a response, and none after it, may still arrive.
         await asyncio.sleep(max(0.0, in_transit_until - clock.now()))
         return end
 
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -5,6 +5,11 @@
 from amaranthcrank.router import key_plan
 from amaranthcrank.router import model
 
+# The tokens below that of a moved range which are left to fence off each of
+# its former holders. An attempt that gets no response may arrive after later
+# ones, so each attempt has a token of its own.
+FENCES_PER_HOLDER = 8
+
 
 def apply(
     ranges: typing.Sequence[model.KeyRange],
@@ -49,13 +54,13 @@
     """Return the fencing token for moves.
 
     Those between the present token and this one are left to fence off the
-    former holders, one token for each.
+    former holders.
     """
     most = 0
     for move in moves:
         for _, _, former_holders in _split_by_former_holders(ranges, move):
             most = max(most, len(former_holders.split()))
-    return fence + most + 1
+    return fence + most * FENCES_PER_HOLDER + 1
 
 
 def renew_moving(
@@ -84,7 +89,8 @@
     }
     if not holders_by_range:
         return tuple(ranges), fence
-    fence += max(map(len, holders_by_range.values())) + 1
+    most = max(map(len, holders_by_range.values()))
+    fence += most * FENCES_PER_HOLDER + 1
     renewed = []
     for key_range in ranges:
         holders = holders_by_range.get(key_range)
--- a/amaranthcrank/router/key_ranges_test.py
+++ b/amaranthcrank/router/key_ranges_test.py
@@ -14,15 +14,16 @@
 
 
 class FenceTest(unittest.TestCase):
-    def test_each_former_holder_has_a_token_of_its_own(self):
-        """Guards against two targets that are shown one token."""
+    def test_each_former_holder_has_tokens_of_its_own(self):
+        """Guards against two targets, or two attempts, with one token."""
         ranges = (_range(0, 9, 4), _range(10, 19, 5, 'i-2/1 i-4/1'))
         moves = [key_plan.Move(0, 19, OWNER)]
         fence = key_ranges.next_fence(5, ranges, moves)
         moved = key_ranges.apply(ranges, moves, fence)
         for part in moved:
             holders = part.former_holders.split()
-            self.assertGreater(part.fence - len(holders), 5)
+            fences = len(holders) * key_ranges.FENCES_PER_HOLDER
+            self.assertGreater(part.fence - fences, 5)
 
     def test_first_assignment(self):
         moves = [key_plan.Move(0, 19, OWNER)]
@@ -36,7 +37,8 @@
         self.assertEqual(renewed[0], still)
         self.assertEqual(renewed[1].fence, fence)
         holders = renewed[1].former_holders.split()
-        self.assertGreater(fence - len(holders), 5)
+        fences = len(holders) * key_ranges.FENCES_PER_HOLDER
+        self.assertGreater(fence - fences, 5)
 
     def test_new_owner_of_an_inherited_move_may_hold_the_keys(self):
         """Guards against a former owner that is fenced off beside it."""
