Settle the holds of former owners that may take a grant late (OWNER)

Cause: a grant without a response was taken to arrive within a second, as TCP repeats it no longer. That holds for bytes that nobody acknowledged. The kernel of a stopped target, or a relay, acknowledges them and keeps them for any time, also after the connection was closed. The target took them, each for six seconds from then, when its keys had long been granted to another one.

Change: a grant without a response is remembered for 60 s as one that may take effect, so that former owners are fenced off for as long. One that could not be reached while such grants may exist is recorded in the key map as an unsettled hold, and asked to release the keys five times a second, until it has answered and the longest grant is over since, another target has its address, or 60 s have passed without an answer. A next controller reads that and goes on. Keys that the target owns again are left out.

Why this works: a release is never refused, and the one that waits at the stopped target is read with the grants; the next follows when it is answered. So what it takes late it holds for some milliseconds.

Ruled out: waiting for the target, as nothing bounds how long; fencing it off later, as that shows it a token below that of the keys' owner.

--- a/amaranthcrank/platform/entries.py
+++ b/amaranthcrank/platform/entries.py
@@ -90,6 +90,10 @@
                 holder: settings_file.parse_address(text)
                 for holder, text in spec['holders'].items()
             },
+            tuple(
+                model.UnsettledHold(*values)
+                for values in spec.get('unsettled', ())
+            ),
         )
     except _FORMAT_ERRORS as error:
         raise _entry_error(error) from error
@@ -134,6 +138,7 @@
             holder: f'{address.ip}:{address.port}'
             for holder, address in sorted(key_map.address_by_holder.items())
         },
+        'unsettled': [list(hold) for hold in key_map.unsettled],
     }
 
 
--- a/amaranthcrank/router/entry_checks.py
+++ b/amaranthcrank/router/entry_checks.py
@@ -123,12 +123,24 @@
     return bool(_INCARNATION.fullmatch(incarnation))
 
 
+def is_unsettled_hold(hold: model.UnsettledHold) -> bool:
+    """Return whether the fields of a hold have their types and limits."""
+    last_key = model.KEY_COUNT - 1
+    if not is_holder(hold.holder) or not is_revision(hold.fence):
+        return False
+    if not is_integer(hold.first, 0, last_key):
+        return False
+    return is_integer(hold.last, hold.first, last_key)
+
+
 def is_key_map(key_map: model.KeyMap) -> bool:
     """Return whether the fields of a key map have their types and limits."""
     if not is_revision(key_map.fence) or not is_revision(key_map.revision):
         return False
     if not all(map(is_key_range, key_map.ranges)):
         return False
+    if not all(map(is_unsettled_hold, key_map.unsettled)):
+        return False
     for holder, address in key_map.address_by_holder.items():
         if not is_holder(holder) or not is_address(address):
             return False
--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -31,6 +31,19 @@
     may_take_late_grant: bool = False
 
 
+class Reclaimed(typing.NamedTuple):
+    """What is known after a range was reclaimed.
+
+    Attributes:
+      handover: The handover of the first holder that gave one, or ''.
+      unsettled: The holders that may take the range again, as earlier grants
+        may still take effect there.
+    """
+
+    handover: str
+    unsettled: tuple[str, ...]
+
+
 _REPLACED = _End(ownership_events.REPLACED)
 _EXPIRED = _End(ownership_events.EXPIRED)
 
@@ -66,7 +79,7 @@
 
     async def reclaim(
         self, holders: typing.Sequence[str], key_range: model.KeyRange
-    ) -> str:
+    ) -> Reclaimed:
         """Wait until none of the possible holders holds a range.
 
         First all of them release it: to be fenced off gives a target the range
@@ -76,10 +89,11 @@
           holders: The targets that may hold the range, as `id/incarnation`.
           key_range: The keys, with the fencing token of their next owner. The
             tokens to fence off each holder are left below it.
-
-        Returns:
-          The handover of the first holder that gave one, or ''.
         """
+        may_be_late = [
+            self._calls.hold_times.may_take_effect_late(holder)
+            for holder in holders
+        ]
         hold_ends = [
             self._calls.hold_times.hold_end(holder) for holder in holders
         ]
@@ -114,7 +128,14 @@
                 had_unanswered[index],
             )
         handovers = [end.handover for end in ends if end.handover]
-        return handovers[0] if handovers else ''
+        unsettled = [
+            holder
+            for holder, end, is_late in zip(
+                holders, ends, may_be_late, strict=True
+            )
+            if is_late and end.evidence == ownership_events.EXPIRED
+        ]
+        return Reclaimed(handovers[0] if handovers else '', tuple(unsettled))
 
     async def _await_release(
         self,
--- a/amaranthcrank/router/hold_times.py
+++ b/amaranthcrank/router/hold_times.py
@@ -2,8 +2,11 @@
 
 A grant that gets no response may take effect seconds later. Its duration
 counts from its arrival, and targets with slow clocks hold it longer. A grant
-with a response arrived before that; one without arrived at the latest when TCP
-gave it up. The time after which no key is held counts from there.
+with a response arrived before that; one without mostly arrived at the latest
+when TCP gave it up. The time after which no key is held counts from there.
+
+A target that is stopped, or a relay, may acknowledge a grant and keep it for
+longer. So it is remembered for much longer that a grant had no response.
 """
 
 import typing
@@ -17,6 +20,9 @@
 TRANSIT_S = 1.0
 # A repeated response may be taken for that to a call that is still in transit.
 MARGIN_S = 0.25
+# For how long a grant without a response may wait somewhere and take effect
+# afterwards.
+LATE_GRANT_S = 60.0
 
 
 class Grant:
@@ -31,18 +37,24 @@
         """Start before the grant is sent, with its duration."""
         self.until = 0.0
         self.is_sent = False
+        self._late_until = 0.0
         self._hold_s = hold_s
         self._expect(TRANSIT_S)
 
     def record_sent(self) -> None:
         """Record that it is sent now, as connecting takes time."""
         self.is_sent = True
+        self._late_until = clock.now() + LATE_GRANT_S
         self._expect(TRANSIT_S)
 
     def record_response(self) -> None:
         """Record that it has arrived, so that it expires sooner."""
         self._expect(MARGIN_S)
 
+    def may_take_effect(self, now: float) -> bool:
+        """Return whether it may take effect at a moment or later."""
+        return now < max(self.until, self._late_until)
+
     def _expect(self, arrival_s: float) -> None:
         self.until = clock.now() + arrival_s + self._hold_s * CLOCK_RATE_FACTOR
 
@@ -56,6 +68,7 @@
         self._answered_until_by_holder: dict[str, float] = {}
         self._pending_by_holder: dict[str, list[Grant]] = {}
         self._prior_held_until = 0.0
+        self._prior_late_until = 0.0
 
     def assume_prior_grants(self, grant_max_s: float) -> None:
         """Forget all grants; assume the longest ones by a former controller.
@@ -66,6 +79,7 @@
         self._answered_until_by_holder.clear()
         self._pending_by_holder.clear()
         self._prior_held_until = Grant(grant_max_s).until
+        self._prior_late_until = clock.now() + LATE_GRANT_S
 
     def begin(self, holder: str, hold_s: float) -> Grant:
         """Return a grant that is to be sent, with its duration in seconds."""
@@ -87,7 +101,8 @@
         self._pending_by_holder[holder] = [
             each
             for each in self._pending(holder)
-            if each.until > now and not (each is grant and has_response)
+            if each.may_take_effect(now)
+            and not (each is grant and has_response)
         ]
 
     def _pending(self, holder: str) -> tuple[Grant, ...]:
@@ -130,7 +145,12 @@
         A new controller does not know which grants of its predecessor had no
         response.
         """
-        return self.has_unknown_grants or not self.has_no_pending_grant(holder)
+        now = clock.now()
+        if now < self._prior_late_until:
+            return True
+        return any(
+            grant.may_take_effect(now) for grant in self._pending(holder)
+        )
 
     def has_no_pending_grant(self, holder: str) -> bool:
         """Return whether each grant begun here has a response or is over."""
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -33,6 +33,7 @@
 from amaranthcrank.router import refused_holders
 from amaranthcrank.router import target_stability
 from amaranthcrank.router import target_state
+from amaranthcrank.router import unsettled_holds
 
 STEP_INTERVAL_S = 0.1
 # Moves that complete within this time are written to the store together.
@@ -107,6 +108,14 @@
             self._address_by_holder,
             events,
         )
+        self._unsettled = unsettled_holds.UnsettledHolds(
+            lease,
+            calls,
+            self._former_owners,
+            self._address_by_holder,
+            events,
+            grant_max_s,
+        )
         self._refused_holders = refused_holders.RefusedHolders()
         self._renewals = key_renewals.KeyRenewals(
             lease,
@@ -129,7 +138,9 @@
         """Act as the controller while the lease is held."""
         if not self._lease.was_last_holder:
             self._calls.assume_prior_grants(self._grant_max_s)
+            self._unsettled.clear()
         self._reset()
+        self._unsettled.start()
         try:
             if not await self._read_maps():
                 return
@@ -164,6 +175,7 @@
         if self._renewal_task is not None:
             self._renewal_task.cancel()
         self._renewals.stop()
+        self._unsettled.stop()
         for task in self._task_by_move.values():
             task.cancel()
         self._task_by_move.clear()
@@ -177,6 +189,8 @@
             self._map_by_service[key_map.service] = key_map
             self._address_by_holder.update(key_map.address_by_holder)
             self._inherited_services.add(key_map.service)
+            for hold in key_map.unsettled:
+                self._unsettled.add(key_map.service, hold)
             self._keys.put(key_map)
         return True
 
@@ -202,11 +216,15 @@
             fence = key_ranges.next_fence(fence, ranges, moves)
             ranges = key_ranges.apply(ranges, moves, fence)
         ranges = key_ranges.merge(ranges)
+        self._unsettled.exclude_owned(service, ranges)
         if ranges != key_map.ranges:
             updated = key_map._replace(
                 fence=fence,
                 ranges=ranges,
-                address_by_holder=self._addresses(ranges),
+                unsettled=self._unsettled.holds(service),
+            )
+            updated = updated._replace(
+                address_by_holder=self._addresses(updated)
             )
             # Renewals read this map, so those of keys that are to move stop
             # before the write.
@@ -256,17 +274,16 @@
             holder = target.entry.holder
             self._address_by_holder[holder] = target.entry.address
 
-    def _addresses(
-        self, ranges: tuple[model.KeyRange, ...]
-    ) -> dict[str, model.Address]:
+    def _addresses(self, key_map: model.KeyMap) -> dict[str, model.Address]:
         """Return the known address of each owner and former holder."""
-        found = {}
-        for key_range in ranges:
-            holders = key_range.former_holders.split()
+        holders = [hold.holder for hold in key_map.unsettled]
+        for key_range in key_map.ranges:
+            holders += key_range.former_holders.split()
             holders.append(key_range.holder)
-            for holder in holders:
-                if holder in self._address_by_holder:
-                    found[holder] = self._address_by_holder[holder]
+        found = {}
+        for holder in holders:
+            if holder in self._address_by_holder:
+                found[holder] = self._address_by_holder[holder]
         return found
 
     def _plan(
@@ -402,9 +419,14 @@
         that assigns the keys to another target cancels the task.
         """
         holder = key_range.holder
-        handover = await self._former_owners.reclaim(
+        handover, unsettled = await self._former_owners.reclaim(
             key_range.former_holders.split(), key_range
         )
+        for former in unsettled:
+            hold = model.UnsettledHold(
+                former, key_range.first, key_range.last, key_range.fence - 1
+            )
+            self._unsettled.add(service, hold)
         while self._lease.is_held:
             target = self._find_grantable(holder)
             if target is None:
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -10,6 +10,8 @@
 # ones, so each attempt has a token of its own.
 FENCES_PER_HOLDER = 8
 
+_Keys = typing.TypeVar('_Keys', model.KeyRange, model.UnsettledHold)
+
 
 def apply(
     ranges: typing.Sequence[model.KeyRange],
@@ -108,18 +110,28 @@
     moves: typing.Sequence[key_plan.Move | model.KeyRange],
 ) -> list[model.KeyRange]:
     """Return the parts of a range that are in none of the moves."""
-    remaining = [key_range]
-    for move in moves:
-        kept = []
+    return subtract_keys([key_range], moves)
+
+
+def subtract_keys(
+    kept: typing.Sequence[_Keys],
+    removed: typing.Sequence[
+        key_plan.Move | model.KeyRange | model.UnsettledHold
+    ],
+) -> list[_Keys]:
+    """Return the parts of ranges whose keys are in none of those removed."""
+    remaining = list(kept)
+    for other in removed:
+        parts = []
         for part in remaining:
-            if move.last < part.first or part.last < move.first:
-                kept.append(part)
+            if other.last < part.first or part.last < other.first:
+                parts.append(part)
                 continue
-            if part.first < move.first:
-                kept.append(part._replace(last=move.first - 1))
-            if move.last < part.last:
-                kept.append(part._replace(first=move.last + 1))
-        remaining = kept
+            if part.first < other.first:
+                parts.append(part._replace(last=other.first - 1))
+            if other.last < part.last:
+                parts.append(part._replace(first=other.last + 1))
+        remaining = parts
     return remaining
 
 
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -238,6 +238,22 @@
         return holder_name(self.target_id, self.incarnation)
 
 
+class UnsettledHold(typing.NamedTuple):
+    """Keys that a former owner may take again by an earlier grant.
+
+    Attributes:
+      holder: The former owner, as `id/incarnation`.
+      first: The first key.
+      last: The last key, inclusive.
+      fence: A fencing token below that of the next owner.
+    """
+
+    holder: str
+    first: int
+    last: int
+    fence: int
+
+
 class KeyMap(typing.NamedTuple):
     """The owners of all keys of a service.
 
@@ -250,6 +266,7 @@
       address_by_holder: Where each owner and former owner listens, by
         `id/incarnation`. With it a new controller can reach holders whose
         entries are gone from the store.
+      unsettled: Keys that former owners may take again.
     """
 
     service: str
@@ -257,3 +274,4 @@
     ranges: tuple[KeyRange, ...]
     revision: int
     address_by_holder: dict[str, Address]
+    unsettled: tuple[UnsettledHold, ...] = ()
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -127,6 +127,32 @@
             result=result,
         )
 
+    def hold_unsettled(self, hold: model.UnsettledHold) -> None:
+        """Record that a former owner may take keys again."""
+        self._registry.add('holds_unsettled')
+        self._log.event(
+            'hold_unsettled',
+            former=hold.holder,
+            keys=(hold.first, hold.last),
+            fence=hold.fence,
+        )
+
+    def holds_settled(self, holder: str, reason: str) -> None:
+        """Record that a former owner no longer takes keys again.
+
+        Args:
+          holder: The former owner, as `id/incarnation`.
+          reason: RELEASED, REPLACED or EXPIRED (it was not reached for as long
+            as a call may wait somewhere).
+        """
+        self._registry.add(f'holds_settled_{reason}')
+        self._log.event('holds_settled', former=holder, reason=reason)
+
+    def settling_failed(self, holder: str, error: BaseException) -> None:
+        """Record a fault of the program while holds were settled."""
+        self._registry.add('settling_failed')
+        self._log.event('settling_failed', former=holder, error=repr(error))
+
     def keys_granted(self, key_range: model.KeyRange) -> None:
         """Record that the new owner of a moved range was granted it."""
         self._registry.add('moves_completed')
--- a/amaranthcrank/router/stopped_target_test.py
+++ b/amaranthcrank/router/stopped_target_test.py
@@ -112,6 +112,44 @@
         shared_s = _longest_shared_s((self.former, self.next))
         self.assertLessEqual(shared_s, MAX_SHARED_S)
 
+    async def test_grants_that_waited_when_the_controller_changes(self):
+        """Guards against a next controller that forgets such an owner.
+
+        The controller that gave it up had ended when it went on.
+        """
+        task = self._start_controller(was_last_holder=True)
+        await asyncio.sleep(0.3)
+        await self._stop_former()
+        await asyncio.sleep(key_controller.BATCH_WINDOW_S)
+        task.cancel()
+        await asyncio.wait([task])
+        self._start_controller(was_last_holder=False)
+        await asyncio.sleep(0.2)
+        self.former.resume()
+        await asyncio.sleep(1.2)
+        self.assertLessEqual(self.former.holds[-1].until, clock.now())
+        shared_s = _longest_shared_s((self.former, self.next))
+        self.assertLessEqual(shared_s, MAX_SHARED_S)
+
+    async def test_keys_that_come_back(self):
+        """Guards against an owner whose keys are released while it owns them.
+
+        It went on, and the keys came back from the target that had them.
+        """
+        self._start_controller(was_last_holder=True)
+        await asyncio.sleep(0.3)
+        await self._stop_former()
+        self.former.resume()
+        await asyncio.sleep(0.3)
+        self.targets.put(self.former.entry)
+        self.targets.put(self.next.entry._replace(state=model.DRAINING))
+        await asyncio.sleep(0.5)
+        released = self.former.releases
+        await asyncio.sleep(0.6)
+        self.assertEqual(self.former.releases, released)
+        self.assertGreater(self.former.holds[-1].until, clock.now())
+        self.assertGreater(self.former.holds[-1].fence, OWNED.fence)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -47,6 +47,7 @@
       work_s: How long its work on released keys takes.
       counts_releases: Whether it counts the tokens of releases as well.
       highest_fence: The highest token seen.
+      releases: How many releases it took.
       is_stopped: Whether calls wait until it goes on.
     """
 
@@ -57,6 +58,7 @@
         self.work_s = 0.0
         self.counts_releases = False
         self.highest_fence = 0
+        self.releases = 0
         self.is_stopped = False
         self._waiting_grants: list[platform_target.GrantCall] = []
 
@@ -85,6 +87,7 @@
 
     async def release(self, first: int, last: int, fence: int) -> None:
         """Release keys; a hold ends when the work on its keys has ended."""
+        self.releases += 1
         if self.counts_releases:
             self.highest_fence = max(self.highest_fence, fence)
         now = clock.now()
