Send a grant only to a target that has just responded (OWNER)

Cause: every renewal was sent blindly, on whatever connection was idle. What is sent to a target that reads nothing is kept by its kernel, or by a relay, and takes effect whenever it goes on. Nothing can take it back.

Change: before a grant, the target has to answer a release of a key that it does not own, on the same connection, unless it responded there within 0.1 s. Such a release changes nothing, however late it takes effect. If there is no answer in 0.4 s, the grant is not sent, so it does not prolong the hold either. The response to a release bears X-Handover, so one that is repeated later passes for none to a grant, and the other way round. A grant whose response could repeat that to an earlier grant counts as answered, as before, but its owner is fenced off when the keys move.

Without another owner of the service's keys there is no key to ask for; the grant is then sent at once, and what waits is settled afterwards.

Test: test_no_grant_is_sent_to_a_stopped_owner (fails before by a grant that the stopped target took).

--- a/amaranthcrank/router/connection_pool.py
+++ b/amaranthcrank/router/connection_pool.py
@@ -135,7 +135,7 @@
     return True
 
 
-async def _do_nothing(_: bool) -> None:
+async def _do_nothing(_: http_client.Connection) -> None:
     pass
 
 
@@ -153,9 +153,9 @@
     is_reusable: typing.Callable[
         [http_client.Response], bool
     ] = _always_reusable,
-    before_send: typing.Callable[[bool], typing.Awaitable[None]] = (
-        _do_nothing
-    ),
+    before_send: typing.Callable[
+        [http_client.Connection], typing.Awaitable[None]
+    ] = _do_nothing,
     on_head: (
         typing.Callable[[int, header_fields.Headers], None] | None
     ) = None,
@@ -178,8 +178,8 @@
         for no extension.
       request_id: Responses that carry another id are skipped.
       is_reusable: Returns whether to keep the connection after a response.
-      before_send: Awaited before sending, with whether the connection is new;
-        an exception from it closes the connection and is passed on.
+      before_send: Awaited before sending, with the connection, which it may
+        use; an exception from it closes the connection and is passed on.
       on_head: Called with the status and the headers of each final response.
       max_response_bytes: The limit of the response's body.
       is_shared: Whether the connection may have been used before.
@@ -198,7 +198,7 @@
     )
     connection.on_head = on_head
     try:
-        await before_send(connection.is_new)
+        await before_send(connection)
     except BaseException:
         connection.abort()
         raise
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -12,6 +12,7 @@
 import h11
 
 from amaranthcrank.router import buffer_budget
+from amaranthcrank.router import clock
 from amaranthcrank.router import exchange_results
 from amaranthcrank.router import headers as header_fields
 from amaranthcrank.router import model
@@ -58,6 +59,8 @@
       transport: The transport, once connected.
       idle_since: When the pool took the connection back, by the pool's clock.
       idle_limit_s: How long the connection may be idle and still be used.
+      responded_at: When the last complete response arrived, by `clock.now`;
+        0.0 if none has.
       reusable: Whether the state of the connection permits another request.
       on_data: Called whenever data of a response arrives.
       on_head: Called with the status and the headers of each final response,
@@ -82,6 +85,7 @@
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.reusable = True
+        self.responded_at = 0.0
         self._request_count = 0
         self._http = _new_http_state()
         self.on_data: typing.Callable[[], None] | None = None
@@ -309,6 +313,7 @@
             self._request_count == 1 and self._skipped_responses == 0,
         )
         self._response_head = None
+        self.responded_at = clock.now()
         self._discard_body()
         echoed_id = response.header(b'x-request-id')
         if self._expected_id is not None and echoed_id is not None:
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -2,8 +2,12 @@
 
 A call is sent only while this host holds the controller's lease, and only to
 the target that it names.
+
+What is sent to a target that reads nothing waits there for any time. So a
+grant is sent only on a connection on which the target has just responded.
 """
 
+import asyncio
 import typing
 import uuid
 
@@ -13,6 +17,7 @@
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import entry_reads
 from amaranthcrank.router import event_log
+from amaranthcrank.router import headers as fields
 from amaranthcrank.router import hold_times
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
@@ -21,6 +26,10 @@
 
 CONNECT_TIMEOUT_S = 0.4
 GRANT_TIMEOUT_S = 0.8
+# A target that has responded within this time is taken to read its calls.
+RECENT_RESPONSE_S = 0.1
+# The time limit for the response that shows that a target reads its calls.
+PROBE_TIMEOUT_S = 0.4
 # The status of a target's response to a call that names another target.
 WRONG_TARGET = 421
 # Responses to grants and releases have short bodies, if any.
@@ -40,16 +49,20 @@
 OTHER_SERVER = 'elsewhere'
 
 
-# Awaited before a call is sent, with whether the connection is new.
-_BeforeSend = typing.Callable[[bool], typing.Awaitable[None]]
+# Awaited before a call is sent, with its connection.
+_BeforeSend = typing.Callable[[http_client.Connection], typing.Awaitable[None]]
 
 
 class _RestartedError(Exception):
     """The target has restarted since the incarnation that a grant names."""
 
 
-class _UnconfirmedError(Exception):
-    """The target could not be reached, and may have restarted since."""
+class UnconfirmedError(Exception):
+    """It is not known whether the target may be sent a grant."""
+
+
+class _OtherServerError(Exception):
+    """Another server listens at the address."""
 
 
 class _LeaseEndedError(Exception):
@@ -119,6 +132,7 @@
         key_range: model.KeyRange,
         hold_s: float,
         handover: str,
+        probe_key: int | None = None,
     ) -> str:
         """Grant or renew a range.
 
@@ -128,6 +142,8 @@
           key_range: The keys, with their fencing token.
           hold_s: The duration of the grant.
           handover: The handover of the former owner, or ''.
+          probe_key: A key that the target does not own. The grant is sent only
+            once the target has answered a release of it; with None at once.
 
         Returns:
           GRANTED, REJECTED (the target has seen a higher fencing token),
@@ -137,14 +153,21 @@
         body = grants.grant_body(key_range, hold_s, handover)
         grant = self.hold_times.begin(holder, hold_s)
 
-        async def before_send(is_new: bool) -> None:
-            if is_new:
+        is_clear = False
+
+        async def before_send(connection: http_client.Connection) -> None:
+            nonlocal is_clear
+            if connection.is_new:
+                is_clear = True
                 await self._check_incarnation(holder)
+            if probe_key is not None and not _has_just_responded(connection):
+                is_clear = True
+                await self._probe(connection, holder, address, probe_key)
             self._check_lease()
             grant.record_sent()
 
         request_id = self._new_request_id()
-        result, _ = await self._post(
+        result, response = await self._post(
             holder,
             address,
             names.GRANT_PATH,
@@ -153,13 +176,53 @@
             before_send,
             request_id,
         )
+        if _is_response_to_release(response):
+            result = UNANSWERED
         if result == UNANSWERED and grant.is_sent:
             self._events.grant_unanswered(
                 holder, key_range, hold_s, request_id
             )
-        self.hold_times.finish(holder, grant, result != UNANSWERED)
+        self.hold_times.finish(holder, grant, result != UNANSWERED, is_clear)
         return result
 
+    async def _probe(
+        self,
+        connection: http_client.Connection,
+        holder: str,
+        address: model.Address,
+        key: int,
+    ) -> None:
+        """Wait for a sign that the target reads what this connection carries.
+
+        A release of a key that the target does not own changes nothing,
+        however late it takes effect. Its response differs from those to
+        grants, so a repeated one passes for neither.
+
+        Raises:
+          _OtherServerError: Another server listens at the address.
+          UnconfirmedError: No grant may be sent on the connection.
+        """
+        self._check_lease()
+        body = grants.release_body(key, key, 0)
+        request_id = self._new_request_id()
+        headers = _headers(holder, address, body, request_id)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                response = await connection.exchange(
+                    b'POST',
+                    names.RELEASE_PATH.encode(),
+                    headers,
+                    body,
+                    request_id.encode(),
+                )
+        except (http_client.ExchangeError, TimeoutError) as error:
+            self._events.grant_withheld(holder, request_id)
+            raise UnconfirmedError from error
+        if response.status == WRONG_TARGET and response.is_first_on_connection:
+            raise _OtherServerError
+        if response.status == WRONG_TARGET or not connection.is_open:
+            raise UnconfirmedError
+
     def _check_lease(self) -> None:
         """Check the lease just before a call is sent.
 
@@ -171,7 +234,7 @@
         if not self._is_lease_held():
             raise _LeaseEndedError
 
-    async def _check_lease_only(self, _: bool) -> None:
+    async def _check_lease_only(self, _: http_client.Connection) -> None:
         """Check the lease; calls that take keys back reach any incarnation.
 
         Raises:
@@ -188,7 +251,7 @@
 
         Raises:
           _RestartedError: The target has restarted.
-          _UnconfirmedError: It may have, as far as is known. An owner that
+          UnconfirmedError: It may have, as far as is known. An owner that
             was reached all the time is not suspected, so that owners keep
             their keys while the store is unavailable.
         """
@@ -202,13 +265,13 @@
             if reached_at is None:
                 reached_at = self._reached_at_by_lost_holder[holder] = now
             if now - reached_at < self._registration_s:
-                raise _UnconfirmedError
+                raise UnconfirmedError
         has_restarted = await self._has_restarted(holder)
         if has_restarted:
             self._restarted.add(holder)
             raise _RestartedError
         if is_lost and has_restarted is None:
-            raise _UnconfirmedError
+            raise UnconfirmedError
         self._reached_at_by_lost_holder.pop(holder, None)
 
     async def release(
@@ -276,7 +339,7 @@
         """
         grant = self.hold_times.begin(holder, FENCE_S)
 
-        async def before_send(_: bool) -> None:
+        async def before_send(_: http_client.Connection) -> None:
             self._check_lease()
             grant.record_sent()
 
@@ -310,13 +373,7 @@
         request_id: str,
         is_shared: bool = True,
     ) -> tuple[str, http_client.Response | None]:
-        headers = [
-            (names.REQUEST_ID, request_id.encode()),
-            (b'host', f'{address.ip}:{address.port}'.encode()),
-            (b'content-type', b'application/json'),
-            (b'content-length', str(len(body)).encode()),
-            (names.EXPECTED_TARGET, model.split_holder(holder)[0].encode()),
-        ]
+        headers = _headers(holder, address, body, request_id)
         try:
             response = await connection_pool.request(
                 self._pool,
@@ -337,7 +394,9 @@
         except _RestartedError:
             self._log.event('grant_not_sent', holder=holder)
             return OTHER_SERVER, None
-        except _UnconfirmedError:
+        except _OtherServerError:
+            return OTHER_SERVER, None
+        except UnconfirmedError:
             return UNANSWERED, None
         except _LeaseEndedError:
             self._log.event('key_call_not_sent', path=path, holder=holder)
@@ -363,6 +422,27 @@
         return UNANSWERED, response
 
 
+def _headers(
+    holder: str, address: model.Address, body: bytes, request_id: str
+) -> fields.Headers:
+    return [
+        (names.REQUEST_ID, request_id.encode()),
+        (b'host', f'{address.ip}:{address.port}'.encode()),
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+        (names.EXPECTED_TARGET, model.split_holder(holder)[0].encode()),
+    ]
+
+
+def _has_just_responded(connection: http_client.Connection) -> bool:
+    """Return whether the target read what the connection carried just now."""
+    return clock.now() - connection.responded_at < RECENT_RESPONSE_S
+
+
+def _is_response_to_release(response: http_client.Response | None) -> bool:
+    return response is not None and response.header(names.HANDOVER) is not None
+
+
 def _is_success(response: http_client.Response) -> bool:
     return response.status == 200
 
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -438,6 +438,9 @@
                 key_range,
                 self._renewals.hold_s(),
                 handover,
+                key_ranges.find_foreign_key(
+                    self._map_by_service[service].ranges, key_range.target_id
+                ),
             )
             if result == key_calls.GRANTED:
                 completed = self._completed_by_service.setdefault(service, [])
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -132,7 +132,7 @@
             # The connection is refused, so nothing is sent.
             await asyncio.sleep(0.001)
             return key_calls.REFUSED, None
-        await before_send(True)
+        await before_send(mock.Mock(is_new=True, responded_at=math.inf))
         self.sent.append((clock.now(), address.port, path, body))
         await asyncio.sleep(self.delay_s_by_path.get(path, 0.001))
         self.arrived.append((clock.now(), address.port, path, body))
@@ -142,7 +142,8 @@
         result = self._result(address.port, path)
         if result != key_calls.GRANTED:
             return result, None
-        return result, http_client.Response(200, [(names.HANDOVER, b'w')], b'')
+        headers = [(names.HANDOVER, b'w')] * (path == names.RELEASE_PATH)
+        return result, http_client.Response(200, headers, b'')
 
     def grants_to(self, port):
         return [
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -135,6 +135,16 @@
     return remaining
 
 
+def find_foreign_key(
+    ranges: typing.Iterable[model.KeyRange], target_id: str
+) -> int | None:
+    """Return a key that no incarnation of a target owns or may still hold."""
+    for key_range in ranges:
+        if not key_range.moving and key_range.target_id != target_id:
+            return key_range.first
+    return None
+
+
 def _split_by_former_holders(
     ranges: typing.Sequence[model.KeyRange], move: key_plan.Move
 ) -> list[tuple[int, int, str]]:
--- a/amaranthcrank/router/key_renewals.py
+++ b/amaranthcrank/router/key_renewals.py
@@ -11,6 +11,7 @@
 from amaranthcrank.router import event_log
 from amaranthcrank.router import former_owners
 from amaranthcrank.router import key_calls
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
 from amaranthcrank.router import refused_holders
 
@@ -141,7 +142,14 @@
             if not self._lease.is_held:
                 return
             result = await self._calls.grant(
-                holder, address, key_range, self.hold_s(), ''
+                holder,
+                address,
+                key_range,
+                self.hold_s(),
+                '',
+                key_ranges.find_foreign_key(
+                    map_by_service[service].ranges, key_range.target_id
+                ),
             )
             if result == key_calls.GRANTED:
                 self._refused_holders.discard(holder)
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -51,6 +51,16 @@
             id=request_id,
         )
 
+    def grant_withheld(self, holder: str, request_id: str) -> None:
+        """Record that a grant was not sent, as its target read nothing.
+
+        Args:
+          holder: The target, as `id/incarnation`.
+          request_id: The id of the call that it did not respond to.
+        """
+        self._registry.add('grants_withheld')
+        self._log.event('grant_withheld', holder=holder, id=request_id)
+
     def release_unanswered(
         self,
         holder: str,
--- a/amaranthcrank/router/stopped_target_test.py
+++ b/amaranthcrank/router/stopped_target_test.py
@@ -58,17 +58,16 @@
         self.target_by_holder = {
             target.entry.holder: target for target in (self.former, self.next)
         }
-        key_map = model.KeyMap(
-            'book',
-            OWNED.fence,
-            (OWNED,),
-            7,
-            {
-                holder: target.entry.address
-                for holder, target in self.target_by_holder.items()
-            },
+        self._write_map((OWNED,))
+
+    def _write_map(self, ranges):
+        address_by_holder = {
+            holder: target.entry.address
+            for holder, target in self.target_by_holder.items()
+        }
+        self.store = key_targets.Store(
+            model.KeyMap('book', OWNED.fence, ranges, 7, address_by_holder)
         )
-        self.store = key_targets.Store(key_map)
 
     def _start_controller(self, was_last_holder):
         controller = key_controller.Controller(
@@ -98,6 +97,28 @@
         await asyncio.sleep(ABSENCE_S)
         self.assertGreater(self.next.holds[-1].until, clock.now())
 
+    async def test_no_grant_is_sent_to_a_stopped_owner(self):
+        """Guards against grants that wait at a stopped owner at all.
+
+        It took them when it went on, below the token of the next owner.
+        """
+        half = LAST_KEY // 2
+        ranges = (
+            OWNED._replace(last=half),
+            OWNED._replace(first=half + 1, target_id='i-2'),
+        )
+        self._write_map(ranges)
+        self._start_controller(was_last_holder=True)
+        await asyncio.sleep(0.3)
+        await self._stop_former()
+        self.former.resume()
+        await asyncio.sleep(0.3)
+        targets = (self.former, self.next)
+        holds = [hold for target in targets for hold in target.holds]
+        with mock.patch.object(key_holds, 'OVERLAP_TOLERANCE_S', 0.0):
+            self.assertEqual(key_holds.overlaps(holds), [])
+        self.assertEqual(key_holds.stale_fences(holds), [])
+
     async def test_grants_that_waited_at_a_stopped_owner(self):
         """Guards against two owners when a stopped owner goes on.
 
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -115,6 +115,50 @@
         self._waiting_grants.clear()
 
 
+class _Connection:
+    """A new connection to a target.
+
+    Attributes:
+      is_new: Whether no request was sent on it.
+      is_open: Whether another request may be sent.
+      responded_at: When the last response arrived; 0.0 if none has.
+    """
+
+    is_new = True
+    is_open = True
+    responded_at = 0.0
+
+    def __init__(self, target: Target) -> None:
+        """Connect to a target."""
+        self._target = target
+
+    async def exchange(
+        self,
+        method: bytes,
+        path: bytes,
+        headers: typing.Any,
+        body: bytes,
+        request_id: bytes,
+    ) -> http_client.Response:
+        """Send a release.
+
+        Raises:
+          TimeoutError: The target is stopped.
+        """
+        await asyncio.sleep(SILENCE_S if self._target.is_stopped else 0.0)
+        if self._target.is_stopped:
+            raise TimeoutError
+        return await _release(self._target, json.loads(body))
+
+
+async def _release(
+    target: Target, fields: dict[str, typing.Any]
+) -> http_client.Response:
+    first, last = platform_target.parse_release(fields)
+    await target.release(first, last, fields['fence'])
+    return http_client.Response(200, [(names.HANDOVER, b'w')], b'', True)
+
+
 class Calls(key_calls.KeyCalls):
     """Delivers calls to the targets.
 
@@ -147,16 +191,22 @@
         path: str,
         body: bytes,
         timeout_s: float,
-        before_send: typing.Callable[[bool], typing.Awaitable[None]],
+        before_send: typing.Callable[[typing.Any], typing.Awaitable[None]],
         request_id: str,
         is_shared: bool = True,
     ) -> tuple[str, http_client.Response | None]:
-        await before_send(True)
         target = self._target_by_holder[holder]
+        try:
+            await before_send(_Connection(target))
+        except key_calls.UnconfirmedError:
+            return key_calls.UNANSWERED, None
         await asyncio.sleep(0.001)
         fields = json.loads(body)
         if path == names.RELEASE_PATH:
-            return await self._release(target, fields)
+            if target.is_stopped:
+                await asyncio.sleep(SILENCE_S)
+                return key_calls.UNANSWERED, None
+            return key_calls.GRANTED, await _release(target, fields)
         call = platform_target.parse_grant(fields)
         if target.is_stopped:
             target.hold_back(call)
@@ -174,17 +224,6 @@
             return key_calls.REJECTED, http_client.Response(409, [], b'')
         return key_calls.GRANTED, http_client.Response(200, [], b'', True)
 
-    async def _release(
-        self, target: Target, fields: dict[str, typing.Any]
-    ) -> tuple[str, http_client.Response | None]:
-        if target.is_stopped:
-            await asyncio.sleep(SILENCE_S)
-            return key_calls.UNANSWERED, None
-        first, last = platform_target.parse_release(fields)
-        await target.release(first, last, fields['fence'])
-        response = http_client.Response(200, [(names.HANDOVER, b'w')], b'')
-        return key_calls.GRANTED, response
-
 
 class Store:
     """Holds the key map that the former controller wrote.
