Grant keys to targets that close each connection (OWNER)

It has shown that it reads its calls, so the grant goes out at once on the next connection.

A probe whose response looks like one to a grant no longer makes the response to the grant clear.

Test: test_target_that_closes_each_connection failed before (unanswered).

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -65,6 +65,10 @@
     """Another server listens at the address."""
 
 
+class _ClosedError(Exception):
+    """The target responded to a probe and closed the connection."""
+
+
 class _LeaseEndedError(Exception):
     """This host no longer holds the controller's lease."""
 
@@ -152,30 +156,46 @@
         """
         body = grants.grant_body(key_range, hold_s, handover)
         grant = self.hold_times.begin(holder, hold_s)
-
         is_clear = False
+        needs_probe = probe_key is not None
 
         async def before_send(connection: http_client.Connection) -> None:
-            nonlocal is_clear
+            nonlocal is_clear, needs_probe
             if connection.is_new:
                 is_clear = True
                 await self._check_incarnation(holder)
-            if probe_key is not None and not _has_just_responded(connection):
-                is_clear = True
-                await self._probe(connection, holder, address, probe_key)
+            if needs_probe and not _has_just_responded(connection):
+                assert probe_key is not None
+                is_clear = await self._probe(
+                    connection, holder, address, probe_key
+                )
+                needs_probe = False
+                if not connection.is_open:
+                    raise _ClosedError
             self._check_lease()
             grant.record_sent()
 
         request_id = self._new_request_id()
-        result, response = await self._post(
-            holder,
-            address,
-            names.GRANT_PATH,
-            body,
-            GRANT_TIMEOUT_S,
-            before_send,
-            request_id,
-        )
+
+        async def send(
+            is_shared: bool,
+        ) -> tuple[str, http_client.Response | None]:
+            return await self._post(
+                holder,
+                address,
+                names.GRANT_PATH,
+                body,
+                GRANT_TIMEOUT_S,
+                before_send,
+                request_id,
+                is_shared,
+            )
+
+        try:
+            result, response = await send(is_shared=True)
+        except _ClosedError:
+            # The target reads its calls. It may close each connection.
+            result, response = await send(is_shared=False)
         if _is_response_to_release(response):
             result = UNANSWERED
         if result == UNANSWERED and grant.is_sent:
@@ -191,12 +211,15 @@
         holder: str,
         address: model.Address,
         key: int,
-    ) -> None:
+    ) -> bool:
         """Wait for a sign that the target reads what this connection carries.
 
         A release of a key that the target does not own changes nothing,
-        however late it takes effect. Its response differs from those to
-        grants, so a repeated one passes for neither.
+        however late it takes effect.
+
+        Returns:
+          Whether the response differs from those to grants, so that a repeated
+          one does not pass for the response to the grant.
 
         Raises:
           _OtherServerError: Another server listens at the address.
@@ -220,8 +243,9 @@
             raise UnconfirmedError from error
         if response.status == WRONG_TARGET and response.is_first_on_connection:
             raise _OtherServerError
-        if response.status == WRONG_TARGET or not connection.is_open:
+        if response.status == WRONG_TARGET:
             raise UnconfirmedError
+        return not _is_success(response) or _is_response_to_release(response)
 
     def _check_lease(self) -> None:
         """Check the lease just before a call is sent.
