Probe a former owner before the call that fences it off (OWNER)

As grants are, they are now sent only once the target has responded on the same connection: to a release of the first of the keys, which it has given up already. Grants and fences share one path.

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import typing
 import uuid
 
@@ -154,7 +155,43 @@
           REFUSED (the connection was refused, so nothing was sent),
           OTHER_SERVER or UNANSWERED.
         """
-        body = grants.grant_body(key_range, hold_s, handover)
+        result, _ = await self._send_grant(
+            holder,
+            address,
+            key_range,
+            hold_s,
+            handover,
+            probe_key,
+            self._check_incarnation,
+        )
+        return result
+
+    async def _send_grant(
+        self,
+        holder: str,
+        address: model.Address,
+        key_range: model.KeyRange,
+        hold_s: float,
+        handover: str,
+        probe_key: int | None,
+        check_new: typing.Callable[[str], typing.Awaitable[None]],
+        is_shared: bool = True,
+    ) -> tuple[str, hold_times.Grant]:
+        """Send a grant once the target has shown that it reads its calls.
+
+        Args:
+          holder: The target, as `id/incarnation`.
+          address: Where the target listens.
+          key_range: The keys, with their fencing token.
+          hold_s: The duration of the grant.
+          handover: The handover of the former owner, or ''.
+          probe_key: A key whose release changes nothing; None to send at once.
+          check_new: Awaited with the holder on each new connection.
+          is_shared: Whether a used connection may be used.
+
+        Returns:
+          The result, as of `grant`, and what is known of the grant's time.
+        """
         grant = self.hold_times.begin(holder, hold_s)
         is_clear = False
         needs_probe = probe_key is not None
@@ -163,7 +200,7 @@
             nonlocal is_clear, needs_probe
             if connection.is_new:
                 is_clear = True
-                await self._check_incarnation(holder)
+                await check_new(holder)
             if needs_probe and not _has_just_responded(connection):
                 assert probe_key is not None
                 is_clear = await self._probe(
@@ -176,26 +213,21 @@
             grant.record_sent()
 
         request_id = self._new_request_id()
-
-        async def send(
-            is_shared: bool,
-        ) -> tuple[str, http_client.Response | None]:
-            return await self._post(
-                holder,
-                address,
-                names.GRANT_PATH,
-                body,
-                GRANT_TIMEOUT_S,
-                before_send,
-                request_id,
-                is_shared,
-            )
-
+        post = functools.partial(
+            self._post,
+            holder,
+            address,
+            names.GRANT_PATH,
+            grants.grant_body(key_range, hold_s, handover),
+            GRANT_TIMEOUT_S,
+            before_send,
+            request_id,
+        )
         try:
-            result, response = await send(is_shared=True)
+            result, response = await post(is_shared=is_shared)
         except _ClosedError:
             # The target reads its calls. It may close each connection.
-            result, response = await send(is_shared=False)
+            result, response = await post(is_shared=False)
         if _is_response_to_release(response):
             result = UNANSWERED
         if result == UNANSWERED and grant.is_sent:
@@ -203,7 +235,7 @@
                 holder, key_range, hold_s, request_id
             )
         self.hold_times.finish(holder, grant, result != UNANSWERED, is_clear)
-        return result
+        return result, grant
 
     async def _probe(
         self,
@@ -361,29 +393,18 @@
           GRANTED, REJECTED, REFUSED, OTHER_SERVER or UNANSWERED; and until
           when the call may still arrive, by `clock.now`, 0.0 if it cannot.
         """
-        grant = self.hold_times.begin(holder, FENCE_S)
-
-        async def before_send(_: http_client.Connection) -> None:
-            self._check_lease()
-            grant.record_sent()
-
-        request_id = self._new_request_id()
-        result, _ = await self._post(
+        result, grant = await self._send_grant(
             holder,
             address,
-            names.GRANT_PATH,
-            grants.grant_body(key_range, FENCE_S, ''),
-            GRANT_TIMEOUT_S,
-            before_send,
-            request_id,
+            key_range,
+            FENCE_S,
+            '',
+            # The target has released these keys before.
+            key_range.first,
+            _accept_any_incarnation,
             # On a used connection, an earlier response could be repeated.
             is_shared=False,
         )
-        if result == UNANSWERED and grant.is_sent:
-            self._events.grant_unanswered(
-                holder, key_range, FENCE_S, request_id
-            )
-        self.hold_times.finish(holder, grant, result != UNANSWERED)
         return result, grant.until if result == UNANSWERED else 0.0
 
     async def _post(
@@ -446,6 +467,10 @@
         return UNANSWERED, response
 
 
+async def _accept_any_incarnation(_: str) -> None:
+    """Check nothing: a later incarnation is fenced off as well."""
+
+
 def _headers(
     holder: str, address: model.Address, body: bytes, request_id: str
 ) -> fields.Headers:
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -462,11 +462,11 @@
 
         post = self.calls._post
 
-        async def post_to_others(holder, address, *arguments):
+        async def post_to_others(holder, address, *arguments, **named):
             if address.port == 1:
                 # No connection is opened in time, so nothing is sent.
                 return key_calls.UNANSWERED, None
-            return await post(holder, address, *arguments)
+            return await post(holder, address, *arguments, **named)
 
         with mock.patch.object(self.calls, '_post', post_to_others):
             await self._wait(self._first_grant_of_moved_keys)
