Wait for the lease of an earlier process of the same host (OWNER)

What callers saw: nothing; in a test with two processes of one host, two targets held the same keys for 1.3 s.

Cause: a lease record with the host's own id and address was taken over at once, as its earlier process was taken to have ended. It may shut down slowly with its ports closed, be stopped, or listen on other ports, and counts on its lease for up to three seconds more. When it moved keys after the later one had read the key map, the later one renewed the grants of their former owner.

Change: only a record that this process wrote itself is taken over at once. Cost: a controller that crashes and is back within 3.3 s waits for the rest of its earlier lease, as other hosts do. One that is shut down gives it back.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -194,9 +194,11 @@
         self.holder_id = holder_in(item)
         self._count = _number_in(spec, 'count')
         self._revision = entries.revision_of(item)
-        # A record with this host's id and address was written by this process
-        # or by an earlier one of this host, which has ended.
-        own = self.holder_id == self._host_id and spec.get('ip') == self._ip
+        # An earlier process of this host may still count on its lease.
+        own = (
+            self.holder_id == self._host_id
+            and spec.get('incarnation') == self._incarnation
+        )
         if self._revision != self._seen_revision:
             self._record_seen(self._revision)
         if self.holder_id and not own and clock.now() < self._seen_expiry:
