Ask the target itself whether an unsettled hold has ended (OWNER)

- An entry of another id, with a later start, at the address of a stopped former owner ended its hold without a single release.
Entries end no hold; a 421 does.
The next life of the target is asked as well.
Keys of the target's other lives, and of an owner at its address, are left out.
- A release that waits for work held up those of the other ranges for up to 4 s each.
Once the former owner has answered, its ranges are released at the same time, and each response is awaited for 0.4 s; the release itself takes effect at once.
- A hold was settled by time alone although the last release had no response, and a fault of the program dropped it.
- The tests of settling passed without it, as no grant waits any more at a target that has been stopped.

--- a/amaranthcrank/router/former_owners.py
+++ b/amaranthcrank/router/former_owners.py
@@ -197,7 +197,7 @@
             result = key_calls.UNANSWERED
             arrives_until = 0.0
             handover = ''
-            address = self._address(holder)
+            address = self.find_address(holder)
             if address is not None:
                 result, arrives_until = await self._calls.fence_off(
                     holder, address, key_range
@@ -231,14 +231,15 @@
         self, holder: str, key_range: model.KeyRange
     ) -> tuple[str, str]:
         """Ask a target, or its next life, to release a range once."""
-        address = self._address(holder)
+        address = self.find_address(holder)
         if address is None:
             return key_calls.UNANSWERED, ''
         return await self._calls.release(
             holder, address, key_range.first, key_range.last, key_range.fence
         )
 
-    def _address(self, holder: str) -> model.Address | None:
+    def find_address(self, holder: str) -> model.Address | None:
+        """Return where a holder, or its next life, listens, or None."""
         restarted = self._find_restarted(holder)
         if restarted is not None:
             return restarted.address
--- a/amaranthcrank/router/stopped_target_test.py
+++ b/amaranthcrank/router/stopped_target_test.py
@@ -58,7 +58,13 @@
         self.target_by_holder = {
             target.entry.holder: target for target in (self.former, self.next)
         }
-        self._write_map((OWNED,))
+        half = LAST_KEY // 2
+        self._write_map(
+            (
+                OWNED._replace(last=half),
+                OWNED._replace(first=half + 1, target_id='i-2'),
+            )
+        )
 
     def _write_map(self, ranges):
         address_by_holder = {
@@ -90,27 +96,30 @@
         return task
 
     async def _stop_former(self):
-        """Stop the owner for so long that its keys move on."""
-        self.former.is_stopped = True
+        """Stop the owner for so long that its keys move on.
+
+        It stops just after it has shown that it reads its calls.
+        """
+        self.former.stops_after_release = True
+        while not self.former.is_stopped:
+            await asyncio.sleep(0.01)
         await asyncio.sleep(EXPIRY_S)
         self.targets.remove(self.former.entry.target_id)
         await asyncio.sleep(ABSENCE_S)
         self.assertGreater(self.next.holds[-1].until, clock.now())
+        self.assertNotEqual(self.former.waiting_grants, [])
 
     async def test_no_grant_is_sent_to_a_stopped_owner(self):
         """Guards against grants that wait at a stopped owner at all.
 
         It took them when it went on, below the token of the next owner.
         """
-        half = LAST_KEY // 2
-        ranges = (
-            OWNED._replace(last=half),
-            OWNED._replace(first=half + 1, target_id='i-2'),
-        )
-        self._write_map(ranges)
         self._start_controller(was_last_holder=True)
         await asyncio.sleep(0.3)
-        await self._stop_former()
+        self.former.is_stopped = True
+        await asyncio.sleep(EXPIRY_S)
+        self.targets.remove(self.former.entry.target_id)
+        await asyncio.sleep(ABSENCE_S)
         self.former.resume()
         await asyncio.sleep(0.3)
         targets = (self.former, self.next)
--- a/amaranthcrank/router/unsettled_holds.py
+++ b/amaranthcrank/router/unsettled_holds.py
@@ -20,24 +20,30 @@
 from amaranthcrank.router import ownership_events
 
 # Between two releases at a former owner that answers. It bounds for how long
-# it holds keys that it took by an earlier grant.
+# it holds keys that it took by an earlier grant. Most that waited take effect
+# in the first seconds.
 RELEASE_INTERVAL_S = 0.2
-# Between attempts to reach one that takes no connections, so that nothing
-# that waits at it can take effect.
-UNREACHED_INTERVAL_S = 1.0
+LATER_INTERVAL_S = 0.4
+FIRST_RELEASES_S = 2.0
+# The time limit for the response of one that has answered before. A release
+# takes effect before it is answered.
+RELEASE_TIMEOUT_S = 0.4
+# How many ranges are released at once.
+MAX_CONCURRENT = 8
+# After a fault of the program.
+FAULT_PAUSE_S = 1.0
 
-# The service and the former owner.
-_CaseId = tuple[str, str]
+# The service and the former owner, as `id/incarnation`.
+_FormerId = tuple[str, str]
 
 
-class _Case:
+class _FormerOwner:
     """The unsettled holds of one former owner.
 
     Attributes:
       holds: The keys, with the token of their release.
       gives_up_at: When no call can wait anywhere any more, by `clock.now`.
-      settled_at: When none of its earlier grants can be left, by `clock.now`;
-        None until it has answered.
+      answered_at: When it first answered, by `clock.now`; None until then.
       task: Releases the keys.
     """
 
@@ -45,7 +51,7 @@
         """Start without keys."""
         self.holds: list[model.UnsettledHold] = []
         self.gives_up_at = 0.0
-        self.settled_at: float | None = None
+        self.answered_at: float | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -80,128 +86,187 @@
         self._settle_s = (
             hold_times.TRANSIT_S + grant_max_s * hold_times.CLOCK_RATE_FACTOR
         )
-        self._case_by_id: dict[_CaseId, _Case] = {}
+        self._former_by_id: dict[_FormerId, _FormerOwner] = {}
 
     def add(self, service: str, hold: model.UnsettledHold) -> None:
         """Release keys at a former owner until the hold is settled."""
-        case = self._case_by_id.setdefault((service, hold.holder), _Case())
-        if hold not in case.holds:
+        former = self._former_by_id.setdefault(
+            (service, hold.holder), _FormerOwner()
+        )
+        if hold not in former.holds:
             self._events.hold_unsettled(hold)
-        remaining = key_ranges.subtract_keys(case.holds, [hold])
-        case.holds = sorted([*remaining, hold])
-        case.settled_at = None
-        case.gives_up_at = clock.now() + hold_times.LATE_GRANT_S
+        remaining = key_ranges.subtract_keys(former.holds, [hold])
+        former.holds = sorted([*remaining, hold])
+        former.answered_at = None
+        former.gives_up_at = clock.now() + hold_times.LATE_GRANT_S
         self._restart(service, hold.holder)
 
     def holds(self, service: str) -> tuple[model.UnsettledHold, ...]:
         """Return the unsettled holds of a service, in order."""
         found = []
-        for (of_service, _), case in self._case_by_id.items():
+        for (of_service, _), former in self._former_by_id.items():
             if of_service == service:
-                found += case.holds
+                found += former.holds
         return tuple(sorted(found))
 
     def exclude_owned(
         self, service: str, ranges: typing.Sequence[model.KeyRange]
     ) -> None:
         """Release no keys that the former owner owns, or is to own, again."""
-        for (of_service, holder), case in list(self._case_by_id.items()):
+        for (of_service, holder), former in list(self._former_by_id.items()):
             if of_service != service:
                 continue
-            owned = [each for each in ranges if each.holder == holder]
-            remaining = key_ranges.subtract_keys(case.holds, owned)
-            if remaining == case.holds:
+            owned = [
+                each for each in ranges if self._is_same(each.holder, holder)
+            ]
+            remaining = key_ranges.subtract_keys(former.holds, owned)
+            if remaining == former.holds:
                 continue
-            case.holds = remaining
+            former.holds = remaining
             self._restart(service, holder)
 
     def clear(self) -> None:
         """Forget all holds."""
         self.stop()
-        self._case_by_id.clear()
+        self._former_by_id.clear()
 
     def start(self) -> None:
         """Send releases again after a stop."""
-        for service, holder in list(self._case_by_id):
+        for service, holder in list(self._former_by_id):
             self._restart(service, holder)
 
     def stop(self) -> None:
         """Send no more releases."""
-        for case in self._case_by_id.values():
-            if case.task is not None:
-                case.task.cancel()
+        for former in self._former_by_id.values():
+            if former.task is not None:
+                former.task.cancel()
 
     def _restart(self, service: str, holder: str) -> None:
         """Release the present keys of a holder; forget it if there are none.
 
         A release that is being sent could name keys that are excluded now.
         """
-        case_id = (service, holder)
-        case = self._case_by_id[case_id]
-        if case.task is not None:
-            case.task.cancel()
-        if not case.holds:
-            del self._case_by_id[case_id]
+        former_id = (service, holder)
+        former = self._former_by_id[former_id]
+        if former.task is not None:
+            former.task.cancel()
+        if not former.holds:
+            del self._former_by_id[former_id]
             return
-        case.task = asyncio.create_task(self._settle(holder, case))
-        case.task.add_done_callback(
-            functools.partial(self._on_end, case_id, case)
+        former.task = asyncio.create_task(self._settle(holder, former))
+        former.task.add_done_callback(
+            functools.partial(self._on_end, former_id, former)
         )
 
     def _on_end(
-        self, case_id: _CaseId, case: _Case, task: asyncio.Task[None]
+        self,
+        former_id: _FormerId,
+        former: _FormerOwner,
+        task: asyncio.Task[None],
     ) -> None:
-        """Forget a holder whose holds are settled."""
-        if task.cancelled() or task is not case.task:
+        """Forget a holder whose holds are settled; go on after a fault."""
+        if task.cancelled() or task is not former.task:
             return
         error = task.exception()
         if error is not None:
-            self._events.settling_failed(case_id[1], error)
-        elif not self._lease.is_held:
+            self._events.settling_failed(former_id[1], error)
+            asyncio.get_running_loop().call_later(
+                FAULT_PAUSE_S, self._restart_after_fault, former_id, former
+            )
             return
-        if self._case_by_id.get(case_id) is case:
-            del self._case_by_id[case_id]
+        if self._lease.is_held and self._is_known(former_id, former):
+            del self._former_by_id[former_id]
+
+    def _restart_after_fault(
+        self, former_id: _FormerId, former: _FormerOwner
+    ) -> None:
+        if self._is_known(former_id, former):
+            self._restart(*former_id)
+
+    def _is_known(self, former_id: _FormerId, former: _FormerOwner) -> bool:
+        return self._former_by_id.get(former_id) is former
 
-    async def _settle(self, holder: str, case: _Case) -> None:
+    def _is_same(self, owner: str, former: str) -> bool:
+        """Return whether releases for a former owner would reach an owner.
+
+        It may be the next life of the target, or have its address.
+        """
+        if model.split_holder(owner)[0] == model.split_holder(former)[0]:
+            return True
+        address = self._former_owners.find_address(former)
+        return address is not None and address == self._address_by_holder.get(
+            owner
+        )
+
+    async def _settle(self, holder: str, former: _FormerOwner) -> None:
         """Release the keys of a holder until its holds are settled."""
         while self._lease.is_held:
-            result = await self._release_all(holder, case.holds)
+            result = await self._release(holder, former)
             now = clock.now()
             if result == key_calls.OTHER_SERVER:
                 self._events.holds_settled(holder, ownership_events.REPLACED)
                 return
-            if result == key_calls.RELEASED and case.settled_at is None:
-                case.settled_at = now + self._settle_s
-            if case.settled_at is not None and now >= case.settled_at:
-                self._events.holds_settled(holder, ownership_events.RELEASED)
-                return
-            if case.settled_at is None and now >= case.gives_up_at:
+            if result == key_calls.RELEASED:
+                if former.answered_at is None:
+                    former.answered_at = now
+                    # The other keys, and what took effect meanwhile.
+                    continue
+                if now >= former.answered_at + self._settle_s:
+                    self._events.holds_settled(
+                        holder, ownership_events.RELEASED
+                    )
+                    return
+            elif now >= former.gives_up_at:
                 self._events.holds_settled(holder, ownership_events.EXPIRED)
                 return
-            if result == key_calls.REFUSED:
-                await asyncio.sleep(UNREACHED_INTERVAL_S)
-                continue
-            await asyncio.sleep(RELEASE_INTERVAL_S)
+            await asyncio.sleep(_pause_s(former, now))
 
-    async def _release_all(
-        self, holder: str, holds: typing.Sequence[model.UnsettledHold]
-    ) -> str:
-        """Ask a holder once to release its keys; stop at a failure.
+    async def _release(self, holder: str, former: _FormerOwner) -> str:
+        """Ask a holder once to release its keys.
+
+        One that has not answered yet is asked for one range, as each call
+        occupies a connection there.
 
         Returns:
           RELEASED, REFUSED, OTHER_SERVER or UNANSWERED, as in `key_calls`.
         """
-        address = self._address_by_holder.get(holder)
-        if address is None or self._former_owners.has_ended(holder):
-            # Another target must not lose its keys.
-            return key_calls.OTHER_SERVER
-        for hold in _join_adjacent(holds):
-            result, _ = await self._calls.release(
-                holder, address, hold.first, hold.last, hold.fence
+        holds = _join_adjacent(former.holds)
+        if former.answered_at is None:
+            return await self._release_one(
+                holder, key_calls.RELEASE_TIMEOUT_S, holds[0]
             )
-            if result != key_calls.RELEASED:
-                return result
-        return key_calls.RELEASED
+        release_one = functools.partial(
+            self._release_one, holder, RELEASE_TIMEOUT_S
+        )
+        results: set[str] = set()
+        for first in range(0, len(holds), MAX_CONCURRENT):
+            batch = holds[first : first + MAX_CONCURRENT]
+            results.update(await asyncio.gather(*map(release_one, batch)))
+        if results == {key_calls.RELEASED}:
+            return key_calls.RELEASED
+        if key_calls.OTHER_SERVER in results:
+            return key_calls.OTHER_SERVER
+        return key_calls.UNANSWERED
+
+    async def _release_one(
+        self, holder: str, timeout_s: float, hold: model.UnsettledHold
+    ) -> str:
+        address = self._former_owners.find_address(holder)
+        if address is None:
+            return key_calls.UNANSWERED
+        result, _ = await self._calls.release(
+            holder, address, hold.first, hold.last, hold.fence, timeout_s
+        )
+        return result
+
+
+def _pause_s(former: _FormerOwner, now: float) -> float:
+    """Return the time until the next release, seconds."""
+    if former.answered_at is None:
+        return former_owners.REFUSED_RETRY_S
+    if now < former.answered_at + FIRST_RELEASES_S:
+        return RELEASE_INTERVAL_S
+    return LATER_INTERVAL_S
 
 
 def _join_adjacent(
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -48,7 +48,9 @@
       counts_releases: Whether it counts the tokens of releases as well.
       highest_fence: The highest token seen.
       releases: How many releases it took.
+      waiting_grants: The grants that wait until it goes on.
       is_stopped: Whether calls wait until it goes on.
+      stops_after_release: Whether it stops once it has answered a release.
     """
 
     def __init__(self, target_entry: model.TargetEntry) -> None:
@@ -60,7 +62,8 @@
         self.highest_fence = 0
         self.releases = 0
         self.is_stopped = False
-        self._waiting_grants: list[platform_target.GrantCall] = []
+        self.stops_after_release = False
+        self.waiting_grants: list[platform_target.GrantCall] = []
 
     def take_grant(
         self, call: platform_target.GrantCall, arrived_at: float
@@ -101,7 +104,7 @@
 
     def hold_back(self, call: platform_target.GrantCall) -> None:
         """Keep a grant until the target goes on."""
-        self._waiting_grants.append(call)
+        self.waiting_grants.append(call)
 
     def resume(self) -> None:
         """Go on, and take the grants that waited.
@@ -110,9 +113,9 @@
         an order among connections.
         """
         self.is_stopped = False
-        for call in self._waiting_grants:
+        for call in self.waiting_grants:
             self.take_grant(call, clock.now())
-        self._waiting_grants.clear()
+        self.waiting_grants.clear()
 
 
 class _Connection:
@@ -156,6 +159,9 @@
 ) -> http_client.Response:
     first, last = platform_target.parse_release(fields)
     await target.release(first, last, fields['fence'])
+    if target.stops_after_release:
+        target.stops_after_release = False
+        target.is_stopped = True
     return http_client.Response(200, [(names.HANDOVER, b'w')], b'', True)
 
 
@@ -194,6 +200,7 @@
         before_send: typing.Callable[[typing.Any], typing.Awaitable[None]],
         request_id: str,
         is_shared: bool = True,
+        is_clear: typing.Any = None,
     ) -> tuple[str, http_client.Response | None]:
         target = self._target_by_holder[holder]
         try:
