Refuse and reject grants after a probe; find a key to ask for during moves (OWNER)

- A 409 or 421 to a grant that followed a probe counted as unclear, and dropped all connections to the target.
After a probe with a response that only a release gets, nothing but that response could be repeated.
- The grant of an owner that takes 0.5 s to respond was withheld; the probe now has the time limit of the grant.
- No key to ask for was found while all other ranges were moving, so grants were sent at once.
It is now chosen just before the probe is sent, among moving ranges too.
- Owners of several ranges counted as if a grant might take effect late for good, as the second grant on a connection could be answered by a repeated response.
Their keys waited for a fence on each move, for 6.4 s where new connections were reset.
That mark is gone; a repeated response to a grant remains a known gap.

--- a/amaranthcrank/router/grant_probe_test.py
+++ b/amaranthcrank/router/grant_probe_test.py
@@ -57,7 +57,7 @@
 
     async def _grant(self):
         return await self.calls.grant(
-            HOLDER, self.address, RANGE, HOLD_S, '', FOREIGN_KEY
+            HOLDER, self.address, RANGE, HOLD_S, '', lambda: FOREIGN_KEY
         )
 
     async def test_target_that_closes_each_connection(self):
--- a/amaranthcrank/router/hold_times.py
+++ b/amaranthcrank/router/hold_times.py
@@ -69,8 +69,6 @@
         self._pending_by_holder: dict[str, list[Grant]] = {}
         self._prior_held_until = 0.0
         self._prior_late_until = 0.0
-        # Until when a grant may take effect whose response is not clear.
-        self._late_until_by_holder: dict[str, float] = {}
 
     def assume_prior_grants(self, grant_max_s: float) -> None:
         """Forget all grants; assume the longest ones by a former controller.
@@ -82,7 +80,6 @@
         self._pending_by_holder.clear()
         self._prior_held_until = Grant(grant_max_s).until
         self._prior_late_until = clock.now() + LATE_GRANT_S
-        self._late_until_by_holder.clear()
 
     def begin(self, holder: str, hold_s: float) -> Grant:
         """Return a grant that is to be sent, with its duration in seconds."""
@@ -90,23 +87,8 @@
         self._pending_by_holder.setdefault(holder, []).append(grant)
         return grant
 
-    def finish(
-        self,
-        holder: str,
-        grant: Grant,
-        has_response: bool,
-        is_clear: bool = True,
-    ) -> None:
-        """Record whether a grant has got a response.
-
-        Args:
-          holder: The target, as `id/incarnation`.
-          grant: The grant.
-          has_response: Whether there was a response.
-          is_clear: Whether it cannot repeat the response to an earlier grant.
-        """
-        if has_response and grant.is_sent and not is_clear:
-            self._late_until_by_holder[holder] = clock.now() + LATE_GRANT_S
+    def finish(self, holder: str, grant: Grant, has_response: bool) -> None:
+        """Record whether a grant has got a response."""
         if has_response and grant.is_sent:
             grant.record_response()
             known_until = self._answered_until_by_holder.get(holder, 0.0)
@@ -166,8 +148,6 @@
         now = clock.now()
         if now < self._prior_late_until:
             return True
-        if now < self._late_until_by_holder.get(holder, 0.0):
-            return True
         return any(
             grant.may_take_effect(now) for grant in self._pending(holder)
         )
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -30,7 +30,7 @@
 # A target that has responded within this time is taken to read its calls.
 RECENT_RESPONSE_S = 0.1
 # The time limit for the response that shows that a target reads its calls.
-PROBE_TIMEOUT_S = 0.4
+PROBE_TIMEOUT_S = GRANT_TIMEOUT_S
 # The status of a target's response to a call that names another target.
 WRONG_TARGET = 421
 # Responses to grants and releases have short bodies, if any.
@@ -54,6 +54,18 @@
 _BeforeSend = typing.Callable[[http_client.Connection], typing.Awaitable[None]]
 
 
+# Returns a key, or None.
+_FindKey = typing.Callable[[], int | None]
+
+
+def _find_no_key() -> None:
+    return None
+
+
+def _is_first_on_connection(response: http_client.Response) -> bool:
+    return response.is_first_on_connection
+
+
 class _RestartedError(Exception):
     """The target has restarted since the incarnation that a grant names."""
 
@@ -137,7 +149,7 @@
         key_range: model.KeyRange,
         hold_s: float,
         handover: str,
-        probe_key: int | None = None,
+        find_probe_key: _FindKey = _find_no_key,
     ) -> str:
         """Grant or renew a range.
 
@@ -147,8 +159,9 @@
           key_range: The keys, with their fencing token.
           hold_s: The duration of the grant.
           handover: The handover of the former owner, or ''.
-          probe_key: A key that the target does not own. The grant is sent only
-            once the target has answered a release of it; with None at once.
+          find_probe_key: Returns a key that the target does not own. The
+            grant is sent only once the target has answered a release of it;
+            with None at once.
 
         Returns:
           GRANTED, REJECTED (the target has seen a higher fencing token),
@@ -161,7 +174,7 @@
             key_range,
             hold_s,
             handover,
-            probe_key,
+            find_probe_key,
             self._check_incarnation,
         )
         return result
@@ -173,7 +186,7 @@
         key_range: model.KeyRange,
         hold_s: float,
         handover: str,
-        probe_key: int | None,
+        find_probe_key: _FindKey,
         check_new: typing.Callable[[str], typing.Awaitable[None]],
         is_shared: bool = True,
     ) -> tuple[str, hold_times.Grant]:
@@ -185,7 +198,8 @@
           key_range: The keys, with their fencing token.
           hold_s: The duration of the grant.
           handover: The handover of the former owner, or ''.
-          probe_key: A key whose release changes nothing; None to send at once.
+          find_probe_key: Returns a key whose release changes nothing, or None
+            to send the grant at once.
           check_new: Awaited with the holder on each new connection.
           is_shared: Whether a used connection may be used.
 
@@ -193,25 +207,28 @@
           The result, as of `grant`, and what is known of the grant's time.
         """
         grant = self.hold_times.begin(holder, hold_s)
-        is_clear = False
-        needs_probe = probe_key is not None
+        may_probe = True
+        is_probed = False
 
         async def before_send(connection: http_client.Connection) -> None:
-            nonlocal is_clear, needs_probe
+            nonlocal may_probe, is_probed
             if connection.is_new:
-                is_clear = True
                 await check_new(holder)
-            if needs_probe and not _has_just_responded(connection):
-                assert probe_key is not None
-                is_clear = await self._probe(
-                    connection, holder, address, probe_key
+            is_probed = False
+            if may_probe and not _has_just_responded(connection):
+                is_probed = await self._probe(
+                    connection, holder, address, find_probe_key()
                 )
-                needs_probe = False
                 if not connection.is_open:
+                    may_probe = False
                     raise _ClosedError
             self._check_lease()
             grant.record_sent()
 
+        def is_clear(response: http_client.Response) -> bool:
+            # After a probe, only its own response could be repeated.
+            return response.is_first_on_connection or is_probed
+
         request_id = self._new_request_id()
         post = functools.partial(
             self._post,
@@ -222,6 +239,7 @@
             GRANT_TIMEOUT_S,
             before_send,
             request_id,
+            is_clear=is_clear,
         )
         try:
             result, response = await post(is_shared=is_shared)
@@ -234,7 +252,7 @@
             self._events.grant_unanswered(
                 holder, key_range, hold_s, request_id
             )
-        self.hold_times.finish(holder, grant, result != UNANSWERED, is_clear)
+        self.hold_times.finish(holder, grant, result != UNANSWERED)
         return result, grant
 
     async def _probe(
@@ -242,21 +260,24 @@
         connection: http_client.Connection,
         holder: str,
         address: model.Address,
-        key: int,
+        key: int | None,
     ) -> bool:
         """Wait for a sign that the target reads what this connection carries.
 
         A release of a key that the target does not own changes nothing,
-        however late it takes effect.
+        however late it takes effect, unless the target gets the key meanwhile.
+        It is then told by the hosts that the target rejects requests for it.
 
         Returns:
-          Whether the response differs from those to grants, so that a repeated
-          one does not pass for the response to the grant.
+          Whether there was a response that only a release gets. A repeated one
+          does not pass for the response to a grant.
 
         Raises:
           _OtherServerError: Another server listens at the address.
           UnconfirmedError: No grant may be sent on the connection.
         """
+        if key is None:
+            return False
         self._check_lease()
         body = grants.release_body(key, key, 0)
         request_id = self._new_request_id()
@@ -277,7 +298,7 @@
             raise _OtherServerError
         if response.status == WRONG_TARGET:
             raise UnconfirmedError
-        return not _is_success(response) or _is_response_to_release(response)
+        return _is_response_to_release(response)
 
     def _check_lease(self) -> None:
         """Check the lease just before a call is sent.
@@ -337,9 +358,18 @@
         first: int,
         last: int,
         fence: int,
+        timeout_s: float = RELEASE_TIMEOUT_S,
     ) -> tuple[str, str]:
         """Take a range of keys back from a target.
 
+        Args:
+          holder: The target, as `id/incarnation`.
+          address: Where the target listens.
+          first: The first key.
+          last: The last key, inclusive.
+          fence: The fencing token.
+          timeout_s: How long to wait for the response.
+
         Returns:
           RELEASED with the handover, or REFUSED, OTHER_SERVER or UNANSWERED.
           A refusal does not show that the target has ended.
@@ -351,7 +381,7 @@
             address,
             names.RELEASE_PATH,
             body,
-            RELEASE_TIMEOUT_S,
+            timeout_s,
             self._check_lease_only,
             request_id,
         )
@@ -400,7 +430,7 @@
             FENCE_S,
             '',
             # The target has released these keys before.
-            key_range.first,
+            lambda: key_range.first,
             _accept_any_incarnation,
             # On a used connection, an earlier response could be repeated.
             is_shared=False,
@@ -417,6 +447,9 @@
         before_send: _BeforeSend,
         request_id: str,
         is_shared: bool = True,
+        is_clear: typing.Callable[[http_client.Response], bool] = (
+            _is_first_on_connection
+        ),
     ) -> tuple[str, http_client.Response | None]:
         headers = _headers(holder, address, body, request_id)
         try:
@@ -453,7 +486,7 @@
             return UNANSWERED, None
         if _is_success(response):
             return GRANTED, response
-        if not response.is_first_on_connection:
+        if not is_clear(response):
             # It may be a repeated refusal of an earlier call, as these
             # responses carry no id. The next attempt uses a new connection.
             self._log.event('key_call_unclear', path=path, holder=holder)
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -236,6 +236,8 @@
                 self.on_map_written(key_map, self._map_by_service[service])
             if moves:
                 self._log_moves(service, moves, fence)
+        # Moves may have given up a former owner while the map was written.
+        self._unsettled.exclude_owned(service, ranges)
         self._start_moves(service)
         return True
 
@@ -438,8 +440,8 @@
                 key_range,
                 self._renewals.hold_s(),
                 handover,
-                key_ranges.find_foreign_key(
-                    self._map_by_service[service].ranges, key_range.target_id
+                lambda: key_ranges.find_foreign_key(
+                    self._map_by_service[service].ranges, holder
                 ),
             )
             if result == key_calls.GRANTED:
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -127,6 +127,7 @@
         before_send,
         request_id,
         is_shared=True,
+        is_clear=None,
     ):
         if self._result(address.port, path) == key_calls.REFUSED:
             # The connection is refused, so nothing is sent.
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -136,11 +136,17 @@
 
 
 def find_foreign_key(
-    ranges: typing.Iterable[model.KeyRange], target_id: str
+    ranges: typing.Iterable[model.KeyRange], holder: str
 ) -> int | None:
-    """Return a key that no incarnation of a target owns or may still hold."""
+    """Return a key that no incarnation of a holder's target is to have.
+
+    Returns:
+      None if the target owns, or is being freed of, all keys.
+    """
+    target_id, _ = model.split_holder(holder)
     for key_range in ranges:
-        if not key_range.moving and key_range.target_id != target_id:
+        holders = [key_range.holder, *key_range.former_holders.split()]
+        if all(model.split_holder(each)[0] != target_id for each in holders):
             return key_range.first
     return None
 
--- a/amaranthcrank/router/key_renewals.py
+++ b/amaranthcrank/router/key_renewals.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
@@ -147,8 +148,8 @@
                 key_range,
                 self.hold_s(),
                 '',
-                key_ranges.find_foreign_key(
-                    map_by_service[service].ranges, key_range.target_id
+                functools.partial(
+                    _find_foreign_key, map_by_service, service, holder
                 ),
             )
             if result == key_calls.GRANTED:
@@ -178,6 +179,12 @@
             self._refused_holders.add(holder)
 
 
+def _find_foreign_key(
+    map_by_service: dict[str, model.KeyMap], service: str, holder: str
+) -> int | None:
+    return key_ranges.find_foreign_key(map_by_service[service].ranges, holder)
+
+
 def _owned_ranges_by_holder(
     key_map: model.KeyMap,
 ) -> dict[str, list[model.KeyRange]]:
