Probe before each grant whose predecessor could be repeated (OWNER)

What callers saw: nothing; in a test, an owner repeated the response to one grant where that to the next was due, carried the next one out late, and held keys for 1.6 s beside the target that had got them.

Cause: a target that has responded on a connection within 0.1 s was sent the next grant without a probe, also if that response was to a grant. Those name no request, so a repeated one passes for the next.

Change: only a response that names its request spares the probe. A success that only a grant gets is no response to a probe on a used connection, and a refusal of one that may be a repeated one ends the other connections too. A former owner to which the keys come back is not asked to release them.

--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -59,8 +59,8 @@
       transport: The transport, once connected.
       idle_since: When the pool took the connection back, by the pool's clock.
       idle_limit_s: How long the connection may be idle and still be used.
-      responded_at: When the last complete response arrived, by `clock.now`;
-        0.0 if none has.
+      identified_at: When the last response arrived that named its request, by
+        `clock.now`; 0.0 if the last one did not, or there was none.
       reusable: Whether the state of the connection permits another request.
       on_data: Called whenever data of a response arrives.
       on_head: Called with the status and the headers of each final response,
@@ -85,7 +85,7 @@
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.reusable = True
-        self.responded_at = 0.0
+        self.identified_at = 0.0
         self._request_count = 0
         self._http = _new_http_state()
         self.on_data: typing.Callable[[], None] | None = None
@@ -313,9 +313,9 @@
             self._request_count == 1 and self._skipped_responses == 0,
         )
         self._response_head = None
-        self.responded_at = clock.now()
         self._discard_body()
         echoed_id = response.header(b'x-request-id')
+        self.identified_at = 0.0 if echoed_id is None else clock.now()
         if self._expected_id is not None and echoed_id is not None:
             if echoed_id != self._expected_id:
                 self._skip_response()
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -296,9 +296,16 @@
             raise UnconfirmedError from error
         if response.status == WRONG_TARGET and response.is_first_on_connection:
             raise _OtherServerError
+        is_release = _is_response_to_release(response)
+        is_first = response.is_first_on_connection
         if response.status == WRONG_TARGET:
+            # It may be a repeated refusal of an earlier call.
+            self._pool.drop(address)
+            raise UnconfirmedError
+        if _is_success(response) and not is_release and not is_first:
+            # It may be a repeated response to an earlier grant.
             raise UnconfirmedError
-        return _is_response_to_release(response)
+        return is_release
 
     def _check_lease(self) -> None:
         """Check the lease just before a call is sent.
@@ -517,8 +524,12 @@
 
 
 def _has_just_responded(connection: http_client.Connection) -> bool:
-    """Return whether the target read what the connection carried just now."""
-    return clock.now() - connection.responded_at < RECENT_RESPONSE_S
+    """Return whether the target read what the connection carried just now.
+
+    Its last response has to name its request. Responses to grants do not, so a
+    repeated one would pass for that to the next grant.
+    """
+    return clock.now() - connection.identified_at < RECENT_RESPONSE_S
 
 
 def _is_response_to_release(response: http_client.Response | None) -> bool:
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -425,6 +425,9 @@
             key_range.former_holders.split(), key_range
         )
         for former in unsettled:
+            if model.split_holder(former)[0] == key_range.target_id:
+                # The grant of the new token keeps earlier ones out.
+                continue
             hold = model.UnsettledHold(
                 former, key_range.first, key_range.last, key_range.fence - 1
             )
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -133,7 +133,7 @@
             # The connection is refused, so nothing is sent.
             await asyncio.sleep(0.001)
             return key_calls.REFUSED, None
-        await before_send(mock.Mock(is_new=True, responded_at=math.inf))
+        await before_send(mock.Mock(is_new=True, identified_at=math.inf))
         self.sent.append((clock.now(), address.port, path, body))
         await asyncio.sleep(self.delay_s_by_path.get(path, 0.001))
         self.arrived.append((clock.now(), address.port, path, body))
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -124,12 +124,13 @@
     Attributes:
       is_new: Whether no request was sent on it.
       is_open: Whether another request may be sent.
-      responded_at: When the last response arrived; 0.0 if none has.
+      identified_at: When the last response that named its request arrived;
+        0.0 if none has.
     """
 
     is_new = True
     is_open = True
-    responded_at = 0.0
+    identified_at = 0.0
 
     def __init__(self, target: Target) -> None:
         """Connect to a target."""
