--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -66,6 +66,14 @@
         """Return an object, or None if it does not exist."""
         return self._item_by_path.get((kind, name))
 
+    def revisions(self, kind: str) -> dict[str, int]:
+        """Return the revision of each object of a kind, by name."""
+        return {
+            name: item['metadata']['rev']
+            for (of_kind, name), item in self._item_by_path.items()
+            if of_kind == kind
+        }
+
     def discard_history(self) -> None:
         """Discard past changes, so that waiting and older watches get 410."""
         self._oldest = self.revision
