Play targets and links that stand still, with entries that expire (OWNER)

Targets are stopped for 2 to 14 s, links to them hold bytes back for 1 to 12 s or delay them, and some responses are sent twice, in series and together with late calls and changes of the controller. Targets carry out calls whose connection was closed. The store removes the entries of silent targets, and is lost for a while; a crashed target's entry now goes by this too, not at a random moment.

--- a/soak/owner_process.py
+++ b/soak/owner_process.py
@@ -2,7 +2,9 @@
 
 It keeps to what the platform promises and to nothing more, and appends what it
 does to a file. Its clock runs slow and shows another time of day than those of
-other targets. Some of its calls get no response and take effect seconds later.
+other targets. It carries out every call that it has read, also if nobody waits
+for the response any more. Some of its calls get no response and take effect
+seconds later; other responses are sent twice.
 """
 
 import asyncio
@@ -19,6 +21,7 @@
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import http_server
 from amaranthcrank.router import model
+from soak import call_server
 from standins import platform_target
 
 CONTROL_PATH = '/control'
@@ -34,7 +37,8 @@
       target_id: Its id.
       service: Its service.
       is_keyed: Whether it runs only requests for keys that it holds.
-      address: Where it listens, as `ip:port`.
+      address: Where others reach it, as `ip:port`.
+      listen: Where it listens, as `ip:port`; a link may be between.
       store: The address of the store, as `ip:port`.
       domain: Its failure domain.
       record: The path of the file that it appends its records to.
@@ -50,6 +54,7 @@
     service: str
     is_keyed: bool
     address: str
+    listen: str
     store: str
     domain: str
     record: str
@@ -60,18 +65,21 @@
     seed: int
 
 
-class LateCalls(typing.NamedTuple):
-    """Which calls get no response and take effect late.
+class CallFaults(typing.NamedTuple):
+    """What happens to grants and releases.
 
     Attributes:
-      share: The share of the calls, 0 to 1.
-      min_s: The shortest delay.
-      max_s: The longest delay.
+      late_share: The share that gets no response and takes effect late.
+      late_min_s: The shortest delay of these.
+      late_max_s: The longest delay of these.
+      repeated_share: The share whose response is sent once more, where the
+        response to the next call of the connection is due.
     """
 
-    share: float
-    min_s: float
-    max_s: float
+    late_share: float = 0.0
+    late_min_s: float = 0.0
+    late_max_s: float = 0.0
+    repeated_share: float = 0.0
 
 
 class OwnerProcess:
@@ -79,7 +87,7 @@
 
     def __init__(self, config: Config, record: typing.TextIO) -> None:
         """Start without keys."""
-        self.server = http_server.Server(self._handle)
+        self.server = call_server.CallServer(self._handle, self._is_repeated)
         self.entry = platform_target.entry(
             config.service,
             settings_file.parse_address(config.address),
@@ -90,7 +98,7 @@
         self._config = config
         self._record = record
         self._rng = random.Random(config.seed)
-        self._late = LateCalls(0.0, 0.0, 0.0)
+        self._faults = CallFaults()
         self._tasks: set[asyncio.Task[None]] = set()
         # The expiry and the highest token seen, by key.
         self._held_until = [0.0] * model.KEY_COUNT
@@ -107,12 +115,18 @@
         self._record.write(json.dumps(line) + '\n')
         self._record.flush()
 
+    def _is_repeated(self, request: http_server.Request) -> bool:
+        if _path(request) not in (names.GRANT_PATH, names.RELEASE_PATH):
+            return False
+        return self._rng.random() < self._faults.repeated_share
+
     async def _handle(
         self, request: http_server.Request
-    ) -> http_server.Response:
-        path = request.path.decode().partition('?')[0]
+    ) -> http_server.Response | None:
+        path = _path(request)
         if path == CONTROL_PATH:
-            self._late = LateCalls(**json.loads(request.body))
+            # Faults that overlap set different fields.
+            self._faults = self._faults._replace(**json.loads(request.body))
             return http_server.Response(200, [], b'')
         if path not in (names.GRANT_PATH, names.RELEASE_PATH):
             return await self._run(request)
@@ -124,9 +138,9 @@
         if path == names.RELEASE_PATH:
             call = self._take_release
         fields = json.loads(request.body)
-        if self._rng.random() < self._late.share:
+        if self._rng.random() < self._faults.late_share:
             self._start_late(call, fields, arrived_at, request_id.decode())
-            await asyncio.Event().wait()
+            return None
         return await call(fields, arrived_at, request_id.decode())
 
     def _start_late(
@@ -136,7 +150,9 @@
         arrived_at: float,
         request_id: str,
     ) -> None:
-        delay_s = self._rng.uniform(self._late.min_s, self._late.max_s)
+        delay_s = self._rng.uniform(
+            self._faults.late_min_s, self._faults.late_max_s
+        )
 
         async def carry_out() -> None:
             await asyncio.sleep(delay_s)
@@ -204,10 +220,15 @@
             await asyncio.sleep(self._config.work_s)
         finally:
             self._running[key] -= 1
+            self.write('done', key=key, request_id=request_id.decode())
         headers.append((names.SIGNATURE, b'signed'))
         return http_server.Response(200, headers, b'ran ' + request_id)
 
 
+def _path(request: http_server.Request) -> str:
+    return request.path.decode().partition('?')[0]
+
+
 async def _register(
     config: Config, target: OwnerProcess, pool: connection_pool.Pool
 ) -> None:
@@ -244,7 +265,7 @@
 async def _main(config: Config) -> None:
     with open(config.record, 'a', encoding='utf-8') as record:
         target = OwnerProcess(config, record)
-        await target.server.listen(settings_file.parse_address(config.address))
+        await target.server.listen(settings_file.parse_address(config.listen))
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, target.drain)
         await _register(config, target, connection_pool.Pool(loop.time))
--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -1,8 +1,10 @@
 """Plays changes of the controller on a whole site of real processes.
 
 All routers and targets are processes of their own. Meanwhile calls to targets
-take effect late, keys become busy, and targets leave. What the targets record
-is checked: no key has two owners at one time.
+take effect late, targets and links stand still, keys become busy, and targets
+leave. What the targets record is checked: no key has two owners at one time,
+no target takes a grant below another one's token, and none is granted a key at
+which another is at work.
 """
 
 import asyncio
@@ -17,9 +19,11 @@
 import typer
 
 from soak import callers
+from soak import grant_checks
 from soak import holds as key_holds
 from soak import main
 from soak import ownership_checks
+from soak import ownership_faults
 from soak import ownership_site
 
 CALLERS_PER_ROUTER = 4
@@ -41,12 +45,14 @@
 
     Attributes:
       violations: A description of each violation.
+      counts: How often what was found, expired grants included.
       moves: How many grants of keys to another target were taken.
       served: How many requests were served, by status.
       faults: How often each fault was injected.
     """
 
     violations: tuple[str, ...]
+    counts: collections.Counter[str]
     moves: int
     served: collections.Counter[int]
     faults: collections.Counter[str]
@@ -58,6 +64,7 @@
     shape: ownership_site.Shape,
     folder: pathlib.Path | None = None,
     counts_releases: bool = False,
+    mean_fault_gap_s: float = ownership_faults.MEAN_GAP_S,
 ) -> Outcome:
     """Play one site.
 
@@ -67,6 +74,7 @@
       shape: The size of the site.
       folder: Where logs and records are kept; a temporary one if None.
       counts_releases: Whether targets count the tokens of releases.
+      mean_fault_gap_s: The mean time from one fault to the next.
     """
     async with contextlib.AsyncExitStack() as stack:
         if folder is None:
@@ -92,21 +100,48 @@
                 )
                 stack.callback(task.cancel)
         await asyncio.sleep(WARM_UP_S)
-        await site.inject_faults(seconds)
+        await ownership_faults.inject(site, seconds, mean_fault_gap_s)
         await asyncio.sleep(SETTLE_S)
+        violations, counts = _check(site)
         holds = site.read_holds()
-        violations = [
-            ownership_checks.describe(first, second)
-            for first, second in key_holds.overlaps(holds)
-        ]
         return Outcome(
             tuple(violations),
+            counts,
             len({(hold.fence, hold.first) for hold in holds}),
             collections.Counter(result.status for result in results),
             site.faults,
         )
 
 
+def _check(
+    site: ownership_site.Site,
+) -> tuple[list[str], collections.Counter[str]]:
+    """Return the violations, and how often each finding was made.
+
+    Two holds of a key are a violation whether or not both targets began
+    requests meanwhile, which is stricter than the platform's rule. A grant
+    whose time was over when it took effect gives its target no key, so it is
+    counted but is no violation.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    violations = []
+    for first, second in key_holds.overlaps(site.read_holds()):
+        counts['two owners'] += 1
+        violations.append(ownership_checks.describe(first, second))
+    grants = site.read_grants()
+    for stale in grant_checks.stale_grants(grants):
+        counts[f'stale {stale.grant.kind}'] += 1
+        if stale.grant.is_live:
+            violations.append(grant_checks.describe(stale))
+    for at_work in grant_checks.grants_at_work(
+        grants, site.read_work(), site.held_up
+    ):
+        counts[f'{at_work.grant.kind} amid work'] += 1
+        if at_work.grant.is_live:
+            violations.append(grant_checks.describe(at_work))
+    return violations, counts
+
+
 @app.command()
 def play_seeds(
     seeds: typing.Annotated[
@@ -125,7 +160,7 @@
         pathlib.Path | None, typer.Option(help='Keep logs in this folder.')
     ] = None,
 ) -> None:
-    """Play sites; the exit status is 1 if a key had two owners."""
+    """Play sites; the exit status is 1 if there is a violation."""
     failed = 0
     for seed in seeds:
         folder = None
@@ -140,6 +175,7 @@
         failed += bool(outcome.violations)
         print(
             f'seed {seed}: {len(outcome.violations)} cases, '
+            f'found {dict(outcome.counts)}, '
             f'{outcome.moves} grants of moved keys, '
             f'answers {dict(outcome.served)}, faults {dict(outcome.faults)}',
             flush=True,
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -1,7 +1,8 @@
 """A whole site of real processes: routers, targets and a store, and faults.
 
 Each target has a clock of its own and records what it holds. Its calls can be
-left unanswered and carried out late.
+left unanswered and carried out late. Between the routers and each target that
+holds keys is a link. The store removes the entries of silent targets.
 """
 
 import asyncio
@@ -18,12 +19,16 @@
 import typing
 
 from amaranthcrank.platform import names
+from amaranthcrank.platform import settings_file
 from amaranthcrank.router import connection_pool
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import http_client
 from amaranthcrank.router import model
 from soak import callers
+from soak import entry_expiry
+from soak import grant_checks
 from soak import holds as key_holds
+from soak import link
 from soak import networks
 from soak import owner_process
 from soak import ownership_checks
@@ -35,6 +40,8 @@
 DOMAINS = ('a', 'b')
 SERVICES = [['desk', '/healthz', 100, None], ['book', '/healthz', 100, True]]
 TARGET_PORT = 18400
+# Where targets behind a link listen.
+LINKED_TARGET_PORT = 18401
 CONTROL_TIMEOUT_S = 2.0
 WORK_S = 0.08
 # The platform allows clocks of targets to run as much slower.
@@ -45,11 +52,11 @@
 BUSY_KEYS = 200
 # How long the same keys stay busy, from and to.
 BUSY_PERIOD_S = (1.5, 4.0)
-LATE = owner_process.LateCalls(0.4, 2.0, 12.0)
+LATE_SHARE = 0.4
+LATE_S = (2.0, 12.0)
 LATE_PERIOD_S = 5.5
-NO_LATE = owner_process.LateCalls(0.0, 0.0, 0.0)
-MEAN_FAULT_GAP_S = 3.0
-STORE_EXPIRY_S = 1.5
+# How many owners must remain when one is to leave, crash or be stopped.
+MIN_OTHER_OWNERS = 2
 
 
 class Shape(typing.NamedTuple):
@@ -95,7 +102,11 @@
         self.target_by_id: dict[str, TargetProcess] = {}
         self.ended_at_by_id: dict[str, float] = {}
         self.configs: list[owner_process.Config] = []
+        self.link_by_id: dict[str, link.Link] = {}
+        self.stopped: set[str] = set()
         self.resumed: list[ownership_checks.Resumed] = []
+        self.healed: list[ownership_checks.Healed] = []
+        self.held_up: list[grant_checks.HeldUp] = []
         self.faults: collections.Counter[str] = collections.Counter()
         self.busy_from = 0
         self._stack = stack
@@ -117,10 +128,16 @@
         ]
         spec = platform_site.manifest(1, rows, SERVICES)
         self.store.put('config', 'main', {'spec': spec})
+        expiry = asyncio.create_task(
+            entry_expiry.remove_silent_entries(
+                self.store, names.TARGETS_KIND, owner_process.HEARTBEAT_S
+            )
+        )
+        self._stack.callback(expiry.cancel)
         for _ in range(shape.keyed):
-            self.add_target('book')
+            await self.add_target('book')
         for _ in range(shape.others):
-            self.add_target('desk')
+            await self.add_target('desk')
         for number in range(shape.routers):
             router = routers.Router(
                 f'host-{number}',
@@ -133,16 +150,21 @@
             router.start()
             self.routers.append(router)
 
-    def add_target(self, service: str) -> None:
-        """Start a target with a clock of its own."""
+    async def add_target(self, service: str) -> None:
+        """Start a target with a clock of its own, behind a link if keyed."""
         number = len(self.configs) + 1
         target_id = f'i-{service}-{number}'
+        address = model.Address(f'{self._network}.4.{number}', TARGET_PORT)
+        listen = address
+        if service == 'book':
+            listen = address._replace(port=LINKED_TARGET_PORT)
         config = owner_process.Config(
             target_id,
             service,
             service == 'book',
-            f'{self._network}.4.{number}:{TARGET_PORT}',
-            f'{self._store_address.ip}:{self._store_address.port}',
+            _text(address),
+            _text(listen),
+            _text(self._store_address),
             DOMAINS[number % len(DOMAINS)],
             str(self._folder / f'{target_id}.jsonl'),
             self.rng.uniform(1.0, MAX_CLOCK_RATE),
@@ -151,6 +173,9 @@
             WORK_S,
             self.rng.randrange(2**32),
         )
+        self.configs.append(config)
+        if config.is_keyed:
+            await self._add_link(target_id, address, listen)
         process = subprocess.Popen(
             [
                 sys.executable,
@@ -163,9 +188,17 @@
         )
         self._stack.callback(process.wait)
         self._stack.callback(process.kill)
-        self.configs.append(config)
         self.target_by_id[target_id] = TargetProcess(config, process)
 
+    async def _add_link(
+        self, target_id: str, address: model.Address, listen: model.Address
+    ) -> None:
+        rng = random.Random(self.rng.randrange(2**32))
+        target_link = link.Link(address, listen, rng)
+        await target_link.listen()
+        self._stack.callback(target_link.close)
+        self.link_by_id[target_id] = target_link
+
     def choose_key(self, rng: random.Random) -> int:
         """Return a key: many requests are for a few adjacent ones."""
         if rng.random() < BUSY_SHARE:
@@ -214,36 +247,27 @@
 
     async def delay_calls(self) -> None:
         """Let targets leave calls unanswered and carry them out late."""
-        await self._set_late(LATE)
+        await self.set_call_faults(
+            late_share=LATE_SHARE, late_min_s=LATE_S[0], late_max_s=LATE_S[1]
+        )
         await asyncio.sleep(LATE_PERIOD_S)
-        await self._set_late(NO_LATE)
+        await self.set_call_faults(late_share=0.0)
 
-    async def _set_late(self, late: owner_process.LateCalls) -> None:
-        body = json.dumps(late._asdict()).encode()
+    async def set_call_faults(self, **fields: float) -> None:
+        """Set fields of the `CallFaults` of all targets that hold keys.
+
+        The call passes by the links. A target that is stopped reads it as soon
+        as it goes on.
+        """
+        body = json.dumps(fields).encode()
         pool = connection_pool.Pool(asyncio.get_running_loop().time)
-        for target in list(self.target_by_id.values()):
-            if not target.config.is_keyed:
-                continue
-            ip, port = target.config.address.split(':')
-            headers = [
-                (b'host', b'target'),
-                (b'content-length', str(len(body)).encode()),
-            ]
-            with contextlib.suppress(
-                http_client.ConnectError,
-                http_client.ExchangeError,
-                TimeoutError,
-            ):
-                await connection_pool.request(
-                    pool,
-                    model.Address(ip, int(port)),
-                    b'POST',
-                    owner_process.CONTROL_PATH.encode(),
-                    headers,
-                    body,
-                    CONTROL_TIMEOUT_S,
-                    CONTROL_TIMEOUT_S,
-                )
+        await asyncio.gather(
+            *(
+                _send_control(pool, target.config, body)
+                for target in self.target_by_id.values()
+                if target.config.is_keyed
+            )
+        )
         pool.close()
 
     async def change_controller_amid_late_calls(self) -> None:
@@ -263,42 +287,43 @@
             await asyncio.sleep(self.rng.uniform(*BUSY_PERIOD_S))
             await self.shift_busy_keys()
 
-    def _random_owner(self) -> TargetProcess | None:
+    def random_owner(self) -> TargetProcess | None:
+        """Return a target that is not stopped, if enough others are left."""
         owners = [
             target
             for target in self.target_by_id.values()
             if target.config.is_keyed
+            and target.config.target_id not in self.stopped
         ]
-        return self.rng.choice(owners) if len(owners) > 2 else None
+        if len(owners) <= MIN_OTHER_OWNERS:
+            return None
+        return self.rng.choice(owners)
 
     async def drain_target(self) -> None:
         """Start a target and drain another one."""
-        target = self._random_owner()
+        target = self.random_owner()
         if target is None:
             return
-        self.add_target('book')
-        target.process.send_signal(signal.SIGTERM)
         del self.target_by_id[target.config.target_id]
+        await self.add_target('book')
+        target.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(self.rng.uniform(2.0, 6.0))
         self._end(target)
+        self.store.remove(names.TARGETS_KIND, target.config.target_id)
 
     async def crash_target(self) -> None:
-        """Crash a target and start another one."""
-        target = self._random_owner()
+        """Crash a target and start another one; its entry expires."""
+        target = self.random_owner()
         if target is None:
             return
         del self.target_by_id[target.config.target_id]
-        self._end(target, self.rng.random() * STORE_EXPIRY_S)
-        self.add_target('book')
+        self._end(target)
+        await self.add_target('book')
 
-    def _end(self, target: TargetProcess, expiry_s: float = 0.0) -> None:
+    def _end(self, target: TargetProcess) -> None:
         target.process.kill()
         target.process.wait()
-        target_id = target.config.target_id
-        self.ended_at_by_id[target_id] = time.monotonic()
-        asyncio.get_running_loop().call_later(
-            expiry_s, self.store.remove, names.TARGETS_KIND, target_id
-        )
+        self.ended_at_by_id[target.config.target_id] = time.monotonic()
 
     async def lose_store_answers(self) -> None:
         """Let the store lose the responses to writes for a while."""
@@ -306,39 +331,83 @@
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         self.store.fault = ''
 
-    async def inject_faults(self, seconds: float) -> None:
-        """Inject faults, often at the same time, and wait for their ends."""
-        faults = (
-            self.stop_controller,
-            self.kill_controller,
-            self.suspend_controller,
-            self.delay_calls,
-            self.change_controller_amid_late_calls,
-            self.change_controller_amid_late_calls,
-            self.shift_busy_keys,
-            self.drain_target,
-            self.crash_target,
-            self.lose_store_answers,
+    async def lose_store(self) -> None:
+        """Let the store refuse calls or not answer for a while."""
+        self.store.fault = self.rng.choice(
+            (platform_store.BUSY, platform_store.SILENT)
         )
-        loop = asyncio.get_running_loop()
-        end_at = loop.time() + seconds
-        running = []
-        while loop.time() < end_at:
-            fault = self.rng.choice(faults)
-            self.faults[fault.__name__] += 1
-            running.append(asyncio.ensure_future(fault()))
-            await asyncio.sleep(self.rng.expovariate(1 / MEAN_FAULT_GAP_S))
-        await asyncio.gather(*running)
+        await asyncio.sleep(self.rng.uniform(1.0, 9.0))
+        self.store.fault = ''
+
+    def _records(
+        self,
+    ) -> typing.Iterator[tuple[owner_process.Config, pathlib.Path, float]]:
+        """Yield each target with keys, its records and when it ended."""
+        for config in self.configs:
+            path = pathlib.Path(config.record)
+            if config.is_keyed and path.exists():
+                ended_at = self.ended_at_by_id.get(config.target_id, math.inf)
+                yield config, path, ended_at
 
     def read_holds(self) -> list[key_holds.Hold]:
         """Return the holds of all targets."""
         holds: list[key_holds.Hold] = []
-        for config in self.configs:
-            path = pathlib.Path(config.record)
-            if not config.is_keyed or not path.exists():
-                continue
-            ended_at = self.ended_at_by_id.get(config.target_id, math.inf)
+        for config, path, ended_at in self._records():
             holds += ownership_checks.read_holds(
-                path, config.target_id, config.service, ended_at, self.resumed
+                path,
+                config.target_id,
+                config.service,
+                ended_at,
+                self.resumed,
+                self.healed,
             )
         return holds
+
+    def read_grants(self) -> list[grant_checks.Grant]:
+        """Return the grants that targets took."""
+        grants: list[grant_checks.Grant] = []
+        for config, path, _ in self._records():
+            grants += ownership_checks.read_grants(
+                path,
+                config.target_id,
+                config.service,
+                self.resumed,
+                self.healed,
+            )
+        return grants
+
+    def read_work(self) -> list[grant_checks.Work]:
+        """Return the requests that targets with keys ran."""
+        works: list[grant_checks.Work] = []
+        for config, path, ended_at in self._records():
+            works += ownership_checks.read_work(
+                path, config.target_id, config.service, ended_at
+            )
+        return works
+
+
+def _text(address: model.Address) -> str:
+    return f'{address.ip}:{address.port}'
+
+
+async def _send_control(
+    pool: connection_pool.Pool, config: owner_process.Config, body: bytes
+) -> None:
+    """Send a control call to a target; no response is no failure."""
+    headers = [
+        (b'host', b'target'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    with contextlib.suppress(
+        http_client.ConnectError, http_client.ExchangeError, TimeoutError
+    ):
+        await connection_pool.request(
+            pool,
+            settings_file.parse_address(config.listen),
+            b'POST',
+            owner_process.CONTROL_PATH.encode(),
+            headers,
+            body,
+            CONTROL_TIMEOUT_S,
+            CONTROL_TIMEOUT_S,
+        )
