--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -156,6 +156,9 @@
     counts_releases: typing.Annotated[
         bool, typer.Option(help='Targets count the tokens of releases.')
     ] = False,
+    gap: typing.Annotated[
+        float, typer.Option(help='Mean seconds from one fault to the next.')
+    ] = ownership_faults.MEAN_GAP_S,
     logs: typing.Annotated[
         pathlib.Path | None, typer.Option(help='Keep logs in this folder.')
     ] = None,
@@ -169,7 +172,7 @@
             folder.mkdir(parents=True, exist_ok=True)
         outcome = asyncio.run(
             main.run_until_stopped(
-                play(seed, seconds, SHAPES[site], folder, counts_releases)
+                play(seed, seconds, SHAPES[site], folder, counts_releases, gap)
             )
         )
         failed += bool(outcome.violations)
