--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -436,11 +436,14 @@
         self._start()
         await self._wait(self._is_assigned)
         await self._wait(lambda: len(self.calls.grants_to(1)) > 1)
+        # A grant without a response counts as held for longer.
+        times = self.calls.hold_times
+        await self._wait(lambda: times.has_no_pending_grant('i-1/1'))
         refused = mock.AsyncMock(return_value=(key_calls.REFUSED, None))
-        held_until = self.calls.hold_times.held_until('i-1/1')
+        held_until = times.held_until('i-1/1')
         with mock.patch.object(self.calls, '_post', refused):
             await self._wait(lambda: refused.await_count > 5)
-        self.assertEqual(self.calls.hold_times.held_until('i-1/1'), held_until)
+        self.assertEqual(times.held_until('i-1/1'), held_until)
 
     async def test_owner_that_is_reached_again_keeps_its_keys(self):
         """Guards against moves, and cold keys, after a short cut."""
