Count a hold from when its grant was handed to the transport (OWNER)

What callers saw: a target was taken to have let go of its keys up to as long as the controller's process had stood still, before it did: two owners.

Cause: the time of a grant, and of a call that fences off, was recorded before the bytes left. A process that is suspended between the two sends them later than the record says, and a target counts from their arrival. With a stall of more than TRANSIT_S and no response, the hold ended too early.

Change: the time is recorded again once the request was handed to the transport. Nothing runs in between, as the two follow in one step of the loop. A stall after the hand-over only makes the recorded time later than it was.

Ruled out: the lease counts from before its write is sent, so a stall there shortens it.

--- a/amaranthcrank/router/connection_pool.py
+++ b/amaranthcrank/router/connection_pool.py
@@ -156,6 +156,7 @@
     before_send: typing.Callable[
         [http_client.Connection], typing.Awaitable[None]
     ] = _do_nothing,
+    on_sent: typing.Callable[[], None] | None = None,
     on_head: (
         typing.Callable[[int, header_fields.Headers], None] | None
     ) = None,
@@ -180,6 +181,7 @@
       is_reusable: Returns whether to keep the connection after a response.
       before_send: Awaited before sending, with the connection, which it may
         use; an exception from it closes the connection and is passed on.
+      on_sent: Called once the request was handed to the transport.
       on_head: Called with the status and the headers of each final response.
       max_response_bytes: The limit of the response's body.
       is_shared: Whether the connection may have been used before.
@@ -206,7 +208,7 @@
         if read_idle_timeout_s:
             connection.on_data = _make_extender(timeout, read_idle_timeout_s)
         response = await connection.exchange(
-            method, path, headers, body, request_id
+            method, path, headers, body, request_id, on_sent
         )
     connection.on_data = None
     if is_reusable(response):
--- a/amaranthcrank/router/http_client.py
+++ b/amaranthcrank/router/http_client.py
@@ -173,6 +173,7 @@
         headers: header_fields.Headers,
         body: bytes | bytearray,
         request_id: bytes | None,
+        on_sent: typing.Callable[[], None] | None = None,
     ) -> Response:
         """Send a request and wait for its response.
 
@@ -185,6 +186,8 @@
           body: The complete body.
           request_id: Responses that carry another id are skipped; with None
             the first final response is taken.
+          on_sent: Called once the request was handed to the transport; the
+            rest of a long one may follow.
 
         Raises:
           ExchangeError: The connection was lost, or the data received was not
@@ -202,6 +205,8 @@
             # Nothing would ever end the wait.
             self._fail('connection lost before sending', disconnected=True)
         self._writer.write(self.transport, parts)
+        if on_sent is not None:
+            on_sent()
         try:
             return await self._waiter
         except asyncio.CancelledError:
--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -240,6 +240,8 @@
             before_send,
             request_id,
             is_clear=is_clear,
+            # Again, as this process may have been suspended in between.
+            on_sent=grant.record_sent,
         )
         try:
             result, response = await post(is_shared=is_shared)
@@ -457,6 +459,7 @@
         is_clear: typing.Callable[[http_client.Response], bool] = (
             _is_first_on_connection
         ),
+        on_sent: typing.Callable[[], None] | None = None,
     ) -> tuple[str, http_client.Response | None]:
         headers = _headers(holder, address, body, request_id)
         try:
@@ -472,6 +475,7 @@
                 request_id=request_id.encode(),
                 is_reusable=_is_safe_to_repeat,
                 before_send=before_send,
+                on_sent=on_sent,
                 on_head=self._notices.reader(holder, address),
                 max_response_bytes=MAX_RESPONSE_BYTES,
                 is_shared=is_shared,
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -128,6 +128,7 @@
         request_id,
         is_shared=True,
         is_clear=None,
+        on_sent=None,
     ):
         if self._result(address.port, path) == key_calls.REFUSED:
             # The connection is refused, so nothing is sent.
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -202,6 +202,7 @@
         request_id: str,
         is_shared: bool = True,
         is_clear: typing.Any = None,
+        on_sent: typing.Any = None,
     ) -> tuple[str, http_client.Response | None]:
         target = self._target_by_holder[holder]
         try:
