End the controller's term when its lease lapses or its renewals end

What callers saw: all keys lose their owners 6 to 10 s after a slow write of the lease, until another host leads, although a controller holds the lease.

Cause: a renewal of the lease that is confirmed after the lease's end began it again. In between, the loop that renews keys could find the lease ended and return for good, while the controller's own loop did not look at that moment. Nobody watched the loop's task, so a fault in it had the same effect.

The controller ends with its renewals.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -156,11 +156,16 @@
         return not has_live_holder()
 
     async def renew(self) -> None:
-        """Renew the lease periodically until it is lost."""
+        """Renew the lease periodically until it ends.
+
+        What depends on the lease ends with it, so a renewal that is confirmed
+        only after its end does not begin it again.
+        """
         while self.is_held:
             await asyncio.sleep(
                 RENEWAL_INTERVAL_S * (0.9 + 0.2 * random.random())
             )
+            ends_at = self.held_until
             try:
                 await self._write(self._host_id)
             except store.StoreError as error:
@@ -171,6 +176,9 @@
                     self._log.event('lease_lost')
                     self.held_until = 0.0
                     return
+            if clock.now() >= ends_at:
+                self._log.event('lease_lapsed')
+                self.held_until = 0.0
 
     async def resign(self) -> None:
         """Give the lease back, so that no other host waits for its expiry."""
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -148,6 +148,10 @@
                 self._renewals.run(self._map_by_service)
             )
             while self._lease.is_held:
+                if self._renewal_task.done():
+                    # Without renewals, all keys would lose their owners.
+                    self._renewal_task.result()
+                    return
                 for service in self.keyed_services:
                     if not await self._step(service):
                         return
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -446,6 +446,19 @@
             await self._wait(lambda: refused.await_count > 5)
         self.assertEqual(times.held_until('i-1/1'), held_until)
 
+    async def test_fault_of_the_renewals(self):
+        """Guards against a controller that leads on without renewals."""
+        with mock.patch.object(
+            key_renewals.KeyRenewals,
+            'run',
+            autospec=True,
+            side_effect=RuntimeError('fault'),
+        ):
+            self._start()
+            with self.assertRaisesRegex(RuntimeError, 'fault'):
+                async with asyncio.timeout(1.0):
+                    await self.task
+
     async def test_owner_that_is_reached_again_keeps_its_keys(self):
         """Guards against moves, and cold keys, after a short cut."""
         self._start()
