Settle a former owner until it is granted its keys again (OWNER)

Cause: a former owner that may take an earlier grant late was no longer asked to release keys as soon as they were planned to come back to it. Until then the target that had them meanwhile held them, for as long as its own grants lasted where it could not be reached.

Change: it is asked until just before the grant that gives it the keys again. A release that is under way then can take them from it until its next renewal; no key has two owners by that.

--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -220,7 +220,6 @@
             fence = key_ranges.next_fence(fence, ranges, moves)
             ranges = key_ranges.apply(ranges, moves, fence)
         ranges = key_ranges.merge(ranges)
-        self._unsettled.exclude_owned(service, ranges)
         if ranges != key_map.ranges:
             updated = key_map._replace(
                 fence=fence,
@@ -240,8 +239,6 @@
                 self.on_map_written(key_map, self._map_by_service[service])
             if moves:
                 self._log_moves(service, moves, fence)
-        # Moves may have given up a former owner while the map was written.
-        self._unsettled.exclude_owned(service, ranges)
         self._start_moves(service)
         return True
 
@@ -441,6 +438,8 @@
             if target is None:
                 await asyncio.sleep(STEP_INTERVAL_S)
                 continue
+            # Until now, what the holder takes by an earlier grant is released.
+            self._unsettled.exclude_owned(service, key_range)
             result = await self._calls.grant(
                 holder,
                 target.entry.address,
--- a/amaranthcrank/router/stopped_target_test.py
+++ b/amaranthcrank/router/stopped_target_test.py
@@ -48,6 +48,8 @@
             patch = mock.patch.object(module, name, value)
             patch.start()
             self.addCleanup(patch.stop)
+        self.grant_max_s = GRANT_MAX_S
+        self.absence_s = ABSENCE_S
         self.former = key_targets.Target(key_targets.entry(1))
         self.next = key_targets.Target(key_targets.entry(2))
         self.targets = directory.Directory(
@@ -87,7 +89,7 @@
             self.targets,
             key_table.KeyTable(),
             mock.Mock(),
-            GRANT_MAX_S,
+            self.grant_max_s,
             mock.Mock(),
         )
         controller.keyed_services = ('book',)
@@ -105,7 +107,7 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(EXPIRY_S)
         self.targets.remove(self.former.entry.target_id)
-        await asyncio.sleep(ABSENCE_S)
+        await asyncio.sleep(self.absence_s)
         self.assertGreater(self.next.holds[-1].until, clock.now())
         self.assertNotEqual(self.former.waiting_grants, [])
 
@@ -161,6 +163,26 @@
         shared_s = _longest_shared_s((self.former, self.next))
         self.assertLessEqual(shared_s, MAX_SHARED_S)
 
+    async def test_keys_that_are_to_come_back(self):
+        """Guards against two owners while a move back has only been planned.
+
+        The owner went on while the target that had its keys meanwhile could
+        not be reached, and held them still.
+        """
+        self.grant_max_s = 2.0
+        self.absence_s = 5.0
+        self._start_controller(was_last_holder=True)
+        await asyncio.sleep(0.3)
+        await self._stop_former()
+        self.next.is_stopped = True
+        self.targets.put(self.former.entry)
+        self.targets.remove(self.next.entry.target_id)
+        await asyncio.sleep(0.15)
+        self.former.resume()
+        await asyncio.sleep(2.2)
+        shared_s = _longest_shared_s((self.former, self.next))
+        self.assertLessEqual(shared_s, MAX_SHARED_S)
+
     async def test_keys_that_come_back(self):
         """Guards against an owner whose keys are released while it owns them.
 
--- a/amaranthcrank/router/unsettled_holds.py
+++ b/amaranthcrank/router/unsettled_holds.py
@@ -109,17 +109,14 @@
                 found += former.holds
         return tuple(sorted(found))
 
-    def exclude_owned(
-        self, service: str, ranges: typing.Sequence[model.KeyRange]
-    ) -> None:
-        """Release no keys that the former owner owns, or is to own, again."""
+    def exclude_owned(self, service: str, owned: model.KeyRange) -> None:
+        """Release no keys that their former owner is granted again."""
         for (of_service, holder), former in list(self._former_by_id.items()):
             if of_service != service:
                 continue
-            owned = [
-                each for each in ranges if self._is_same(each.holder, holder)
-            ]
-            remaining = key_ranges.subtract_keys(former.holds, owned)
+            if not self._is_same(owned.holder, holder):
+                continue
+            remaining = key_ranges.subtract_keys(former.holds, [owned])
             if remaining == former.holds:
                 continue
             former.holds = remaining
