--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -38,6 +38,26 @@
     )
 
 
+class Call(typing.NamedTuple):
+    """A grant or a release.
+
+    Attributes:
+      at: When it was begun or sent, by `clock.now`.
+      path: Its path.
+      address: Where it was sent to.
+      first: The first key.
+      last: The last key, inclusive.
+      fence: The fencing token.
+    """
+
+    at: float
+    path: str
+    address: model.Address
+    first: int
+    last: int
+    fence: int
+
+
 class Target:
     """Takes grants and releases, and records what it holds.
 
@@ -51,6 +71,8 @@
       waiting_grants: The grants that wait until it goes on.
       is_stopped: Whether calls wait until it goes on.
       stops_after_release: Whether it stops once it has answered a release.
+      result_by_path: What calls return that do not reach it.
+      response_s: How long the responses to its releases are on their way.
     """
 
     def __init__(self, target_entry: model.TargetEntry) -> None:
@@ -64,6 +86,8 @@
         self.is_stopped = False
         self.stops_after_release = False
         self.waiting_grants: list[platform_target.GrantCall] = []
+        self.result_by_path: dict[str, str] = {}
+        self.response_s = 0.0
 
     def take_grant(
         self, call: platform_target.GrantCall, arrived_at: float
@@ -160,6 +184,8 @@
 ) -> http_client.Response:
     first, last = platform_target.parse_release(fields)
     await target.release(first, last, fields['fence'])
+    if target.response_s:
+        await asyncio.sleep(target.response_s)
     if target.stops_after_release:
         target.stops_after_release = False
         target.is_stopped = True
@@ -173,6 +199,9 @@
       lost_fences: How many calls that fence off a target arrive late and
         unanswered.
       fence_delay_s: How late these arrive.
+      begun: The calls that were begun, without probes.
+      sent: Those of them that were sent.
+      most_concurrent: The most calls that were in progress at once.
     """
 
     def __init__(self, target_by_holder: dict[str, Target]) -> None:
@@ -190,6 +219,10 @@
         self._target_by_holder = target_by_holder
         self.lost_fences = 0
         self.fence_delay_s = 0.5
+        self.begun: list[Call] = []
+        self.sent: list[Call] = []
+        self.most_concurrent = 0
+        self._in_progress = 0
 
     async def _post(
         self,
@@ -202,14 +235,41 @@
         request_id: str,
         is_shared: bool = True,
         is_clear: typing.Any = None,
+    ) -> tuple[str, http_client.Response | None]:
+        self._in_progress += 1
+        self.most_concurrent = max(self.most_concurrent, self._in_progress)
+        try:
+            return await self._deliver(
+                holder, address, path, json.loads(body), before_send
+            )
+        finally:
+            self._in_progress -= 1
+
+    async def _deliver(
+        self,
+        holder: str,
+        address: model.Address,
+        path: str,
+        fields: dict[str, typing.Any],
+        before_send: typing.Callable[[typing.Any], typing.Awaitable[None]],
     ) -> tuple[str, http_client.Response | None]:
         target = self._target_by_holder[holder]
+        first, last = platform_target.parse_release(fields)
+        call = Call(clock.now(), path, address, first, last, fields['fence'])
+        self.begun.append(call)
+        if path in target.result_by_path:
+            return target.result_by_path[path], None
         try:
             await before_send(_Connection(target))
         except key_calls.UnconfirmedError:
             return key_calls.UNANSWERED, None
+        self.sent.append(call._replace(at=clock.now()))
+        return await self._take(target, path, fields)
+
+    async def _take(
+        self, target: Target, path: str, fields: dict[str, typing.Any]
+    ) -> tuple[str, http_client.Response | None]:
         await asyncio.sleep(0.001)
-        fields = json.loads(body)
         if path == names.RELEASE_PATH:
             if target.is_stopped:
                 await asyncio.sleep(SILENCE_S)
--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -5,8 +5,16 @@
 """
 
 import asyncio
+import functools
 import selectors
 import typing
+from unittest import mock
+
+from amaranthcrank.router import clock
+
+# The reading of the router's clock at the start of a loop. Zero stands for
+# "never" in the router.
+START_S = 1000.0
 
 Result = typing.TypeVar('Result')
 
@@ -46,3 +54,24 @@
     """Run a coroutine in a loop of its own and return its result."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
+
+
+def in_virtual_time(
+    test: typing.Callable[
+        [typing.Any], typing.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> typing.Callable[[typing.Any], None]:
+    """Run a test, a coroutine method, in a loop of its own.
+
+    The router's clock shows the time of the loop.
+    """
+
+    @functools.wraps(test)
+    def run_test(case: typing.Any) -> None:
+        def now() -> float:
+            return START_S + asyncio.get_running_loop().time()
+
+        with mock.patch.object(clock, 'now', now):
+            run(test(case))
+
+    return run_test
