--- a/amaranthcrank/router/former_owners_test.py
+++ b/amaranthcrank/router/former_owners_test.py
@@ -202,7 +202,9 @@
         self.assertEqual(fences, sorted(set(fences)))
         self.assertGreater(fences[0], FORMER_FENCE)
         self.assertLess(fences[-1], RANGE.fence)
+        # The answered one keeps out the others, so nothing waits for them.
         reclaimed_at = clock.now()
+        self.assertLess(reclaimed_at, site.calls.sent[-1].at + CALLS_S)
         await asyncio.sleep(2 * site.calls.fence_delay_s)
         self.assertLessEqual(site.held_until(), reclaimed_at)
 
--- a/amaranthcrank/router/hold_times_test.py
+++ b/amaranthcrank/router/hold_times_test.py
@@ -105,6 +105,17 @@
         self.assertTrue(self.times.may_take_effect_late(HOLDER))
         self.assertFalse(self.times.has_no_pending_grant(HOLDER))
 
+    def test_later_response_after_the_hold_has_ended(self):
+        """Guards against a grant that is forgotten while it may still wait.
+
+        Its hold had ended when a renewal was answered.
+        """
+        self.times.finish(HOLDER, self._send(), False)
+        self.now += 2 * HOLD_S
+        self.times.finish(HOLDER, self._send(), True)
+        self.assertTrue(self.times.may_take_effect_late(HOLDER))
+        self.assertTrue(self.times.has_no_pending_grant(HOLDER))
+
     def test_responses_in_another_order(self):
         """Guards against a later grant that is forgotten with an earlier one.
 
