Send no releases of unsettled holds after a stop

What callers saw: nothing; after a fault of the program while holds were settled and a stop within a second, releases began again although the controller had been stopped. They need the lease, so no other host led.

Cause: the pause after a fault was a timer of its own, which the stop left.

Change: the pause is part of the task that settles the holds, which the stop cancels.

--- a/amaranthcrank/router/unsettled_holds.py
+++ b/amaranthcrank/router/unsettled_holds.py
@@ -150,7 +150,7 @@
         if not former.holds:
             del self._former_by_id[former_id]
             return
-        former.task = asyncio.create_task(self._settle(holder, former))
+        former.task = asyncio.create_task(self._run(holder, former))
         former.task.add_done_callback(
             functools.partial(self._on_end, former_id, former)
         )
@@ -161,28 +161,12 @@
         former: _FormerOwner,
         task: asyncio.Task[None],
     ) -> None:
-        """Forget a holder whose holds are settled; go on after a fault."""
+        """Forget a holder whose holds are settled."""
         if task.cancelled() or task is not former.task:
             return
-        error = task.exception()
-        if error is not None:
-            self._events.settling_failed(former_id[1], error)
-            asyncio.get_running_loop().call_later(
-                FAULT_PAUSE_S, self._restart_after_fault, former_id, former
-            )
-            return
-        if self._lease.is_held and self._is_known(former_id, former):
+        if self._lease.is_held:
             del self._former_by_id[former_id]
 
-    def _restart_after_fault(
-        self, former_id: _FormerId, former: _FormerOwner
-    ) -> None:
-        if self._is_known(former_id, former):
-            self._restart(*former_id)
-
-    def _is_known(self, former_id: _FormerId, former: _FormerOwner) -> bool:
-        return self._former_by_id.get(former_id) is former
-
     def _is_same(self, owner: str, former: str) -> bool:
         """Return whether releases for a former owner would reach an owner.
 
@@ -195,6 +179,16 @@
             owner
         )
 
+    async def _run(self, holder: str, former: _FormerOwner) -> None:
+        """Settle the holds of a holder; go on after a fault of the program."""
+        while True:
+            try:
+                await self._settle(holder, former)
+                return
+            except Exception as error:
+                self._events.settling_failed(holder, error)
+                await asyncio.sleep(FAULT_PAUSE_S)
+
     async def _settle(self, holder: str, former: _FormerOwner) -> None:
         """Release the keys of a holder until its holds are settled."""
         while self._lease.is_held:
--- a/amaranthcrank/router/unsettled_holds_test.py
+++ b/amaranthcrank/router/unsettled_holds_test.py
@@ -444,7 +444,7 @@
         site.targets.put(entry)
         site.add()
         await asyncio.sleep(0.5)
-        site.unsettled.exclude_owned('book', [_owned(3, 5)])
+        site.unsettled.exclude_owned('book', _owned(3, 5))
         left = [HOLD._replace(last=2), HOLD._replace(first=6)]
         await self._check_released(site, left)
         self.assertEqual(
@@ -463,7 +463,7 @@
                 site.add()
                 await asyncio.sleep(0.5)
                 owned = _owned(0, 99, incarnation=1)._replace(moving=moving)
-                site.unsettled.exclude_owned('book', [owned])
+                site.unsettled.exclude_owned('book', owned)
                 await self._check_released(site, [])
 
     @virtual_time.in_virtual_time
@@ -475,7 +475,7 @@
         site = _Site()
         site.address_by_holder['i-3/7'] = site.former.entry.address
         site.add()
-        site.unsettled.exclude_owned('book', [_owned(0, 4, 'i-3', 7)])
+        site.unsettled.exclude_owned('book', _owned(0, 4, 'i-3', 7))
         await self._check_released(site, [HOLD._replace(first=5)])
 
     @virtual_time.in_virtual_time
@@ -483,7 +483,7 @@
         """Guards against holds that are forgotten as the keys moved on."""
         site = _Site()
         site.add()
-        site.unsettled.exclude_owned('book', [_owned(0, 99, 'i-2', 1)])
+        site.unsettled.exclude_owned('book', _owned(0, 99, 'i-2', 1))
         await self._check_released(site, [HOLD])
 
     @virtual_time.in_virtual_time
@@ -491,7 +491,7 @@
         """Guards against holds that are forgotten for equal key numbers."""
         site = _Site()
         site.add()
-        site.unsettled.exclude_owned('desk', [_owned(0, 99)])
+        site.unsettled.exclude_owned('desk', _owned(0, 99))
         await self._check_released(site, [HOLD])
         self.assertEqual(site.unsettled.holds('desk'), ())
 
@@ -509,7 +509,7 @@
         excluded = holds[unsettled_holds.MAX_CONCURRENT :]
         last = excluded[-1].last
         site.calls.begun.clear()
-        site.unsettled.exclude_owned('book', [_owned(excluded[0].first, last)])
+        site.unsettled.exclude_owned('book', _owned(excluded[0].first, last))
         await asyncio.sleep(1.0)
         self.assertLess(
             max(call.last for call in site.calls.begun), excluded[0].first
@@ -523,7 +523,7 @@
         added_at = clock.now()
         for last in range(5):
             await asyncio.sleep(2.0)
-            site.unsettled.exclude_owned('book', [_owned(0, last)])
+            site.unsettled.exclude_owned('book', _owned(0, last))
         settled_at = await site.settled_at()
         self.assertLess(
             settled_at,
