Settle a former owner until it has answered without a break (OWNER)

What callers saw: two targets held the same keys for up to the duration of a grant, 6 s in a test.

Cause: a former owner that may take an earlier grant late counted as settled 11.3 s after its first answer, or 60 s after it was given up, also if it had been silent in between. It could have been stopped again before it took the grant, or have taken one just before the 60 s were over.

Change: the time counts from the first answer after the last silence, and one that has ever answered is given up 11.3 s later.

--- a/amaranthcrank/router/unsettled_holds.py
+++ b/amaranthcrank/router/unsettled_holds.py
@@ -43,7 +43,9 @@
     Attributes:
       holds: The keys, with the token of their release.
       gives_up_at: When no call can wait anywhere any more, by `clock.now`.
-      answered_at: When it first answered, by `clock.now`; None until then.
+      has_answered: Whether it has answered a release.
+      answering_since: Since when it has answered each release, by `clock.now`;
+        None if it did not answer the last one.
       task: Releases the keys.
     """
 
@@ -51,7 +53,8 @@
         """Start without keys."""
         self.holds: list[model.UnsettledHold] = []
         self.gives_up_at = 0.0
-        self.answered_at: float | None = None
+        self.has_answered = False
+        self.answering_since: float | None = None
         self.task: asyncio.Task[None] | None = None
 
 
@@ -97,7 +100,8 @@
             self._events.hold_unsettled(hold)
         remaining = key_ranges.subtract_keys(former.holds, [hold])
         former.holds = sorted([*remaining, hold])
-        former.answered_at = None
+        former.has_answered = False
+        former.answering_since = None
         former.gives_up_at = clock.now() + hold_times.LATE_GRANT_S
         self._restart(service, hold.holder)
 
@@ -198,31 +202,46 @@
                 self._events.holds_settled(holder, ownership_events.REPLACED)
                 return
             if result == key_calls.RELEASED:
-                if former.answered_at is None:
-                    former.answered_at = now
+                if former.answering_since is None:
+                    former.has_answered = True
+                    former.answering_since = now
                     # The other keys, and what took effect meanwhile.
                     continue
-                if now >= former.answered_at + self._settle_s:
+                if now >= former.answering_since + self._settle_s:
                     self._events.holds_settled(
                         holder, ownership_events.RELEASED
                     )
                     return
-            elif now >= former.gives_up_at:
-                self._events.holds_settled(holder, ownership_events.EXPIRED)
-                return
+            else:
+                # It may have been stopped again before it took a grant.
+                former.answering_since = None
+                if now >= self._gives_up_at(former):
+                    self._events.holds_settled(
+                        holder, ownership_events.EXPIRED
+                    )
+                    return
             await asyncio.sleep(_pause_s(former, now))
 
+    def _gives_up_at(self, former: _FormerOwner) -> float:
+        """Return when a holder is no longer asked if it does not answer.
+
+        What one that has answered took last may last for a whole grant.
+        """
+        if former.has_answered:
+            return former.gives_up_at + self._settle_s
+        return former.gives_up_at
+
     async def _release(self, holder: str, former: _FormerOwner) -> str:
         """Ask a holder once to release its keys.
 
-        One that has not answered yet is asked for one range, as each call
-        occupies a connection there.
+        One that does not answer is asked for one range, as each call occupies
+        a connection there.
 
         Returns:
           RELEASED, REFUSED, OTHER_SERVER or UNANSWERED, as in `key_calls`.
         """
         holds = _join_adjacent(former.holds)
-        if former.answered_at is None:
+        if former.answering_since is None:
             return await self._release_one(
                 holder, key_calls.RELEASE_TIMEOUT_S, holds[0]
             )
@@ -253,9 +272,9 @@
 
 def _pause_s(former: _FormerOwner, now: float) -> float:
     """Return the time until the next release, seconds."""
-    if former.answered_at is None:
+    if former.answering_since is None:
         return former_owners.REFUSED_RETRY_S
-    if now < former.answered_at + FIRST_RELEASES_S:
+    if now < former.answering_since + FIRST_RELEASES_S:
         return RELEASE_INTERVAL_S
     return LATER_INTERVAL_S
 
