Settle a former owner for as long as a link may keep a grant (OWNER)

What callers saw: two targets held the same keys for the duration of a grant, 6 s in a test.

Cause: a former owner that answered for 11.3 s counted as settled. A link can keep the bytes of one connection for longer while it delivers those of others, so a grant on the former could still arrive.

Change: it is asked for 60 s in any case, the time for which a grant without a response is remembered. Cost: a call every 0.4 s for each of its ranges.

--- a/amaranthcrank/router/unsettled_holds.py
+++ b/amaranthcrank/router/unsettled_holds.py
@@ -207,7 +207,7 @@
                     former.answering_since = now
                     # The other keys, and what took effect meanwhile.
                     continue
-                if now >= former.answering_since + self._settle_s:
+                if now >= self._settled_at(former):
                     self._events.holds_settled(
                         holder, ownership_events.RELEASED
                     )
@@ -222,6 +222,15 @@
                     return
             await asyncio.sleep(_pause_s(former, now))
 
+    def _settled_at(self, former: _FormerOwner) -> float:
+        """Return when a holder that goes on answering has settled its holds.
+
+        A link may keep one connection back while others are answered. What
+        was taken before the first answer may last for a whole grant.
+        """
+        assert former.answering_since is not None
+        return max(former.gives_up_at, former.answering_since + self._settle_s)
+
     def _gives_up_at(self, former: _FormerOwner) -> float:
         """Return when a holder is no longer asked if it does not answer.
 
