Write an inherited key map at once, so that no earlier write is stored

No two owners.

Cause: a write of the key map by a former controller that gets no response can be carried out after the next controller has read the maps, if that has written nothing meanwhile. Hosts then know keys as moving, and the controller does not.

Change: a controller writes each map that it finds, also unchanged. Writes are conditional on the revision, so earlier ones then fail.

--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -220,7 +220,9 @@
             fence = key_ranges.next_fence(fence, ranges, moves)
             ranges = key_ranges.apply(ranges, moves, fence)
         ranges = key_ranges.merge(ranges)
-        if ranges != key_map.ranges:
+        # An inherited map is written in any case: a write by an earlier
+        # controller that takes effect later then finds another revision.
+        if ranges != key_map.ranges or service in self._inherited_services:
             updated = key_map._replace(
                 fence=fence,
                 ranges=ranges,
