Probe again on a new connection after an unclear response (OWNER)

What callers saw: an owner of several ranges loses all but the first after 6 s and gets them back from nobody, if it responds to the release of keys that it never held without a handover. And two owners, if a target that owns all keys repeats its last response to a grant.

Cause: such a response on a used connection may be a repeated one to a grant, so the grant was withheld and the connection closed. The next attempt began with the first range, on a new connection, and failed with the second again. Where there is no key to probe with, the grant was sent on a used connection, where a repeated response passed for its own.

Change: the target is probed again on a new connection, where no earlier response can be repeated; a grant without a probe is sent on a new one.

test_success_without_a_handover and test_response_to_a_grant_where_that_to_a_probe_is_due expected that nothing is sent after the unclear response; they expect one more probe now, and no grant as long as that has no response.

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -82,6 +82,10 @@
     """The target responded to a probe and closed the connection."""
 
 
+class _UnclearProbeError(Exception):
+    """A response to a probe may be that to an earlier call."""
+
+
 class _LeaseEndedError(Exception):
     """This host no longer holds the controller's lease."""
 
@@ -207,6 +211,9 @@
           The result, as of `grant`, and what is known of the grant's time.
         """
         grant = self.hold_times.begin(holder, hold_s)
+        if find_probe_key() is None:
+            # Without a probe, an earlier response could be repeated.
+            is_shared = False
         may_probe = True
         is_probed = False
 
@@ -248,6 +255,9 @@
         except _ClosedError:
             # The target reads its calls. It may close each connection.
             result, response = await post(is_shared=False)
+        except _UnclearProbeError:
+            # On a new connection, no earlier response can be repeated.
+            result, response = await post(is_shared=False)
         if _is_response_to_release(response):
             result = UNANSWERED
         if result == UNANSWERED and grant.is_sent:
@@ -277,6 +287,7 @@
         Raises:
           _OtherServerError: Another server listens at the address.
           UnconfirmedError: No grant may be sent on the connection.
+          _UnclearProbeError: The same, but one may be sent on a new one.
         """
         if key is None:
             return False
@@ -306,7 +317,7 @@
             raise UnconfirmedError
         if _is_success(response) and not is_release and not is_first:
             # It may be a repeated response to an earlier grant.
-            raise UnconfirmedError
+            raise _UnclearProbeError
         return is_release
 
     def _check_lease(self) -> None:
--- a/amaranthcrank/router/probe_replies_test.py
+++ b/amaranthcrank/router/probe_replies_test.py
@@ -168,16 +168,33 @@
         """Guards against a grant that waits at a stopped target.
 
         The response to an earlier grant passed for that to the probe. On a
-        new connection there is none.
+        new connection there is none, so the target is probed there.
         """
         await self._use_connection()
         self.response_by_path[names.RELEASE_PATH] = GRANTED
-        self.assertEqual(await self._grant(), key_calls.UNANSWERED)
-        self._check_nothing_granted()
-        self.paths.clear()
-        self.assertEqual(await self._grant(), key_calls.GRANTED)
-        self.assertEqual(self.paths, [names.RELEASE_PATH, names.GRANT_PATH])
+
+        def stop_responding():
+            self.response_by_path[names.RELEASE_PATH] = b''
+
+        self.on_probe = lambda: asyncio.get_running_loop().call_soon(
+            stop_responding
+        )
+        with mock.patch.object(key_calls, 'PROBE_TIMEOUT_S', SILENCE_S):
+            self.assertEqual(await self._grant(), key_calls.UNANSWERED)
+        self.assertEqual(self.paths, [names.RELEASE_PATH] * 2)
         self.assertEqual(self.pool.opened_connections, 2)
+        self.assertFalse(self.calls.hold_times.may_take_effect_late(HOLDER))
+        self.events.grant_unanswered.assert_not_called()
+
+    async def test_target_that_sends_no_handovers(self):
+        """Guards against an owner whose second range is never renewed.
+
+        It responds to the release of a key that it never held without a
+        handover, like to a grant.
+        """
+        self.response_by_path[names.RELEASE_PATH] = GRANTED
+        for _ in range(4):
+            self.assertEqual(await self._grant(), key_calls.GRANTED)
 
     async def test_target_that_closes_and_then_stops(self):
         """Guards against grants without end to a target that closes.
--- a/amaranthcrank/router/repeated_responses_test.py
+++ b/amaranthcrank/router/repeated_responses_test.py
@@ -224,7 +224,8 @@
     async def test_response_to_a_grant_where_that_to_a_probe_is_due(self):
         """Guards against a grant that waits at a stopped target.
 
-        The repeated response passed for a sign that the target reads.
+        The repeated response passed for a sign that the target reads. It is
+        probed again on a new connection.
         """
         caller = await self._start(_Server(ALL_ANSWERED))
         caller.server.extra_by_number = {3: GRANTED}
@@ -232,7 +233,12 @@
         self.assertEqual(await caller.call('grant'), key_calls.UNANSWERED)
         self.assertEqual(
             caller.server.paths,
-            [names.RELEASE_PATH, names.GRANT_PATH, names.RELEASE_PATH],
+            [
+                names.RELEASE_PATH,
+                names.GRANT_PATH,
+                names.RELEASE_PATH,
+                names.RELEASE_PATH,
+            ],
         )
 
     async def test_response_to_a_probe_where_that_to_its_grant_is_due(self):
