Wait for a slow target's response to a probe

What callers saw: an owner that responds later than 0.8 s is sent no renewals and loses its keys after 6 s. Before probes it took them, without a response in time.

Cause: the probe had the time limit of the grant that it precedes.

Change: the probe waits for 2 s, the interval of renewals. A target that is silent for that long loses nothing by it: its keys move when its last grant has run out, as before.

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -30,7 +30,8 @@
 # A target that has responded within this time is taken to read its calls.
 RECENT_RESPONSE_S = 0.1
 # The time limit for the response that shows that a target reads its calls.
-PROBE_TIMEOUT_S = GRANT_TIMEOUT_S
+# It is longer than that for grants, so that slow targets get theirs, too.
+PROBE_TIMEOUT_S = 2.0
 # The status of a target's response to a call that names another target.
 WRONG_TARGET = 421
 # Responses to grants and releases have short bodies, if any.
