Bound the attempts of a grant whose probe needs a new connection

What callers saw: nothing; by reading. A target that sends no handover and begins to close its connections made the grant fail with an exception, so that a renewal or a move ended as by a fault of the program.

Cause: the second attempt, on a new connection, could need another one, and its exception was not handled.

Evidence: probe_replies_test.test_target_that_begins_to_close_connections failed before with the exception and passes now.

Change: one exception for both cases, and at most three attempts.

Also from: grants without a probe use a shared connection again.

--- a/amaranthcrank/router/key_calls.py
+++ b/amaranthcrank/router/key_calls.py
@@ -21,6 +21,7 @@
 from amaranthcrank.router import headers as fields
 from amaranthcrank.router import hold_times
 from amaranthcrank.router import http_client
+from amaranthcrank.router import incarnation_checks
 from amaranthcrank.router import model
 from amaranthcrank.router import ownership_events
 from amaranthcrank.router import target_notices
@@ -67,24 +68,15 @@
     return response.is_first_on_connection
 
 
-class _RestartedError(Exception):
-    """The target has restarted since the incarnation that a grant names."""
-
-
-class UnconfirmedError(Exception):
-    """It is not known whether the target may be sent a grant."""
-
-
 class _OtherServerError(Exception):
     """Another server listens at the address."""
 
 
-class _ClosedError(Exception):
-    """The target responded to a probe and closed the connection."""
+class _NewConnectionError(Exception):
+    """The target responded to a probe, but the grant needs a new connection.
 
-
-class _UnclearProbeError(Exception):
-    """A response to a probe may be that to an earlier call."""
+    It has closed this one, or the response may be that to an earlier call.
+    """
 
 
 class _LeaseEndedError(Exception):
@@ -127,12 +119,9 @@
         self.hold_times = hold_times.HoldTimes()
         self._pool = pool
         self._log = log
-        self._has_restarted = has_restarted
-        self._registration_s = registration_s
-        # Holders that could not be reached, and since when they are again.
-        self._reached_at_by_lost_holder: dict[str, float | None] = {}
-        # Holders whose later incarnation is known.
-        self._restarted: set[str] = set()
+        self._incarnations = incarnation_checks.IncarnationChecks(
+            has_restarted, registration_s
+        )
         self._notices = notices
         self._events = events
         self._host_id = host_id
@@ -145,7 +134,7 @@
           grant_max_s: The longest duration of a grant.
         """
         self.hold_times.assume_prior_grants(grant_max_s)
-        self._reached_at_by_lost_holder.clear()
+        self._incarnations.forget_lost()
 
     async def grant(
         self,
@@ -180,7 +169,7 @@
             hold_s,
             handover,
             find_probe_key,
-            self._check_incarnation,
+            self._incarnations.check,
         )
         return result
 
@@ -212,9 +201,6 @@
           The result, as of `grant`, and what is known of the grant's time.
         """
         grant = self.hold_times.begin(holder, hold_s)
-        if find_probe_key() is None:
-            # Without a probe, an earlier response could be repeated.
-            is_shared = False
         may_probe = True
         is_probed = False
 
@@ -229,7 +215,7 @@
                 )
                 if not connection.is_open:
                     may_probe = False
-                    raise _ClosedError
+                    raise _NewConnectionError
             self._check_lease()
             grant.record_sent()
 
@@ -251,14 +237,13 @@
             # Again, as this process may have been suspended in between.
             on_sent=grant.record_sent,
         )
-        try:
-            result, response = await post(is_shared=is_shared)
-        except _ClosedError:
-            # The target reads its calls. It may close each connection.
-            result, response = await post(is_shared=False)
-        except _UnclearProbeError:
-            # On a new connection, no earlier response can be repeated.
-            result, response = await post(is_shared=False)
+        result, response = UNANSWERED, None
+        for may_be_used in (is_shared, False, False):
+            try:
+                result, response = await post(is_shared=may_be_used)
+                break
+            except _NewConnectionError:
+                continue
         if _is_response_to_release(response):
             result = UNANSWERED
         if result == UNANSWERED and grant.is_sent:
@@ -288,7 +273,7 @@
         Raises:
           _OtherServerError: Another server listens at the address.
           UnconfirmedError: No grant may be sent on the connection.
-          _UnclearProbeError: The same, but one may be sent on a new one.
+          _NewConnectionError: The same, but one may be sent on a new one.
         """
         if key is None:
             return False
@@ -307,7 +292,7 @@
                 )
         except (http_client.ExchangeError, TimeoutError) as error:
             self._events.grant_withheld(holder, request_id)
-            raise UnconfirmedError from error
+            raise incarnation_checks.UnconfirmedError from error
         if response.status == WRONG_TARGET and response.is_first_on_connection:
             raise _OtherServerError
         is_release = _is_response_to_release(response)
@@ -315,10 +300,10 @@
         if response.status == WRONG_TARGET:
             # It may be a repeated refusal of an earlier call.
             self._pool.drop(address)
-            raise UnconfirmedError
+            raise incarnation_checks.UnconfirmedError
         if _is_success(response) and not is_release and not is_first:
             # It may be a repeated response to an earlier grant.
-            raise _UnclearProbeError
+            raise _NewConnectionError
         return is_release
 
     def _check_lease(self) -> None:
@@ -340,38 +325,6 @@
         """
         self._check_lease()
 
-    async def _check_incarnation(self, holder: str) -> None:
-        """Check that a new connection does not lead to a later incarnation.
-
-        A target listens before its entry is written. If it could not be
-        reached before, it may be one that has just restarted, so its entry
-        is read only once it must have been written.
-
-        Raises:
-          _RestartedError: The target has restarted.
-          UnconfirmedError: It may have, as far as is known. An owner that
-            was reached all the time is not suspected, so that owners keep
-            their keys while the store is unavailable.
-        """
-        if holder in self._restarted:
-            # A later read of the entry may fail.
-            raise _RestartedError
-        is_lost = holder in self._reached_at_by_lost_holder
-        if is_lost:
-            now = clock.now()
-            reached_at = self._reached_at_by_lost_holder[holder]
-            if reached_at is None:
-                reached_at = self._reached_at_by_lost_holder[holder] = now
-            if now - reached_at < self._registration_s:
-                raise UnconfirmedError
-        has_restarted = await self._has_restarted(holder)
-        if has_restarted:
-            self._restarted.add(holder)
-            raise _RestartedError
-        if is_lost and has_restarted is None:
-            raise UnconfirmedError
-        self._reached_at_by_lost_holder.pop(holder, None)
-
     async def release(
         self,
         holder: str,
@@ -492,18 +445,18 @@
                 max_response_bytes=MAX_RESPONSE_BYTES,
                 is_shared=is_shared,
             )
-        except _RestartedError:
+        except incarnation_checks.RestartedError:
             self._log.event('grant_not_sent', holder=holder)
             return OTHER_SERVER, None
         except _OtherServerError:
             return OTHER_SERVER, None
-        except UnconfirmedError:
+        except incarnation_checks.UnconfirmedError:
             return UNANSWERED, None
         except _LeaseEndedError:
             self._log.event('key_call_not_sent', path=path, holder=holder)
             return UNANSWERED, None
         except http_client.ConnectError as error:
-            self._reached_at_by_lost_holder[holder] = None
+            self._incarnations.record_lost(holder)
             return (REFUSED if error.refused else UNANSWERED), None
         except (http_client.ExchangeError, TimeoutError):
             return UNANSWERED, None
--- a/amaranthcrank/router/probe_replies_test.py
+++ b/amaranthcrank/router/probe_replies_test.py
@@ -211,6 +211,28 @@
         for _ in range(4):
             self.assertEqual(await self._grant(), key_calls.GRANTED)
 
+    async def test_target_that_begins_to_close_connections(self):
+        """Guards against a fault of the program instead of a result.
+
+        On a used connection the response was unclear, and the target closed
+        the new one after its response.
+        """
+        await self._use_connection()
+        self.response_by_path[names.RELEASE_PATH] = GRANTED
+
+        def close_connections():
+            self.response_by_path[names.RELEASE_PATH] = GRANTED.replace(
+                NO_LENGTH, CLOSING
+            )
+
+        self.on_probe = lambda: asyncio.get_running_loop().call_soon(
+            close_connections
+        )
+        self.assertEqual(await self._grant(), key_calls.GRANTED)
+        self.assertEqual(
+            self.paths, [names.RELEASE_PATH] * 2 + [names.GRANT_PATH]
+        )
+
     async def test_target_that_closes_and_then_stops(self):
         """Guards against grants without end to a target that closes.
 
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -15,6 +15,7 @@
 from amaranthcrank.platform import store
 from amaranthcrank.router import clock
 from amaranthcrank.router import http_client
+from amaranthcrank.router import incarnation_checks
 from amaranthcrank.router import key_calls
 from amaranthcrank.router import model
 from soak import holds as key_holds
@@ -262,7 +263,7 @@
             return target.result_by_path[path], None
         try:
             await before_send(_Connection(target))
-        except key_calls.UnconfirmedError:
+        except incarnation_checks.UnconfirmedError:
             return key_calls.UNANSWERED, None
         self.sent.append(call._replace(at=clock.now()))
         return await self._take(target, path, fields)
