Leave probes out of the releases that a stand-in records

The test waits until the draining owner has released its keys. A probe of a key that it does not own is a release, too, so the test went on before the move had begun. Two more tests wait for releases (evacuation_path_test, target_notices_test); they passed, but showed less than before.

Cause: the stand-in recorded each release. The product has not changed.

--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -93,7 +93,9 @@
       ran: The ids of the requests that it ran, in order.
       deadlines_ms: The deadlines of these requests.
       grants: The grants that it accepted, newest last.
-      released: The first key, last key and fence of each release.
+      released: The first key, last key and fence of each release. Releases
+        with the token 0, which no key is granted with, only ask whether the
+        target reads its calls, and are left out.
       status: The status of its responses to requests.
       body: The body of these responses.
       work_s: How long a request takes.
@@ -223,7 +225,8 @@
         return http_server.Response(200, [], b'')
 
     def _on_release(self, fields: dict[str, int]) -> http_server.Response:
-        self.released.append(
-            (fields['from'], fields['target'], fields['fence'])
-        )
+        if fields['fence']:
+            self.released.append(
+                (fields['from'], fields['target'], fields['fence'])
+            )
         return http_server.Response(200, [(b'x-handover', b'warm')], b'')
