Let a play of ownership inject each fault at least once

Cause: a round of 19 faults with random gaps of 0.8 s in the mean takes 15 s in the mean, of the 18 s that the test plays. The gaps come from a generator that the faults share, so their order of drawing, and with it the length of a round, differs between runs.

Change: faults begin until the time is over and each has begun once. ownership_faults_test.InjectTest.test_short_play failed before and passes now. What the test checks is unchanged; a play may take some seconds longer.

--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -184,7 +184,8 @@
 
     Args:
       site: The site.
-      seconds: How long new faults begin.
+      seconds: How long new faults begin, and at least until each has begun
+        once: the gaps are random.
       mean_gap_s: The mean time from one to the next.
     """
     faults: tuple[typing.Callable[[], typing.Awaitable[None]], ...] = (
@@ -206,8 +207,8 @@
     loop = asyncio.get_running_loop()
     end_at = loop.time() + seconds
     running = []
-    for name, fault in in_rounds(named, site.rng):
-        if loop.time() >= end_at:
+    for number, (name, fault) in enumerate(in_rounds(named, site.rng)):
+        if loop.time() >= end_at and number >= len(named):
             break
         site.faults[name] += 1
         running.append(asyncio.ensure_future(fault()))
