Soak: the store comes back from an older copy; writes that change nothing

What the operator wrote is written again at once, the targets write again by themselves. The soak of ownership does so alone and around changes of the controller.

--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -86,6 +86,8 @@
         results: list[callers.Result] = []
         shifting = asyncio.create_task(site.keep_shifting())
         stack.callback(shifting.cancel)
+        copying = asyncio.create_task(site.keep_copying())
+        stack.callback(copying.cancel)
         for router in site.routers:
             for number in range(CALLERS_PER_ROUTER):
                 task = asyncio.create_task(
--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -200,6 +200,8 @@
         site.crash_target,
         site.lose_store_answers,
         site.lose_store,
+        site.restore_store,
+        site.restore_store_amid_change,
     )
     named = [(fault.__name__, fault) for fault in faults]
     for stall in STALLS:
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -39,6 +39,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DOMAINS = ('a', 'b')
 SERVICES = [['desk', '/healthz', 100, None], ['book', '/healthz', 100, True]]
+# What the operator writes, and writes again after a restore.
+OPERATOR_KINDS = ('config', 'evacuations')
 TARGET_PORT = 18400
 # Where targets behind a link listen.
 LINKED_TARGET_PORT = 18401
@@ -55,6 +57,12 @@
 LATE_SHARE = 0.4
 LATE_S = (2.0, 12.0)
 LATE_PERIOD_S = 5.5
+# How often the store is copied, and how many copies are kept. It comes back
+# from any of them.
+COPY_INTERVAL_S = 1.0
+COPIES = 11
+# For how long the store is away before it comes back from a copy, from and to.
+RESTORE_AWAY_S = (0.2, 5.0)
 # How many owners must remain when one is to leave, crash or be stopped.
 MIN_OTHER_OWNERS = 2
 
@@ -109,6 +117,9 @@
         self.held_up: list[grant_checks.HeldUp] = []
         self.faults: collections.Counter[str] = collections.Counter()
         self.busy_from = 0
+        self.copies: collections.deque[platform_store.Copy] = (
+            collections.deque(maxlen=COPIES)
+        )
         self._stack = stack
         self._folder = folder
         self._counts_releases = counts_releases
@@ -339,6 +350,35 @@
         await asyncio.sleep(self.rng.uniform(1.0, 9.0))
         self.store.fault = ''
 
+    async def keep_copying(self) -> None:
+        """Make copies of the store again and again."""
+        while True:
+            self.copies.append(self.store.copy())
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def restore_store(self) -> None:
+        """Let the store be away, and come back from a copy seconds old."""
+        if not self.copies:
+            return
+        self.store.fault = platform_store.BUSY
+        await asyncio.sleep(self.rng.uniform(*RESTORE_AWAY_S))
+        copy = self.rng.choice(self.copies)
+        self.store.restore(copy, OPERATOR_KINDS)
+        # The store has lost these copies as well.
+        self.copies = collections.deque(
+            (each for each in self.copies if each.revision <= copy.revision),
+            maxlen=COPIES,
+        )
+        self.store.fault = ''
+
+    async def restore_store_amid_change(self) -> None:
+        """Let the controller end just before or after a restore."""
+        change = self.rng.choice((self.stop_controller, self.kill_controller))
+        restoring = asyncio.ensure_future(self.restore_store())
+        await asyncio.sleep(self.rng.uniform(0.0, RESTORE_AWAY_S[1]))
+        await change()
+        await restoring
+
     def _records(
         self,
     ) -> typing.Iterator[tuple[owner_process.Config, pathlib.Path, float]]:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,7 +2,7 @@
 
 It keeps objects by kind and name under one revision counter and serves
 watches. Faults can be injected: it refuses calls, does not answer, loses the
-responses to writes or discards its history.
+responses to writes, discards its history or comes back from an older copy.
 """
 
 import asyncio
@@ -15,6 +15,9 @@
 from amaranthcrank.router import model
 
 PREFIX = '/v1/objects/'
+# In each response; it rises with each restore.
+ERA_HEADER = b'Store-Era'
+FIRST_ERA = 1
 
 # Faults of the store.
 BUSY = 'busy'
@@ -24,6 +27,18 @@
 _Item = dict[str, typing.Any]
 
 
+class Copy(typing.NamedTuple):
+    """The store's content at a moment.
+
+    Attributes:
+      revision: The revision of the last change.
+      item_by_path: The objects by kind and name.
+    """
+
+    revision: int
+    item_by_path: dict[tuple[str, str], _Item]
+
+
 class PlatformStore:
     """The store's objects of all kinds and its server.
 
@@ -33,6 +48,7 @@
       reads_by_kind: How many lists and watches of each kind arrived.
       writes: How many write calls arrived.
       revision: The revision of the last change of any object.
+      era: How often the store has come back from a copy, plus FIRST_ERA.
     """
 
     def __init__(self) -> None:
@@ -42,6 +58,7 @@
         self.reads_by_kind: collections.Counter[str] = collections.Counter()
         self.writes = 0
         self.revision = 10
+        self.era = FIRST_ERA
         self._item_by_path: dict[tuple[str, str], _Item] = {}
         self._events: list[tuple[int, str, _Item, bool]] = []
         self._oldest = 0
@@ -80,6 +97,32 @@
         self._events = []
         self._wake_watchers()
 
+    def copy(self) -> Copy:
+        """Return the present content. Objects are replaced, not changed."""
+        return Copy(self.revision, dict(self._item_by_path))
+
+    def restore(
+        self, copy: Copy, rewritten_kinds: typing.Collection[str] = ()
+    ) -> None:
+        """Come back from a copy; what was written since is gone.
+
+        Args:
+          copy: The copy.
+          rewritten_kinds: Kinds whose present objects their writers write
+            again at once.
+        """
+        rewritten = {
+            path: item
+            for path, item in self._item_by_path.items()
+            if path[0] in rewritten_kinds
+        }
+        self.era += 1
+        self.revision = copy.revision
+        self._item_by_path = dict(copy.item_by_path)
+        self.discard_history()
+        for (kind, name), item in rewritten.items():
+            self._put_item(kind, name, item)
+
     def _put_item(self, kind: str, name: str, fields: _Item) -> _Item:
         self.revision += 1
         current = self._item_by_path.get((kind, name))
@@ -110,6 +153,13 @@
 
     async def _handle(
         self, request: http_server.Request
+    ) -> http_server.Response:
+        response = await self._respond(request)
+        response.headers.append((ERA_HEADER, str(self.era).encode()))
+        return response
+
+    async def _respond(
+        self, request: http_server.Request
     ) -> http_server.Response:
         if self.fault == BUSY:
             return http_server.Response(503, [], b'')
@@ -154,7 +204,7 @@
         loop = asyncio.get_running_loop()
         end_at = loop.time() + int(fields['waitMs']) / 1000
         while True:
-            if since < self._oldest:
+            if not self._oldest <= since <= self.revision:
                 return _json(410, None)
             events = [
                 {'tombstone': is_deleted, 'object': item}
@@ -195,6 +245,9 @@
         if method == b'DELETE':
             self.remove(kind, name)
             return _json(200, current)
+        if content.get('spec') == current.get('spec'):
+            # What changes nothing has no revision of its own.
+            return _json(200, current)
         return _json(
             200, self._put_item(kind, name, {'spec': content.get('spec')})
         )
