--- a/amaranthcrank/router/controller_change_test.py
+++ b/amaranthcrank/router/controller_change_test.py
@@ -54,7 +54,11 @@
         self.targets.services = frozenset({'book'})
         self.targets.replace_all([key_targets.entry(1), key_targets.entry(2)])
         self.lease = mock.Mock(
-            is_held=True, was_last_holder=False, held_until=clock.now() + 1000
+            is_held=True,
+            was_last_holder=False,
+            held_until=clock.now() + 1000,
+            term=1,
+            revision=1,
         )
 
     async def _run_next_controller(
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -28,6 +28,8 @@
 
 class _Lease:
     was_last_holder = False
+    term = 1
+    revision = 1
 
     def __init__(self):
         self.held_until = clock.now() + 1000
@@ -44,7 +46,11 @@
       entry_by_id: The target entries of the store.
     """
 
+    era = 0
+    has_seen_restore = False
+
     def __init__(self):
+        self.era_seen_at = clock.now()
         self.item_by_name = {}
         self.entry_by_id = {}
         self.is_unavailable = False
--- a/amaranthcrank/router/late_map_write_test.py
+++ b/amaranthcrank/router/late_map_write_test.py
@@ -145,6 +145,8 @@
             is_held=True,
             was_last_holder=was_last_holder,
             held_until=clock.now() + 1000,
+            term=len(self.tasks) + 1,
+            revision=1,
         )
         calls = key_targets.Calls(self.target_by_holder)
         calls._is_lease_held = lambda: lease.is_held
--- a/amaranthcrank/router/stopped_target_test.py
+++ b/amaranthcrank/router/stopped_target_test.py
@@ -84,6 +84,8 @@
                 is_held=True,
                 was_last_holder=was_last_holder,
                 held_until=clock.now() + 1000,
+                term=1,
+                revision=1,
             ),
             key_targets.Calls(self.target_by_holder),
             self.targets,
--- /dev/null
+++ b/amaranthcrank/router/store_restore_test.py
@@ -0,0 +1,216 @@
+"""Tests of the key controller when the store has come back from a copy.
+
+The copy is seconds old. What was granted since by the maps that the store has
+lost still runs at targets, and they have seen its tokens.
+"""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from amaranthcrank.platform import entries
+from amaranthcrank.router import clock
+from amaranthcrank.router import directory
+from amaranthcrank.router import key_controller
+from amaranthcrank.router import key_table
+from amaranthcrank.router import model
+from soak import holds as key_holds
+from standins import key_targets
+from standins import platform_target
+from standins import virtual_time
+
+GRANT_MAX_S = 10.0
+LAST_KEY = model.KEY_COUNT - 1
+MIDDLE = model.KEY_COUNT // 2
+STORED_FENCE = 5
+LOST_FENCE = 40
+# The copy knows one owner, which drains and has given up all keys since.
+STORED = model.KeyMap(
+    'book',
+    STORED_FENCE,
+    (model.KeyRange(0, LAST_KEY, 'i-1', 1, STORED_FENCE, False, ''),),
+    7,
+    {},
+)
+# What the store has lost: the keys were moved to two others.
+LOST = STORED._replace(
+    fence=LOST_FENCE,
+    ranges=(
+        model.KeyRange(0, MIDDLE, 'i-2', 1, LOST_FENCE, False, ''),
+        model.KeyRange(MIDDLE + 1, LAST_KEY, 'i-3', 1, LOST_FENCE, False, ''),
+    ),
+    revision=30,
+)
+
+
+class _Lease:
+    """A lease that is taken again as soon as it was invalidated."""
+
+    term = 2
+    revision = 1 << 41
+    was_last_holder = False
+
+    def __init__(self):
+        self.is_held = True
+
+    @property
+    def held_until(self):
+        return clock.now() + 3.0
+
+    def invalidate(self):
+        self.is_held = False
+
+
+class StoreRestoreTest(unittest.TestCase):
+    def _prepare(self, era):
+        self.all_targets = [
+            key_targets.Target(key_targets.entry(number))
+            for number in (1, 2, 3, 4)
+        ]
+        self.store = key_targets.Store(STORED)
+        self.store.era = era
+        self.lease = _Lease()
+        self.log = mock.Mock()
+        self.keys = key_table.KeyTable()
+        targets = directory.Directory(
+            asyncio.get_running_loop().time, 2.0, lambda *_, **__: None
+        )
+        targets.services = frozenset({'book'})
+        targets.replace_all([target.entry for target in self.all_targets])
+        drained = self.all_targets[0].entry
+        targets.put(drained._replace(state=model.DRAINING))
+        calls = key_targets.Calls(
+            {target.entry.holder: target for target in self.all_targets}
+        )
+        calls._is_lease_held = lambda: self.lease.is_held
+        self.controller = key_controller.Controller(
+            self.store,
+            self.lease,
+            calls,
+            targets,
+            self.keys,
+            self.log,
+            GRANT_MAX_S,
+            mock.Mock(),
+        )
+        self.controller.keyed_services = ('book',)
+
+    def _grant_lost_ranges(self, hold_s):
+        for target, part in zip(
+            self.all_targets[1:3], LOST.ranges, strict=True
+        ):
+            call = platform_target.GrantCall(
+                part.first, part.last, LOST_FENCE, hold_s, ''
+            )
+            target.take_grant(call, clock.now())
+
+    async def _run(self, seconds):
+        async def lead():
+            while True:
+                await self.controller.run()
+                self.lease.is_held = True
+                self.lease.was_last_holder = True
+                await asyncio.sleep(0.5)
+
+        task = asyncio.create_task(lead())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    def _rejected(self):
+        return [
+            call.kwargs['target']
+            for call in self.log.event.call_args_list
+            if call.args[0] == 'grant_failed'
+            and call.kwargs['result'] == 'rejected'
+        ]
+
+    def _overlaps(self):
+        holds = [hold for each in self.all_targets for hold in each.holds]
+        return key_holds.overlaps(holds)
+
+    def _owned_share(self):
+        """Return the share of the keys that targets hold now."""
+        now = clock.now()
+        owned = {
+            (hold.first, hold.last)
+            for target in self.all_targets
+            for hold in target.holds
+            if hold.since <= now < hold.until
+        }
+        return sum(last - first + 1 for first, last in owned) / model.KEY_COUNT
+
+    @virtual_time.in_virtual_time
+    async def test_grants_that_the_store_has_forgotten(self):
+        """Guards against two owners after a restore of the store.
+
+        The next controller read the copy. Its moves were rejected by targets
+        that had seen higher tokens, again and again; another target accepted
+        keys that these still held.
+        """
+        self._prepare(era=1)
+        self._grant_lost_ranges(6.0)
+        await self._run(40.0)
+        self.assertEqual(self._rejected(), [])
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
+    @virtual_time.in_virtual_time
+    async def test_late_grants_that_the_store_has_forgotten(self):
+        """Guards against keys that a forgotten owner takes again.
+
+        A grant to it waited in a stopped process. This host still knows that
+        it was an owner.
+        """
+        self._prepare(era=1)
+        self.keys.put(LOST)
+        self._grant_lost_ranges(6.0)
+        late = platform_target.GrantCall(0, MIDDLE, LOST_FENCE, 6.0, '')
+        asyncio.get_running_loop().call_later(
+            30.0, lambda: self.all_targets[1].take_grant(late, clock.now())
+        )
+        await self._run(40.0)
+        self.assertEqual(self._overlaps(), [])
+
+    @virtual_time.in_virtual_time
+    async def test_rejected_tokens_of_a_store_without_eras(self):
+        """Guards against moves that are rejected for good.
+
+        A rejection shows that another controller has granted keys. Nothing
+        shows to whom, so all its grants have to end first.
+        """
+        self._prepare(era=0)
+        self._grant_lost_ranges(6.0)
+        await self._run(40.0)
+        self.assertLess(len(self._rejected()), 4)
+        self.assertEqual(self._owned_share(), 1.0)
+        stored = entries.decode_key_map('book', self.store.item)
+        self.assertGreater(stored.fence, LOST_FENCE)
+
+    @virtual_time.in_virtual_time
+    async def test_controller_that_goes_on_after_a_restore(self):
+        """Guards against keys without an owner, though their grants are known.
+
+        The controller held the lease all the time, so it knows what the store
+        has lost.
+        """
+        self._prepare(era=0)
+        task = asyncio.create_task(self._run(12.0))
+        await asyncio.sleep(4.0)
+        lost = entries.decode_key_map('book', self.store.item)
+        self.store.era = 1
+        self.store.has_seen_restore = True
+        self.store.item = key_targets.Store(STORED).item
+        self.store.item['metadata']['rev'] = 1 << 40
+        self.store.era_seen_at = clock.now()
+        for _ in range(14):
+            await asyncio.sleep(0.5)
+            self.assertEqual(self._owned_share(), 1.0)
+        await task
+        stored = entries.decode_key_map('book', self.store.item)
+        self.assertEqual(stored.era, 1)
+        self.assertEqual(stored.ranges, lost.ranges)
+        self.assertEqual(self._overlaps(), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -300,10 +300,17 @@
 
     Attributes:
       item: The stored object.
+      era: The era of the store.
+      era_seen_at: Since when it is known, by `clock.now`.
+      has_seen_restore: Whether the era has risen.
     """
 
+    era = 0
+    has_seen_restore = False
+
     def __init__(self, key_map: model.KeyMap) -> None:
         """Store a key map."""
+        self.era_seen_at = clock.now()
         spec = entries.encode_key_map(key_map)
         self.item: dict[str, typing.Any] = {
             'metadata': {'rev': key_map.revision},
@@ -329,5 +336,7 @@
         """
         if self.item['metadata']['rev'] != revision:
             raise store.ConflictError(self.item)
+        if self.item['spec'] == spec:
+            return self.item
         self.item = {'metadata': {'rev': revision + 1}, 'spec': spec}
         return self.item
