Name the lease's term in key maps, so that each first write changes them

Cause: a controller wrote each map that it found, also unchanged, so that no late write of its predecessor would be stored. By the platform's page a PUT that changes nothing does not raise the revision, so the write kept nothing out. The test passed only against a stand-in that raised it always.

A late write marks keys as moving that nobody moves, and ends the next controller with a conflict; no grant follows from it, as its writer no longer has the lease.

Change: the map has the term of the lease under which it was written. Each term writes it once at least, and that write always differs.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -86,6 +86,11 @@
         """Whether the lease is held now."""
         return clock.now() < self.held_until
 
+    @property
+    def term(self) -> int:
+        """The term in which this process holds, or last held, the lease."""
+        return self._held_term or 0
+
     @property
     def revision(self) -> int:
         """The revision of the lease's last confirmed write by this host."""
--- a/amaranthcrank/router/entry_checks.py
+++ b/amaranthcrank/router/entry_checks.py
@@ -135,7 +135,8 @@
 
 def is_key_map(key_map: model.KeyMap) -> bool:
     """Return whether the fields of a key map have their types and limits."""
-    if not is_revision(key_map.fence) or not is_revision(key_map.revision):
+    numbers = key_map.fence, key_map.revision, key_map.term
+    if not all(map(is_revision, numbers)):
         return False
     if not all(map(is_key_range, key_map.ranges)):
         return False
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -227,6 +227,7 @@
                 fence=fence,
                 ranges=ranges,
                 unsettled=self._unsettled.holds(service),
+                term=self._lease.term,
             )
             updated = updated._replace(
                 address_by_holder=self._addresses(updated)
--- a/amaranthcrank/router/model.py
+++ b/amaranthcrank/router/model.py
@@ -267,6 +267,9 @@
         `id/incarnation`. With it a new controller can reach holders whose
         entries are gone from the store.
       unsettled: Keys that former owners may take again.
+      term: The term of the lease under which it was written. With it, the
+        first write of a term changes the object, so that a late write of an
+        earlier term finds another revision.
     """
 
     service: str
@@ -275,3 +278,4 @@
     revision: int
     address_by_holder: dict[str, Address]
     unsettled: tuple[UnsettledHold, ...] = ()
+    term: int = 0
