Release joined holds under the lowest of their tokens

Cause (by reading, hypothesis 3): adjacent unsettled holds of a former owner were released together under the highest of their tokens. A target that counts the tokens of releases could then reject keys that were planned to come back to it under a token between those of the holds, for good.

The token of a release takes no keys: each hold is released whatever it names, and again and again. What a higher one kept out at targets that count it, the next release takes back.

--- a/amaranthcrank/router/unsettled_holds.py
+++ b/amaranthcrank/router/unsettled_holds.py
@@ -291,12 +291,17 @@
 def _join_adjacent(
     holds: typing.Iterable[model.UnsettledHold],
 ) -> list[model.UnsettledHold]:
-    """Return holds of one holder in which adjacent ones are joined."""
+    """Return holds of one holder in which adjacent ones are joined.
+
+    They get the lowest of their tokens, as a target may count it among those
+    that it has seen: keys that are to come back to it get a higher token than
+    their own hold had, which need not be above those of their neighbours.
+    """
     joined: list[model.UnsettledHold] = []
     for hold in holds:
         if not joined or joined[-1].last + 1 != hold.first:
             joined.append(hold)
             continue
-        fence = max(joined[-1].fence, hold.fence)
+        fence = min(joined[-1].fence, hold.fence)
         joined[-1] = joined[-1]._replace(last=hold.last, fence=fence)
     return joined
