Stop at a target that has seen a higher token, and read lease and maps again

Cause: a rejected move sent the same token again every 0.1 s for as long as its plan stood, and all other moves went on. But a token of ours is above all that the map gave out, so a rejection shows that another controller has granted these keys: the lease or the map is out of date.

Change: after a rejection of a range that is still in the map, nothing is sent to anybody until the store has confirmed the lease and the maps were read again. If the map is unchanged, it does not know that controller; it is used like one of an earlier era, once all its grants must have ended, with higher tokens. A target that rejects those too within a minute is assigned no keys for a while instead.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -84,17 +84,27 @@
         # is known to have held the lease.
         self._term = 0
         self._held_term: int | None = None
+        # Whether the store has confirmed the lease since it was invalidated.
+        self._is_valid = True
 
     @property
     def is_held(self) -> bool:
         """Whether the lease is held now."""
-        return clock.now() < self.held_until
+        return self._is_valid and clock.now() < self.held_until
 
     @property
     def term(self) -> int:
         """The term in which this process holds, or last held, the lease."""
         return self._held_term or 0
 
+    def invalidate(self) -> None:
+        """End the lease here until the store has confirmed it again.
+
+        It is still this host's in the store, so no other host can take it
+        before it expires.
+        """
+        self._is_valid = False
+
     @property
     def revision(self) -> int:
         """The revision of the lease's last confirmed write by this host."""
@@ -245,6 +255,7 @@
 
     def _record_taken(self, former: str) -> None:
         self._held_term = self._term
+        self._is_valid = True
         self._log.event(
             'lease_taken',
             former=former,
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -184,6 +184,18 @@
         await self._acquire(first)
         self.assertFalse(first.was_last_holder)
 
+    async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
+        """Guards against a controller that goes on by a lease in doubt."""
+        first = self._lease('1')
+        await self._hold(first)
+        first.invalidate()
+        self.assertFalse(first.is_held)
+        await asyncio.sleep(0.2)
+        self.assertFalse(first.is_held)
+        await self._acquire(first)
+        self.assertTrue(first.is_held)
+        self.assertTrue(first.was_last_holder)
+
     async def test_holder_stops_when_the_store_is_unavailable(self):
         lease = self._lease('1')
         await self._acquire(lease)
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -43,6 +43,9 @@
 # An owner with a higher utilisation than this has a queue at times, so hosts
 # need to know the usage by the other hosts.
 CONTENDED_UTILISATION = 0.5
+# After all tokens of a service were raised, a target that rejects them is not
+# believed for this long: it is assigned no keys in place of that.
+DOUBT_INTERVAL_S = 60.0
 
 # The service, the first key, the last key and the fencing token.
 _MoveId = tuple[str, int, int, int]
@@ -127,10 +130,15 @@
             self._address_by_holder,
             log,
             grant_max_s,
+            self._on_token_superseded,
         )
         self._inherited_maps = inherited_maps.InheritedMaps(
             client, keys, events, grant_max_s
         )
+        # Services of which a target has seen a higher token than that of the
+        # map, and when that was found last, by `clock.now`.
+        self._doubted_services: set[str] = set()
+        self._doubted_at_by_service: dict[str, float] = {}
         self._rebalanced_at_by_service: dict[str, float] = {}
         self._held_keys_by_service: dict[str, held_keys.HeldKeys] = {}
         # Services whose moves were begun by an earlier controller.
@@ -203,7 +211,8 @@
         maps = await self._store.read_all()
         if maps is None:
             return False
-        self._inherited_maps.begin(maps, own_maps, ())
+        self._inherited_maps.begin(maps, own_maps, self._doubted_services)
+        self._doubted_services.clear()
         for service in {*own_maps, *(each.service for each in maps)}:
             self._begin(service)
         return True
@@ -492,12 +501,37 @@
             self._log.event(
                 'grant_failed', target=key_range.target_id, result=result
             )
+            if result == key_calls.REJECTED:
+                self._on_token_superseded(service, key_range)
             if result == key_calls.OTHER_SERVER:
                 self._refused_holders.add_replaced(holder)
             if result == key_calls.REFUSED:
                 self._refused_holders.add(holder)
             await asyncio.sleep(STEP_INTERVAL_S)
 
+    def _on_token_superseded(
+        self, service: str, key_range: model.KeyRange
+    ) -> None:
+        """Stop if a target has seen a higher token than the map has.
+
+        Another controller has granted the keys then, and this one's lease or
+        map is out of date. Nothing is granted to anybody until the store has
+        confirmed the lease and the map was read again.
+        """
+        key_map = self._map_by_service.get(service)
+        if key_map is None or key_range not in key_map.ranges:
+            # The token is that of a later move by this host.
+            return
+        self._events.token_superseded(key_range)
+        now = clock.now()
+        doubted_at = self._doubted_at_by_service.get(service, -math.inf)
+        if now - doubted_at < DOUBT_INTERVAL_S:
+            self._refused_holders.add(key_range.holder)
+            return
+        self._doubted_at_by_service[service] = now
+        self._doubted_services.add(service)
+        self._lease.invalidate()
+
     def _find_grantable(self, holder: str) -> target_state.Target | None:
         """Return the target that is a holder, unless a grant would fail."""
         target = self._targets.find(*model.split_holder(holder))
--- a/amaranthcrank/router/key_renewals.py
+++ b/amaranthcrank/router/key_renewals.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import functools
+import typing
 
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
@@ -39,6 +40,7 @@
         address_by_holder: dict[str, model.Address],
         log: event_log.EventLog,
         grant_max_s: float,
+        on_token_superseded: typing.Callable[[str, model.KeyRange], None],
     ) -> None:
         """Share the state of the controller.
 
@@ -51,7 +53,10 @@
             it up to date.
           log: Logs failures.
           grant_max_s: The longest duration of a grant that targets accept.
+          on_token_superseded: Called with a service and a range of which a
+            target has seen a higher token.
         """
+        self._on_token_superseded = on_token_superseded
         self._lease = lease
         self._calls = calls
         self._former_owners = former_tracker
@@ -158,6 +163,8 @@
             self._log.event(
                 'renewal_failed', target=key_range.target_id, result=result
             )
+            if result == key_calls.REJECTED:
+                self._on_token_superseded(service, key_range)
             self._record_failure(holder, result)
             return
 
--- a/amaranthcrank/router/late_map_write_test.py
+++ b/amaranthcrank/router/late_map_write_test.py
@@ -81,29 +81,6 @@
         return entries.decode_key_map('book', self.item).ranges
 
 
-class _Target(key_targets.Target):
-    """Counts fencing tokens by key, so that it can own several ranges."""
-
-    def __init__(self, target_entry):
-        super().__init__(target_entry)
-        self._taken = []
-
-    def take_grant(self, call, arrived_at):
-        """Take a grant; return False for a token that is too low."""
-        self.highest_fence = max(
-            (
-                taken.fence
-                for taken in self._taken
-                if taken.first <= call.last and call.first <= taken.last
-            ),
-            default=0,
-        )
-        is_taken = super().take_grant(call, arrived_at)
-        if is_taken:
-            self._taken.append(call)
-        return is_taken
-
-
 class LateMapWriteTest(unittest.TestCase):
     def setUp(self):
         patch = mock.patch.object(
@@ -114,7 +91,8 @@
 
     def _prepare(self):
         self.all_targets = [
-            _Target(key_targets.entry(number)) for number in (1, 2, 3)
+            key_targets.RangeTarget(key_targets.entry(number))
+            for number in (1, 2, 3)
         ]
         self.former, self.other, self.third = self.all_targets
         self.target_by_holder = {
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -200,6 +200,16 @@
             'map_doubted', service=service, wait_s=round(wait_s, 2)
         )
 
+    def token_superseded(self, key_range: model.KeyRange) -> None:
+        """Record that a target has seen a higher token than its range has."""
+        self._registry.add('tokens_superseded')
+        self._log.event(
+            'token_superseded',
+            holder=key_range.holder,
+            keys=(key_range.first, key_range.last),
+            fence=key_range.fence,
+        )
+
     def keys_granted(self, key_range: model.KeyRange) -> None:
         """Record that the new owner of a moved range was granted it."""
         self._registry.add('moves_completed')
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from amaranthcrank.platform import entries
+from amaranthcrank.platform import names
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_controller
@@ -64,7 +65,7 @@
 class StoreRestoreTest(unittest.TestCase):
     def _prepare(self, era):
         self.all_targets = [
-            key_targets.Target(key_targets.entry(number))
+            key_targets.RangeTarget(key_targets.entry(number))
             for number in (1, 2, 3, 4)
         ]
         self.store = key_targets.Store(STORED)
@@ -79,14 +80,14 @@
         targets.replace_all([target.entry for target in self.all_targets])
         drained = self.all_targets[0].entry
         targets.put(drained._replace(state=model.DRAINING))
-        calls = key_targets.Calls(
+        self.calls = key_targets.Calls(
             {target.entry.holder: target for target in self.all_targets}
         )
-        calls._is_lease_held = lambda: self.lease.is_held
+        self.calls._is_lease_held = lambda: self.lease.is_held
         self.controller = key_controller.Controller(
             self.store,
             self.lease,
-            calls,
+            self.calls,
             targets,
             self.keys,
             self.log,
@@ -186,6 +187,33 @@
         stored = entries.decode_key_map('book', self.store.item)
         self.assertGreater(stored.fence, LOST_FENCE)
 
+    @virtual_time.in_virtual_time
+    async def test_nothing_is_granted_after_a_rejection(self):
+        """Guards against grants by a map that one target has disproved.
+
+        They are not sent to the targets that would accept them either.
+        """
+        self._prepare(era=0)
+        self._grant_lost_ranges(6.0)
+        await self._run(9.0)
+        first_at = min(call.at for call in self.calls.sent)
+        lasting = [
+            call
+            for call in self.calls.sent
+            if call.path == names.GRANT_PATH and call.at > first_at + 1.0
+        ]
+        self.assertEqual(lasting, [])
+
+    @virtual_time.in_virtual_time
+    async def test_target_that_rejects_every_token(self):
+        """Guards against a faulty target that stops all moves for good."""
+        self._prepare(era=0)
+        faulty = self.all_targets[1]
+        faulty.take_grant = lambda call, arrived_at: False
+        await self._run(50.0)
+        self.assertEqual(self._owned_share(), 1.0)
+        self.assertLess(len(self._rejected()), 20)
+
     @virtual_time.in_virtual_time
     async def test_controller_that_goes_on_after_a_restore(self):
         """Guards against keys without an owner, though their grants are known.
--- a/standins/key_targets.py
+++ b/standins/key_targets.py
@@ -143,6 +143,32 @@
         self.waiting_grants.clear()
 
 
+class RangeTarget(Target):
+    """Counts fencing tokens by key, so that it can own several ranges."""
+
+    def __init__(self, target_entry: model.TargetEntry) -> None:
+        """Start without keys."""
+        super().__init__(target_entry)
+        self._taken: list[platform_target.GrantCall] = []
+
+    def take_grant(
+        self, call: platform_target.GrantCall, arrived_at: float
+    ) -> bool:
+        """Take a grant; return False for a token that is too low."""
+        self.highest_fence = max(
+            (
+                taken.fence
+                for taken in self._taken
+                if taken.first <= call.last and call.first <= taken.last
+            ),
+            default=0,
+        )
+        is_taken = super().take_grant(call, arrived_at)
+        if is_taken:
+            self._taken.append(call)
+        return is_taken
+
+
 class _Connection:
     """A new connection to a target.
 
