Renew the owners that a host knows while a restored map may not be used

Cause: the wait held for owners that are known as well. A host that heard from the holder until the restore, and has the newest map that was announced, knows them.

Change: such a host renews them at once by the tokens that they have; only moves wait. A target that has seen a higher token rejects its renewal, and its keys wait as well.

Tests: store_restore_test (three new; owned all the time, or no overlap where a change was missed), controller_lease_test (two new).

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import math
 import random
 import typing
 
@@ -46,6 +47,9 @@
 # hosts above this one, which bounds the load of the store.
 UNSCALED_RETRY_HOSTS = 20
 LEASE_NAME = 'key-controller'
+# A host that heard from a holder within this time before a restore knows what
+# the holder did: a holder that the store does not answer stops by then.
+KNOWN_HOLDER_S = LEASE_S + 1.5
 
 
 class Lease:
@@ -84,6 +88,11 @@
         # is known to have held the lease.
         self._term = 0
         self._held_term: int | None = None
+        # When this host held the lease or heard from its holder last, and how
+        # long ago that was at the last restore of the store.
+        self._sign_at = -math.inf
+        self._silent_s_at_restore = math.inf
+        client.on_restored.append(self._record_restore)
         # Whether the store has confirmed the lease since it was invalidated.
         self._is_valid = True
 
@@ -110,6 +119,13 @@
         """The revision of the lease's last confirmed write by this host."""
         return self._revision
 
+    def knew_holder_at_restore(self) -> bool:
+        """Return whether this host knew a holder until the last restore."""
+        return self._silent_s_at_restore < KNOWN_HOLDER_S
+
+    def _record_restore(self, former_era: int, era: int) -> None:
+        self._silent_s_at_restore = clock.now() - self._sign_at
+
     def record_heartbeat(self, revision: int) -> None:
         """Record the revision of the lease that the holder's heartbeat names.
 
@@ -117,6 +133,7 @@
         finds the revision unchanged in the store counts from here.
         """
         self._client.record_position(revision)
+        self._sign_at = clock.now()
         if revision > self._seen_revision:
             self._record_seen(revision)
             self._client.availability.record_answer()
@@ -220,10 +237,12 @@
         item = await self._client.get(
             names.LEASES_KIND, LEASE_NAME, CALL_TIMEOUT_S
         )
+        spec = _spec_of(item)
+        if not self._may_take(spec):
+            return
         if item is None:
             await self._create()
             return
-        spec = _spec_of(item)
         self.holder_id = holder_in(item)
         self._count = _number_in(spec, 'count')
         self._revision = entries.revision_of(item)
@@ -242,6 +261,22 @@
         await self._write(self._host_id)
         self._record_taken(former)
 
+    def _may_take(self, stored: dict[str, typing.Any]) -> bool:
+        """Return whether the lease may be taken in the present era.
+
+        After a restore, a holder whose lease lasts writes it again first. The
+        copy may name another holder, or none.
+        """
+        if stored and _number_in(stored, 'era') == self._client.era:
+            return True
+        if not stored and not self._client.has_seen_restore:
+            return True
+        free_at = self._client.era_seen_at + LEASE_S + MARGIN_S
+        if clock.now() >= free_at:
+            return True
+        self._next_attempt_at = free_at
+        return False
+
     def _begin_term(self, stored: dict[str, typing.Any]) -> None:
         """Continue the stored term if this process held the lease in it."""
         is_own = stored.get('incarnation') == self._incarnation
@@ -344,6 +379,7 @@
         self._revision = entries.revision_of(item)
         self.holder_id = self._host_id
         self.held_until = sent_at + LEASE_S
+        self._sign_at = sent_at
 
     def _adopt_own_write(self, item: typing.Any) -> bool:
         """Adopt the stored revision if this process wrote it.
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -19,6 +19,9 @@
 
     def __init__(self):
         self.era = 0
+        self.era_seen_at = clock.now()
+        self.has_seen_restore = False
+        self.on_restored = []
         self.item = None
         self.availability = store_availability.AvailabilityHistory()
         self.is_unavailable = False
@@ -40,6 +43,10 @@
     def restore(self, item):
         """Come back from a copy that has an object, or none."""
         self.era += 1
+        self.era_seen_at = clock.now()
+        self.has_seen_restore = True
+        for listener in self.on_restored:
+            listener(self.era - 1, self.era)
         self.revision = store_position.position(self.era, 1)
         self.item = item and {**item, 'metadata': {'rev': self.revision}}
 
@@ -160,16 +167,45 @@
                 self.assertEqual(self.store.item['spec']['era'], 1)
 
     async def test_holder_stops_if_the_lease_was_taken_since_a_restore(self):
-        """Guards against two holders after a restore."""
+        """Guards against two holders after a restore.
+
+        The first one's lease had all but ended.
+        """
         first = self._lease('1')
         await self._hold(first)
-        self.store.restore(None)
         second = self._lease('2', '2')
+        self.store.restore(None)
+        self.store.era_seen_at -= controller_lease.LEASE_S
+        self.store.era_seen_at -= controller_lease.MARGIN_S
         await self._acquire(second)
         await asyncio.sleep(0.3)
         self.assertFalse(first.is_held)
         self.assertTrue(second.is_held)
 
+    async def test_lease_is_not_taken_just_after_a_restore(self):
+        """Guards against a holder that loses its lease to a host that waits.
+
+        The copy names nobody, and the holder has not learnt of it yet.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        second = self._lease('2', '2')
+        self.store.restore({'spec': {'holder': '', 'term': 1}})
+        with self.assertRaises(TimeoutError):
+            await self._acquire(second, controller_lease.LEASE_S)
+        await self._acquire(second)
+
+    async def test_holder_that_was_known_until_a_restore(self):
+        """Guards against an old map that is taken for the newest."""
+        silent, told = self._lease('1'), self._lease('2')
+        silent.record_heartbeat(1)
+        await asyncio.sleep(0.3)
+        told.record_heartbeat(1)
+        with mock.patch.object(controller_lease, 'KNOWN_HOLDER_S', 0.2):
+            self.store.restore(None)
+            self.assertFalse(silent.knew_holder_at_restore())
+            self.assertTrue(told.knew_holder_at_restore())
+
     async def test_holder_whose_lease_ended_before_a_restore(self):
         """Guards against a holder that takes a copy's word for its own.
 
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -149,6 +149,7 @@
                 for service, key_map in self._keys.map_by_service.items()
             }
             contended_services = sorted(self._controller.contended_services)
+            self._keys.record_announced(revisions)
             content = [self._lease.revision, revisions, contended_services]
             self._messenger.send_to_all(message_kinds.HEARTBEAT, content)
             await asyncio.sleep(CONTROLLER_HEARTBEAT_S)
@@ -163,6 +164,7 @@
         lease_revision, revisions, contended_services = content
         self._contended_services = frozenset(contended_services)
         self._lease.record_heartbeat(lease_revision)
+        self._keys.record_announced(revisions)
         self.read_schedule.record_revisions(revisions)
 
     def _on_resigned(self, host_id: str, content: typing.Any) -> None:
--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -1,9 +1,11 @@
-"""The key maps that a controller begins with, and when it may use them.
+"""The key maps that a controller begins with, and when it may move keys.
 
 A map that was written in the store's present era, or that this process wrote
 under the lease that it still holds, names all possible owners. Any other may
 be an old version: grants of a controller that the store has forgotten may run,
-to anybody. Such a map is used only when all of them have ended.
+to anybody. Until all of them have ended no keys are moved. If this host heard
+of all changes of the map until the restore, the owners that it knows are
+renewed meanwhile, by the tokens that they have.
 """
 
 import typing
@@ -27,6 +29,7 @@
         keys: key_table.KeyTable,
         events: ownership_events.OwnershipEvents,
         grant_max_s: float,
+        heard_until_restore: typing.Callable[[], bool],
     ) -> None:
         """Start without maps.
 
@@ -35,7 +38,10 @@
           keys: The newest maps that this host knows.
           events: Records with which map the controller begins.
           grant_max_s: The longest duration of a grant.
+          heard_until_restore: Returns whether this host was the controller, or
+            heard from it, until the last restore of the store.
         """
+        self._heard_until_restore = heard_until_restore
         self._client = client
         self._keys = keys
         self._events = events
@@ -80,33 +86,37 @@
                 clock.now() + self._forgotten_s
             )
 
-    def take(self, service: str) -> model.KeyMap | None:
-        """Return the map to act on, or None while grants may run unknown."""
+    def take(self, service: str) -> model.KeyMap:
+        """Return the map of a service to act on."""
         stored = self._stored_by_service.get(service)
         own = self._own_by_service.get(service)
-        is_restored = self._is_restored(service, stored)
-        if service not in self._usable_at_by_service:
-            if stored is not None and not is_restored:
-                return self._begun(stored, 0)
-            if stored is None and not is_restored:
-                return model.KeyMap(service, 0, (), 0, {})
-            if own is not None:
-                return self._begun(
-                    own._replace(revision=self._revision(service)), 0
-                )
+        is_doubted = service in self._usable_at_by_service
+        if not is_doubted and not self._is_restored(service, stored):
+            return self._begun(stored or _empty_map(service), 0)
+        if not is_doubted and own is not None:
+            revision = self._revision(service)
+            return self._begun(own._replace(revision=revision), 0)
+        if not is_doubted:
             usable_at = self._client.era_seen_at + self._forgotten_s
             self._usable_at_by_service[service] = usable_at
-            self._events.map_doubted(service, usable_at - clock.now())
-        if clock.now() < self._usable_at_by_service[service]:
-            return None
-        del self._usable_at_by_service[service]
-        if stored is None:
-            stored = model.KeyMap(service, 0, (), 0, {})
+        stored = stored or _empty_map(service)
         restores = max(1, self._client.era - stored.era)
         known = self._keys.map_by_service.get(service)
-        return self._begun(
-            key_recovery.recover(stored, known, restores), restores
-        )
+        recover = key_recovery.recover
+        if not is_doubted and self._knows_owners(service):
+            recover = key_recovery.keep_owners
+        return self._begun(recover(stored, known, restores), restores)
+
+    def may_move(self, service: str) -> bool:
+        """Return whether no unknown grant of a service can run any more."""
+        usable_at = self._usable_at_by_service.get(service)
+        if usable_at is None or clock.now() >= usable_at:
+            self._usable_at_by_service.pop(service, None)
+            return True
+        return False
+
+    def _knows_owners(self, service: str) -> bool:
+        return self._keys.is_newest(service) and self._heard_until_restore()
 
     def _revision(self, service: str) -> int:
         stored = self._stored_by_service.get(service)
@@ -121,5 +131,11 @@
         return service in self._keys.map_by_service
 
     def _begun(self, key_map: model.KeyMap, restores: int) -> model.KeyMap:
-        self._events.map_inherited(key_map, self._client.era, restores)
+        usable_at = self._usable_at_by_service.get(key_map.service, 0.0)
+        wait_s = max(0.0, usable_at - clock.now())
+        self._events.map_inherited(key_map, self._client.era, restores, wait_s)
         return key_map
+
+
+def _empty_map(service: str) -> model.KeyMap:
+    return model.KeyMap(service, 0, (), 0, {})
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -133,7 +133,11 @@
             self._on_token_superseded,
         )
         self._inherited_maps = inherited_maps.InheritedMaps(
-            client, keys, events, grant_max_s
+            client,
+            keys,
+            events,
+            grant_max_s,
+            lease.knew_holder_at_restore,
         )
         # Services of which a target has seen a higher token than that of the
         # map, and when that was found last, by `clock.now`.
@@ -217,18 +221,17 @@
             self._begin(service)
         return True
 
-    def _begin(self, service: str) -> model.KeyMap | None:
-        """Begin to act on the map of a service, if it may be used yet."""
+    def _begin(self, service: str) -> model.KeyMap:
+        """Begin to act on the map of a service."""
         key_map = self._inherited_maps.take(service)
-        if key_map is None:
-            return None
         self._map_by_service[service] = key_map
         self._address_by_holder.update(key_map.address_by_holder)
         if key_map.ranges:
             self._inherited_services.add(service)
         for hold in key_map.unsettled:
             self._unsettled.add(service, hold)
-        self._keys.put(key_map)
+        if self._inherited_maps.may_move(service):
+            self._keys.put(key_map)
         return key_map
 
     async def _step(self, service: str) -> bool:
@@ -240,9 +243,9 @@
         key_map = self._map_by_service.get(service)
         if key_map is None:
             key_map = self._begin(service)
-        if key_map is None:
-            return True
         self._record_addresses(service)
+        if not self._inherited_maps.may_move(service):
+            return True
         completed = self._pop_completed(service)
         ranges = key_ranges.mark_completed(key_map.ranges, completed)
         fence = key_map.fence
@@ -523,6 +526,12 @@
             # The token is that of a later move by this host.
             return
         self._events.token_superseded(key_range)
+        if not self._inherited_maps.may_move(service):
+            # Its owner is unknown, and is asked for it later.
+            self._map_by_service[service] = key_map._replace(
+                ranges=key_ranges.mark_moving(key_map.ranges, key_range)
+            )
+            return
         now = clock.now()
         doubted_at = self._doubted_at_by_service.get(service, -math.inf)
         if now - doubted_at < DOUBT_INTERVAL_S:
--- a/amaranthcrank/router/key_controller_test.py
+++ b/amaranthcrank/router/key_controller_test.py
@@ -31,6 +31,9 @@
     term = 1
     revision = 1
 
+    def knew_holder_at_restore(self):
+        return False
+
     def __init__(self):
         self.held_until = clock.now() + 1000
 
--- a/amaranthcrank/router/key_ranges.py
+++ b/amaranthcrank/router/key_ranges.py
@@ -215,6 +215,16 @@
     )
 
 
+def mark_moving(
+    ranges: typing.Sequence[model.KeyRange], moving: model.KeyRange
+) -> tuple[model.KeyRange, ...]:
+    """Return the ranges, of which one moves to the owner that it has."""
+    return tuple(
+        key_range._replace(moving=True) if key_range == moving else key_range
+        for key_range in ranges
+    )
+
+
 def is_reassignment(
     ranges: tuple[model.KeyRange, ...],
     move: key_plan.Move,
--- a/amaranthcrank/router/key_recovery.py
+++ b/amaranthcrank/router/key_recovery.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from amaranthcrank.router import key_ranges
 from amaranthcrank.router import model
 
 # Added to the token of a map for each restore of the store since it was
@@ -40,6 +41,21 @@
     )
 
 
+def keep_owners(
+    stored: model.KeyMap, known: model.KeyMap | None, restores: int
+) -> model.KeyMap:
+    """Return a map in which the known owners keep their keys and tokens.
+
+    All other keys move. The arguments are those of `recover`.
+    """
+    recovered = recover(stored, known, restores)
+    if known is None:
+        return recovered
+    owned = [part for part in known.ranges if not part.moving]
+    others = key_ranges.subtract_keys(recovered.ranges, owned)
+    return recovered._replace(ranges=tuple(sorted([*owned, *others])))
+
+
 def highest_fence(key_map: model.KeyMap) -> int:
     """Return the highest token in a map, also if only ranges were updated."""
     return max([key_map.fence, *(part.fence for part in key_map.ranges)])
--- a/amaranthcrank/router/key_table.py
+++ b/amaranthcrank/router/key_table.py
@@ -24,6 +24,7 @@
         """Start without key maps."""
         self.map_by_service: dict[str, model.KeyMap] = {}
         self._firsts_by_service: dict[str, list[int]] = {}
+        self._announced_by_service: dict[str, int] = {}
         self._completed_moves: collections.deque[tuple[str, int, int, int]] = (
             collections.deque(maxlen=MAX_COMPLETED_MOVES)
         )
@@ -51,6 +52,15 @@
         key_map = self.map_by_service.get(service)
         return 0 if key_map is None else key_map.revision
 
+    def record_announced(self, revision_by_service: dict[str, int]) -> None:
+        """Record the revisions of the maps that the controller has."""
+        self._announced_by_service.update(revision_by_service)
+
+    def is_newest(self, service: str) -> bool:
+        """Return whether no later map of a service was announced."""
+        announced = self._announced_by_service.get(service, 0)
+        return 0 < announced <= self.revision(service)
+
     def apply_diff(
         self,
         service: str,
--- a/amaranthcrank/router/ownership_events.py
+++ b/amaranthcrank/router/ownership_events.py
@@ -164,7 +164,11 @@
         self._log.event('settling_failed', former=holder, error=repr(error))
 
     def map_inherited(
-        self, key_map: model.KeyMap, era: int, restores: int
+        self,
+        key_map: model.KeyMap,
+        era: int,
+        restores: int,
+        wait_s: float,
     ) -> None:
         """Record with which map a controller begins.
 
@@ -173,7 +177,11 @@
           era: The present era of the store.
           restores: How many restores its tokens were raised for; 0 if the map
             was used as it is.
+          wait_s: For how long no keys are moved, as grants by forgotten
+            controllers may run, seconds.
         """
+        if restores:
+            self._registry.add('maps_recovered')
         self._log.event(
             'map_inherited',
             service=key_map.service,
@@ -183,23 +191,12 @@
             written_in_era=key_map.era,
             era=era,
             restores=restores,
+            wait_s=round(wait_s, 2),
             ranges=len(key_map.ranges),
             moving=sum(part.moving for part in key_map.ranges),
             unsettled=len(key_map.unsettled),
         )
 
-    def map_doubted(self, service: str, wait_s: float) -> None:
-        """Record that a map may be an old version, which is not used yet.
-
-        Args:
-          service: The service.
-          wait_s: How long grants by forgotten controllers may run, seconds.
-        """
-        self._registry.add('maps_doubted')
-        self._log.event(
-            'map_doubted', service=service, wait_s=round(wait_s, 2)
-        )
-
     def token_superseded(self, key_range: model.KeyRange) -> None:
         """Record that a target has seen a higher token than its range has."""
         self._registry.add('tokens_superseded')
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -53,6 +53,10 @@
 
     def __init__(self):
         self.is_held = True
+        self.has_heard = False
+
+    def knew_holder_at_restore(self):
+        return self.has_heard
 
     @property
     def held_until(self):
@@ -172,6 +176,57 @@
         await self._run(40.0)
         self.assertEqual(self._overlaps(), [])
 
+    @virtual_time.in_virtual_time
+    async def test_owners_that_this_host_knows(self):
+        """Guards against living owners without keys after a restore.
+
+        This host heard of all changes of the map that the store has lost.
+        """
+        self._prepare(era=1)
+        self.keys.put(LOST)
+        self.keys.record_announced({'book': LOST.revision})
+        self.lease.has_heard = True
+        self._grant_lost_ranges(6.0)
+        task = asyncio.create_task(self._run(30.0))
+        for _ in range(59):
+            await asyncio.sleep(0.5)
+            self.assertEqual(self._owned_share(), 1.0)
+        await task
+        self.assertEqual(self._overlaps(), [])
+        stored = entries.decode_key_map('book', self.store.item)
+        self.assertEqual(stored.era, 1)
+
+    @virtual_time.in_virtual_time
+    async def test_owners_of_which_this_host_missed_a_change(self):
+        """Guards against renewals by a map that is not the newest."""
+        self._prepare(era=1)
+        self.keys.put(LOST._replace(ranges=STORED.ranges, revision=29))
+        self.keys.record_announced({'book': LOST.revision})
+        self.lease.has_heard = True
+        self._grant_lost_ranges(6.0)
+        await self._run(40.0)
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
+    @virtual_time.in_virtual_time
+    async def test_known_owner_that_has_seen_a_higher_token(self):
+        """Guards against an owner that is taken for known, and is not.
+
+        Its range is not granted to anybody before all grants have ended.
+        """
+        self._prepare(era=1)
+        self.keys.put(LOST._replace(ranges=STORED.ranges, revision=29))
+        self.keys.record_announced({'book': 29})
+        self.lease.has_heard = True
+        self._grant_lost_ranges(6.0)
+        self.all_targets[0].take_grant(
+            platform_target.GrantCall(0, LAST_KEY, LOST_FENCE - 1, 0.0, ''),
+            clock.now(),
+        )
+        await self._run(40.0)
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
     @virtual_time.in_virtual_time
     async def test_rejected_tokens_of_a_store_without_eras(self):
         """Guards against moves that are rejected for good.
