Remember that a key map is in doubt until it has been written again

Cause: after a rejected token the map is used only when all grants that it does not know have ended. The wait was forgotten when the controller began again before its end, as after a short lapse of the lease: begin() cleared it, and the set of doubted services was already empty. The map was then used at once with its old tokens. As a second rejection within a minute only sets the target aside, all others were granted keys that might still be held.

Change: the doubt names the revision of the map and lasts until the store has another one. It takes this host's own copy of that revision out as well.

Ruled out: a doubt across a restore of the store; the map is of an earlier era then and waits anyway.

--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -18,6 +18,18 @@
 from amaranthcrank.router import ownership_events
 
 
+class _Doubt(typing.NamedTuple):
+    """What shows that a map is not the newest.
+
+    Attributes:
+      revision: The revision of the map.
+      until: When no grants that it does not know can run, by `clock.now`.
+    """
+
+    revision: int
+    until: float
+
+
 class InheritedMaps:
     """The maps of services that the controller does not act on yet."""
 
@@ -50,6 +62,9 @@
         self._stored_by_service: dict[str, model.KeyMap] = {}
         self._own_by_service: dict[str, model.KeyMap] = {}
         self._usable_at_by_service: dict[str, float] = {}
+        # Kept until the map is written again, as the controller may end while
+        # it waits.
+        self._doubt_by_service: dict[str, _Doubt] = {}
 
     def begin(
         self,
@@ -72,13 +87,20 @@
         self._own_by_service = dict(own_by_service)
         self._usable_at_by_service.clear()
         for service in doubted:
-            own = self._own_by_service.pop(service, None)
-            if own is None or self._revision(service) != own.revision:
-                # Another controller has written the map since.
+            own = self._own_by_service.get(service)
+            if own is not None:
+                self._doubt_by_service[service] = _Doubt(
+                    own.revision, clock.now() + self._forgotten_s
+                )
+        for service, doubt in list(self._doubt_by_service.items()):
+            own = self._own_by_service.get(service)
+            if own is not None and own.revision == doubt.revision:
+                del self._own_by_service[service]
+            if self._revision(service) != doubt.revision:
+                # It has been written since, by this controller or another.
+                del self._doubt_by_service[service]
                 continue
-            self._usable_at_by_service[service] = (
-                clock.now() + self._forgotten_s
-            )
+            self._usable_at_by_service[service] = doubt.until
 
     def take(self, service: str) -> model.KeyMap | None:
         """Return the map to act on, or None while grants may run unknown."""
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -204,6 +204,25 @@
         ]
         self.assertEqual(lasting, [])
 
+    @virtual_time.in_virtual_time
+    async def test_doubt_outlasts_a_run_of_the_controller(self):
+        """Guards against a doubted map that is used after the next start.
+
+        The controller ended for another reason while it waited for the grants
+        that the map does not know.
+        """
+        self._prepare(era=0)
+        self._grant_lost_ranges(6.0)
+        asyncio.get_running_loop().call_later(4.0, self.lease.invalidate)
+        await self._run(9.0)
+        first_at = min(call.at for call in self.calls.sent)
+        lasting = [
+            call
+            for call in self.calls.sent
+            if call.path == names.GRANT_PATH and call.at > first_at + 1.0
+        ]
+        self.assertEqual(lasting, [])
+
     @virtual_time.in_virtual_time
     async def test_target_that_rejects_every_token(self):
         """Guards against a faulty target that stops all moves for good."""
