Forget the number of a held term once another term has begun

Cause: a host that finds its own incarnation in the lease and the number of the term that it last held takes itself for the last holder, and uses its own maps at once. A restored store gives the numbers of lost terms out again. A host that had held such a term, and takes the lease after the restore by a write without a response, found that number and its own incarnation in the present era, though another host had held the lease in what was lost. Its maps did not know that host's grants.

Change: the number of the held term is forgotten when a term begins that does not continue it.

Failing before: test_term_that_is_given_out_again. The era in the lease does not show it: the write without a response already named the present one.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -252,6 +252,8 @@
         )
         if not self.was_last_holder:
             self._term += 1
+            # A store that was restored may give out its number again.
+            self._held_term = None
 
     def _record_taken(self, former: str) -> None:
         self._held_term = self._term
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -184,6 +184,25 @@
         await self._acquire(first)
         self.assertFalse(first.was_last_holder)
 
+    async def test_term_that_is_given_out_again(self):
+        """Guards against a lost term that is taken for the present one.
+
+        This host held the term that the copy's next one is, then another host
+        a later one. The response to the first write after the restore is lost.
+        """
+        other = self._lease('2', '2')
+        await self._acquire(other)
+        await other.resign()
+        copy = self.store.item
+        first = self._lease('1')
+        await self._acquire(first)
+        await first.resign()
+        await self._acquire(other)
+        self.store.restore(copy)
+        self.store.lost_responses = 1
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+
     async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
         """Guards against a controller that goes on by a lease in doubt."""
         first = self._lease('1')
