Continue a lease after a restore only if it has not ended

Cause: the holder's renewal begins after a pause, in which its host may have been suspended beyond the end of the lease. If it learned of a restore first, as by a heartbeat, it wrote its lease into the restored store under its former term and took itself for the last holder. The lease counted as lapsed after that, but the stored one now named this process, its term and the present era, so the next attempt to take it went on with maps from before the suspension. Another host may have held the lease meanwhile, which the store has forgotten.

Change: the lease must still last when the restored store has answered.

Failing before: test_renewal_that_begins_after_the_end_of_the_lease. A renewal without a restore is safe: its revision is that of the former write.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -294,13 +294,19 @@
     async def _continue_after_restore(self) -> bool:
         """Write the held lease into a store that has lost the last writes.
 
+        It must not have ended when the restored store answers: after its end
+        another host can have held it in what was lost.
+
         Returns:
-          False if another host has taken the lease since the restore.
+          False if it has ended, or another host has taken it since the
+          restore.
         """
         try:
             item = await self._client.get(
                 names.LEASES_KIND, LEASE_NAME, CALL_TIMEOUT_S
             )
+            if not self.is_held:
+                return False
             if item is None:
                 await self._create_object()
             else:
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -184,6 +184,23 @@
         await self._acquire(first)
         self.assertFalse(first.was_last_holder)
 
+    async def test_renewal_that_begins_after_the_end_of_the_lease(self):
+        """Guards against a host that was suspended and uses its old maps.
+
+        Another one held the lease meanwhile, which the store has forgotten.
+        The former holder learns of the restore before it renews.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        copy = self.store.item
+        renewing = asyncio.create_task(first.renew())
+        await asyncio.sleep(0.01)
+        first.held_until = clock.now() - 5.0
+        self.store.restore(copy)
+        await renewing
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+
     async def test_term_that_is_given_out_again(self):
         """Guards against a lost term that is taken for the present one.
 
