Continue a lease whose renewal finds the restored store first

Keyed requests would have been refused for some 9 s after a restore, as grants of 6 s end before the 14.6 s do after which a map of an earlier era is used.

Cause: a holder that learned of the restore by the response to its own renewal got a conflict, not the error that names the restore. If the copy named another holder or none, it gave up its lease. If the copy named itself, it adopted the copy's revision without the note that it was the last holder, and so forgot its maps.

Change: any conflict of a renewal whose revision is of an earlier era is resolved like one that was not sent.

Failing before: test_holder_that_learns_of_a_restore_by_a_conflict, in all three cases.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -24,6 +24,7 @@
 from amaranthcrank.platform import entries
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import clock
 from amaranthcrank.router import entry_checks
 from amaranthcrank.router import event_log
@@ -191,13 +192,8 @@
             except store.StoreError as error:
                 self._log.event('lease_not_renewed', reason=str(error))
                 await asyncio.sleep(RETRY_S)
-            except store.RestoredError:
-                if not await self._continue_after_restore():
-                    self._log.event('lease_lost')
-                    self.held_until = 0.0
-                    return
             except store.ConflictError as error:
-                if not self._adopt_own_write(error.item):
+                if not await self._resolve_conflict(error.item):
                     self._log.event('lease_lost')
                     self.held_until = 0.0
                     return
@@ -291,6 +287,22 @@
         )
         self._record_write(item, sent_at)
 
+    async def _resolve_conflict(self, item: typing.Any) -> bool:
+        """Return whether the lease is still held though its renewal failed.
+
+        Args:
+          item: The object that the store has in its place, if it is known.
+        """
+        if self._is_of_earlier_era:
+            # The conflict may come from the restore alone.
+            return await self._continue_after_restore()
+        return self._adopt_own_write(item)
+
+    @property
+    def _is_of_earlier_era(self) -> bool:
+        """Whether the last confirmed write is of before a restore."""
+        return store_position.era_of(self._revision) < self._client.era
+
     async def _continue_after_restore(self) -> bool:
         """Write the held lease into a store that has lost the last writes.
 
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -28,6 +28,8 @@
         self.lost_responses = 0
         self.revision = 1
         self.calls = 0
+        # Whether the next write is sent without knowledge of the last restore.
+        self.hides_restore = False
 
     def _check(self):
         self.calls += 1
@@ -54,7 +56,10 @@
         self._check()
         await asyncio.sleep(self.write_s)
         if revision and store_position.era_of(revision) != self.era:
-            raise store.RestoredError
+            if not self.hides_restore:
+                raise store.RestoredError
+            self.hides_restore = False
+            raise store.ConflictError(self.item)
         if self.item and self.item['metadata']['rev'] != revision:
             raise store.ConflictError(self.item)
         self.revision += 1
@@ -220,6 +225,24 @@
         await self._acquire(first)
         self.assertFalse(first.was_last_holder)
 
+    async def test_holder_that_learns_of_a_restore_by_a_conflict(self):
+        """Guards against keys without an owner after a short restore.
+
+        The holder learns of the restore by the response to its renewal.
+        """
+        for copy in (None, 'own', {'spec': {'holder': '2', 'term': 1}}):
+            with self.subTest(copy=copy):
+                self.store = _Store()
+                first = self._lease('1')
+                await self._hold(first)
+                item = self.store.item if copy == 'own' else copy
+                self.store.restore(item)
+                self.store.hides_restore = True
+                await asyncio.sleep(1.0)
+                self.assertTrue(first.is_held)
+                self.assertTrue(first.was_last_holder)
+                self.assertEqual(self.store.item['spec']['era'], 1)
+
     async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
         """Guards against a controller that goes on by a lease in doubt."""
         first = self._lease('1')
