Keep the controller's maps when it begins again after a restore

Keyed requests would have been refused for some 9 s after most restores.

Cause: the controller ends within 0.1 s of the first response of a new era, which is mostly that of a watch, and its renewal is cancelled with it. It begins again 0.5 s later under the lease that it still holds. But the note that it was the last holder was only made by the next renewal, a second later. A controller in its first run had forgotten its maps by then and waited 14.6 s, while the grants of 6 s ended. That second also let the lease end if the store had been away for one.

Change: a controller that begins again under a lease held since before the restore is its last holder; a renewal in an earlier era is not delayed.

Failing before: test_controller_that_begins_again_after_a_restore and test_renewal_after_a_restore_is_not_delayed. test_holder_stops_if_the_lease_was_taken_since_a_restore began the renewal only after the restore, so the first host took the lease before the second; it begins before now, as it says, and asks for the same.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -140,6 +140,9 @@
           wait_for_store: Waits while the store is known to be unavailable.
           count_hosts: Returns how many hosts may compete for the lease.
         """
+        if self.is_held and self._is_of_earlier_era:
+            # The controller begins again, without a break of the lease.
+            self.was_last_holder = True
         while not self.is_held:
             if has_live_holder():
                 await asyncio.sleep(RETRY_S)
@@ -183,9 +186,10 @@
         only after its end does not begin it again.
         """
         while self.is_held:
-            await asyncio.sleep(
-                RENEWAL_INTERVAL_S * (0.9 + 0.2 * random.random())
-            )
+            if not self._is_of_earlier_era:
+                await asyncio.sleep(
+                    RENEWAL_INTERVAL_S * (0.9 + 0.2 * random.random())
+                )
             ends_at = self.held_until
             try:
                 await self._write(self._host_id)
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -168,6 +168,8 @@
         """Guards against two holders after a restore."""
         first = self._lease('1')
         await self._hold(first)
+        # Its next renewal is due after the second host's attempt.
+        await asyncio.sleep(0.01)
         self.store.restore(None)
         second = self._lease('2', '2')
         await self._acquire(second)
@@ -243,6 +245,34 @@
                 self.assertTrue(first.was_last_holder)
                 self.assertEqual(self.store.item['spec']['era'], 1)
 
+    async def test_controller_that_begins_again_after_a_restore(self):
+        """Guards against a controller that forgets its maps at a restore.
+
+        It ends as soon as this host learns of the restore, mostly before the
+        next renewal, and begins again under the lease that it still holds.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+        self.store.restore(None)
+        await self._acquire(first)
+        self.assertTrue(first.was_last_holder)
+
+    async def test_renewal_after_a_restore_is_not_delayed(self):
+        """Guards against a lease that ends after a short outage of the store.
+
+        Nothing can be done with it until the restored store has it.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        self.store.restore(None)
+        patch = mock.patch.object(controller_lease, 'RENEWAL_INTERVAL_S', 9.0)
+        with patch:
+            renewing = asyncio.create_task(first.renew())
+            self.addCleanup(renewing.cancel)
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.store.item['spec']['era'], 1)
+
     async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
         """Guards against a controller that goes on by a lease in doubt."""
         first = self._lease('1')
