Wait for the grants of a controller that went on after a restore

But its holder may go on after a restore: it renews grants by the maps that it knows, also while its writes of the map fail. And a write of an earlier era may be stored late, in place of a map of the present one, as revisions are given out again. Long after the restore the next controller used such a map at once, though grants that it did not know were still running.

Change: it also waits as long as a grant can run from when it took the lease.

Failing before: test_grants_long_after_the_restore (two owners of the same keys).

--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -51,14 +51,18 @@
         self._client = client
         self._keys = keys
         self._events = events
+        # From the last grant of a controller until none of them can run.
+        self._grants_s = (
+            hold_times.TRANSIT_S + grant_max_s * hold_times.CLOCK_RATE_FACTOR
+        )
         # From when the lease of a forgotten controller was valid at the
         # latest, until none of its grants can run.
         self._forgotten_s = (
             controller_lease.LEASE_S
             + controller_lease.MARGIN_S
-            + hold_times.TRANSIT_S
-            + grant_max_s * hold_times.CLOCK_RATE_FACTOR
+            + self._grants_s
         )
+        self._lease_taken_at = clock.now()
         self._stored_by_service: dict[str, model.KeyMap] = {}
         self._own_by_service: dict[str, model.KeyMap] = {}
         self._usable_at_by_service: dict[str, float] = {}
@@ -66,6 +70,10 @@
         # it waits.
         self._doubt_by_service: dict[str, _Doubt] = {}
 
+    def record_other_holder(self) -> None:
+        """Record that another host may have held the lease until now."""
+        self._lease_taken_at = clock.now()
+
     def begin(
         self,
         stored: typing.Sequence[model.KeyMap],
@@ -116,7 +124,11 @@
                 return self._begun(
                     own._replace(revision=self._revision(service)), 0
                 )
-            usable_at = self._client.era_seen_at + self._forgotten_s
+            # A controller may have gone on after the restore.
+            usable_at = max(
+                self._client.era_seen_at + self._forgotten_s,
+                self._lease_taken_at + self._grants_s,
+            )
             self._usable_at_by_service[service] = usable_at
             self._events.map_doubted(service, usable_at - clock.now())
         if clock.now() < self._usable_at_by_service[service]:
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -151,6 +151,7 @@
         """Act as the controller while the lease is held."""
         if not self._lease.was_last_holder:
             self._calls.assume_prior_grants(self._grant_max_s)
+            self._inherited_maps.record_other_holder()
             self._unsettled.clear()
             self._map_by_service = {}
         own_maps = self._map_by_service
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -155,6 +155,21 @@
         self.assertEqual(self._overlaps(), [])
         self.assertEqual(self._owned_share(), 1.0)
 
+    @virtual_time.in_virtual_time
+    async def test_grants_long_after_the_restore(self):
+        """Guards against grants of a controller that went on after a restore.
+
+        It could not write its map, or a late write of an earlier era replaced
+        it, so the store still names an earlier era.
+        """
+        self._prepare(era=1)
+        self.store.era_seen_at = clock.now() - 60.0
+        self._grant_lost_ranges(GRANT_MAX_S)
+        await self._run(40.0)
+        self.assertEqual(self._rejected(), [])
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
     @virtual_time.in_virtual_time
     async def test_late_grants_that_the_store_has_forgotten(self):
         """Guards against keys that a forgotten owner takes again.
