Recover the unsettled holds that a host knows of later maps

Cause: a map of an earlier era is joined with the newest one that this host knows, but only its ranges and addresses. A former owner that was recorded as unsettled in what the store has lost was asked for its keys no longer, and could hold what it takes late.

Change: the unsettled holds of both versions are settled.

Failing before: test_unsettled_holds_of_all_versions.

--- a/amaranthcrank/router/key_recovery.py
+++ b/amaranthcrank/router/key_recovery.py
@@ -37,6 +37,9 @@
         fence=fence + restores * TOKENS_PER_RESTORE,
         ranges=_all_moving([version.ranges for version in versions]),
         address_by_holder=addresses,
+        unsettled=tuple(
+            sorted({hold for each in versions for hold in each.unsettled})
+        ),
     )
 
 
--- a/amaranthcrank/router/key_recovery_test.py
+++ b/amaranthcrank/router/key_recovery_test.py
@@ -28,6 +28,23 @@
             [(0, 'i-1/1'), (100, 'i-2/1')],
         )
 
+    def test_unsettled_holds_of_all_versions(self):
+        """Guards against a former owner that is no longer asked for keys.
+
+        It may still take a grant that waited. The copy is of before its keys
+        were moved.
+        """
+        first = model.UnsettledHold('i-3/1', 0, 9, 4)
+        second = model.UnsettledHold('i-4/1', 0, 9, 8)
+        stored = _map(5, _range(0, LAST_KEY, 1, 5))._replace(
+            unsettled=(first,)
+        )
+        known = _map(9, _range(0, LAST_KEY, 2, 9))._replace(
+            unsettled=(first, second)
+        )
+        found = key_recovery.recover(stored, known, 1)
+        self.assertEqual(found.unsettled, (first, second))
+
     def test_all_owners_are_former_holders(self):
         """Guards against a known owner that is not asked for its keys."""
         stored = _map(5, _range(0, LAST_KEY, 1, 5, True, 'i-3/1'))
