See a restore by the era in the lease also after a start of the process

Cause: a service without a stored map is given out anew unless this process has seen the era rise or knows a map. A process that has started since the restore has not and does not. If the copy is of before the service's first map, its keys were given out at once, with the first token, while those of the lost map had owners.

Change: a lease of an earlier era shows the restore too. Not covered: a copy that has no lease either, which looks like a new store.

Failing before: test_restore_before_the_start_of_the_process.

--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -108,7 +108,8 @@
       availability: Records when the store answered and when it did not.
       era_seen_at: When this process learned of the present era, by
         `clock.now`.
-      has_seen_restore: Whether the era has risen since the first response.
+      has_seen_restore: Whether the era has risen since the first response, or
+        a stored object is of an earlier one.
       on_restored: Called with the former and the present era when the store
         has come back from an older copy.
     """
@@ -143,6 +144,14 @@
         """Record a position that another host has read."""
         self._record_era(store_position.era_of(position))
 
+    def record_stored_era(self, era: int) -> None:
+        """Record in which era a stored object says that it was written.
+
+        One of an earlier era shows a restore also to a process that has
+        started since.
+        """
+        self.has_seen_restore = self.has_seen_restore or era < self.era
+
     def _record_era(self, era: int) -> None:
         """Notice a new era, which ends the watches of the former one."""
         former = self._era
--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -232,6 +232,8 @@
             self.holder_id == self._host_id
             and spec.get('incarnation') == self._incarnation
         )
+        if entry_checks.is_revision(spec.get('era')):
+            self._client.record_stored_era(spec['era'])
         if self._revision != self._seen_revision:
             self._record_seen(self._revision)
         if self.holder_id and not own and clock.now() < self._seen_expiry:
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.era = 0
+        self.has_seen_restore = False
         self.item = None
         self.availability = store_availability.AvailabilityHistory()
         self.is_unavailable = False
@@ -39,6 +40,9 @@
     def record_position(self, position):
         self.era = max(self.era, store_position.era_of(position))
 
+    def record_stored_era(self, era):
+        self.has_seen_restore = self.has_seen_restore or era < self.era
+
     def restore(self, item):
         """Come back from a copy that has an object, or none."""
         self.era += 1
@@ -273,6 +277,18 @@
             await asyncio.sleep(0.05)
         self.assertEqual(self.store.item['spec']['era'], 1)
 
+    async def test_restore_before_the_start_of_the_process(self):
+        """Guards against keys that are given out anew though they have owners.
+
+        A service without a map had one in what the store has lost. The process
+        has started since, so only the stored lease shows the restore.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        self.store.restore(self.store.item)
+        await self._acquire(self._lease('2', '2'))
+        self.assertTrue(self.store.has_seen_restore)
+
     async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
         """Guards against a controller that goes on by a lease in doubt."""
         first = self._lease('1')
