Take no lease of an earlier era for this process's own

Cause: a restored store gives revisions out again, so a renewal of the former era that is executed late may replace the lease of another host. The former holder then read its own incarnation and took the lease at once, while the other one, which learns of it by its next renewal only, went on granting keys by a map of the present era.

Change: only a lease of the present era is this process's own; for another it waits until that has ended. After a restore this costs nothing, as the map of an earlier era is not used before either.

Failing before: test_late_renewal_of_an_earlier_era (two holders at once).

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -227,10 +227,13 @@
         self.holder_id = holder_in(item)
         self._count = _number_in(spec, 'count')
         self._revision = entries.revision_of(item)
-        # An earlier process of this host may still count on its lease.
+        # An earlier process of this host may still count on its lease. A
+        # lease of an earlier era may be a late write, which has replaced that
+        # of another host.
         own = (
             self.holder_id == self._host_id
             and spec.get('incarnation') == self._incarnation
+            and _number_in(spec, 'era') == self._client.era
         )
         if entry_checks.is_revision(spec.get('era')):
             self._client.record_stored_era(spec['era'])
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -289,6 +289,27 @@
         await self._acquire(self._lease('2', '2'))
         self.assertTrue(self.store.has_seen_restore)
 
+    async def test_late_renewal_of_an_earlier_era(self):
+        """Guards against two holders after a renewal that is stored late.
+
+        The restored store has given out its revision again, so it replaces
+        the lease of another host, which does not know of it yet.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        late = self.store.item['spec']
+        await asyncio.sleep(controller_lease.LEASE_S)
+        self.store.restore(None)
+        second = self._lease('2', '2')
+        await self._acquire(second)
+        self.store.revision += 1
+        self.store.item = {
+            'metadata': {'rev': self.store.revision},
+            'spec': late,
+        }
+        await self._acquire(first)
+        self.assertFalse(second.is_held)
+
     async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
         """Guards against a controller that goes on by a lease in doubt."""
         first = self._lease('1')
