Send differences to the map that the store had after a restore

Requests would have been refused with "not run (421)" by targets that lost their keys before.

Cause: a controller that goes on after a restore uses the map that it knows under the revision of the copy. Other hosts were sent the difference between that map and the next one, which is mostly empty, and applied it to the copy. They then had the copy's owners under the newest revision, and read the map no more.

Change: the first difference is that to the stored map.

Failing before: test_differences_after_a_restore. A host that knows a higher token than the copy's does not use the copy, so this needs one that has started since, or a copy in which only a completion is missing.

--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -110,6 +110,10 @@
                 continue
             self._usable_at_by_service[service] = doubt.until
 
+    def find_stored(self, service: str) -> model.KeyMap | None:
+        """Return the map that the store had, which need not be that used."""
+        return self._stored_by_service.get(service)
+
     def take(self, service: str) -> model.KeyMap | None:
         """Return the map to act on, or None while grants may run unknown."""
         stored = self._stored_by_service.get(service)
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -273,9 +273,13 @@
             self._map_by_service[service] = updated
             if not await self._write(updated):
                 return False
+            former = key_map
+            if service in self._inherited_services:
+                # Other hosts have read what the store had.
+                former = self._inherited_maps.find_stored(service) or key_map
             self._inherited_services.discard(service)
             if self.on_map_written is not None:
-                self.on_map_written(key_map, self._map_by_service[service])
+                self.on_map_written(former, self._map_by_service[service])
             if moves:
                 self._log_moves(service, moves, fence)
         self._start_moves(service)
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -273,6 +273,36 @@
         self.assertEqual(stored.ranges, lost.ranges)
         self.assertEqual(self._overlaps(), [])
 
+    @virtual_time.in_virtual_time
+    async def test_differences_after_a_restore(self):
+        """Guards against hosts that send keys to the copy's owners for good.
+
+        A host that has started since knows the copy only. What is sent to it
+        are differences to the map that it has read.
+        """
+        self._prepare(era=0)
+        task = asyncio.create_task(self._run(8.0))
+        await asyncio.sleep(4.0)
+        copy = key_targets.Store(STORED).item
+        copy['metadata']['rev'] = 1 << 40
+        self.store.era = 1
+        self.store.has_seen_restore = True
+        self.store.item = copy
+        other = key_table.KeyTable()
+        other.put(entries.decode_key_map('book', copy))
+
+        def send_difference(former, new):
+            known = set(former.ranges)
+            changed = [part for part in new.ranges if part not in known]
+            other.apply_diff('book', former.revision, new.revision, changed)
+
+        self.controller.on_map_written = send_difference
+        await task
+        stored = entries.decode_key_map('book', self.store.item)
+        known = other.map_by_service['book']
+        self.assertGreater(known.revision, copy['metadata']['rev'])
+        self.assertEqual(known.ranges, stored.ranges)
+
 
 if __name__ == '__main__':
     unittest.main()
