--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -25,6 +25,7 @@
 from amaranthcrank.platform import entries
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import clock
 from amaranthcrank.router import entry_checks
 from amaranthcrank.router import event_log
@@ -156,6 +157,9 @@
           wait_for_store: Waits while the store is known to be unavailable.
           count_hosts: Returns how many hosts may compete for the lease.
         """
+        if self.is_held and self._is_of_earlier_era:
+            # The controller begins again, without a break of the lease.
+            self.was_last_holder = True
         while not self.is_held:
             if has_live_holder():
                 await asyncio.sleep(RETRY_S)
@@ -199,22 +203,18 @@
         only after its end does not begin it again.
         """
         while self.is_held:
-            await asyncio.sleep(
-                RENEWAL_INTERVAL_S * (0.9 + 0.2 * random.random())
-            )
+            if not self._is_of_earlier_era:
+                await asyncio.sleep(
+                    RENEWAL_INTERVAL_S * (0.9 + 0.2 * random.random())
+                )
             ends_at = self.held_until
             try:
                 await self._write(self._host_id)
             except store.StoreError as error:
                 self._log.event('lease_not_renewed', reason=str(error))
                 await asyncio.sleep(RETRY_S)
-            except store.RestoredError:
-                if not await self._continue_after_restore():
-                    self._log.event('lease_lost')
-                    self.held_until = 0.0
-                    return
             except store.ConflictError as error:
-                if not self._adopt_own_write(error.item):
+                if not await self._resolve_conflict(error.item):
                     self._log.event('lease_lost')
                     self.held_until = 0.0
                     return
@@ -246,11 +246,16 @@
         self.holder_id = holder_in(item)
         self._count = _number_in(spec, 'count')
         self._revision = entries.revision_of(item)
-        # An earlier process of this host may still count on its lease.
+        # An earlier process of this host may still count on its lease. A
+        # lease of an earlier era may be a late write, which has replaced that
+        # of another host.
         own = (
             self.holder_id == self._host_id
             and spec.get('incarnation') == self._incarnation
+            and _number_in(spec, 'era') == self._client.era
         )
+        if entry_checks.is_revision(spec.get('era')):
+            self._client.record_stored_era(spec['era'])
         if self._revision != self._seen_revision:
             self._record_seen(self._revision)
         if self.holder_id and not own and clock.now() < self._seen_expiry:
@@ -287,6 +292,8 @@
         )
         if not self.was_last_holder:
             self._term += 1
+            # A store that was restored may give out its number again.
+            self._held_term = None
 
     def _record_taken(self, former: str) -> None:
         self._held_term = self._term
@@ -324,16 +331,38 @@
         )
         self._record_write(item, sent_at)
 
+    async def _resolve_conflict(self, item: typing.Any) -> bool:
+        """Return whether the lease is still held though its renewal failed.
+
+        Args:
+          item: The object that the store has in its place, if it is known.
+        """
+        if self._is_of_earlier_era:
+            # The conflict may come from the restore alone.
+            return await self._continue_after_restore()
+        return self._adopt_own_write(item)
+
+    @property
+    def _is_of_earlier_era(self) -> bool:
+        """Whether the last confirmed write is of before a restore."""
+        return store_position.era_of(self._revision) < self._client.era
+
     async def _continue_after_restore(self) -> bool:
         """Write the held lease into a store that has lost the last writes.
 
+        It must not have ended when the restored store answers: after its end
+        another host can have held it in what was lost.
+
         Returns:
-          False if another host has taken the lease since the restore.
+          False if it has ended, or another host has taken it since the
+          restore.
         """
         try:
             item = await self._client.get(
                 names.LEASES_KIND, LEASE_NAME, CALL_TIMEOUT_S
             )
+            if not self.is_held:
+                return False
             if item is None:
                 await self._create_object()
             else:
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -31,6 +31,8 @@
         self.lost_responses = 0
         self.revision = 1
         self.calls = 0
+        # Whether the next write is sent without knowledge of the last restore.
+        self.hides_restore = False
 
     def _check(self):
         self.calls += 1
@@ -40,6 +42,9 @@
     def record_position(self, position):
         self.era = max(self.era, store_position.era_of(position))
 
+    def record_stored_era(self, era):
+        self.has_seen_restore = self.has_seen_restore or era < self.era
+
     def restore(self, item):
         """Come back from a copy that has an object, or none."""
         self.era += 1
@@ -61,7 +66,10 @@
         self._check()
         await asyncio.sleep(self.write_s)
         if revision and store_position.era_of(revision) != self.era:
-            raise store.RestoredError
+            if not self.hides_restore:
+                raise store.RestoredError
+            self.hides_restore = False
+            raise store.ConflictError(self.item)
         if self.item and self.item['metadata']['rev'] != revision:
             raise store.ConflictError(self.item)
         self.revision += 1
@@ -173,6 +181,8 @@
         """
         first = self._lease('1')
         await self._hold(first)
+        # Its next renewal is due after the second host's attempt.
+        await asyncio.sleep(0.01)
         second = self._lease('2', '2')
         self.store.restore(None)
         self.store.era_seen_at -= controller_lease.LEASE_S
@@ -220,6 +230,121 @@
         await self._acquire(first)
         self.assertFalse(first.was_last_holder)
 
+    async def test_renewal_that_begins_after_the_end_of_the_lease(self):
+        """Guards against a host that was suspended and uses its old maps.
+
+        Another one held the lease meanwhile, which the store has forgotten.
+        The former holder learns of the restore before it renews.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        copy = self.store.item
+        renewing = asyncio.create_task(first.renew())
+        await asyncio.sleep(0.01)
+        first.held_until = clock.now() - 5.0
+        self.store.restore(copy)
+        await renewing
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+
+    async def test_term_that_is_given_out_again(self):
+        """Guards against a lost term that is taken for the present one.
+
+        This host held the term that the copy's next one is, then another host
+        a later one. The response to the first write after the restore is lost.
+        """
+        other = self._lease('2', '2')
+        await self._acquire(other)
+        await other.resign()
+        copy = self.store.item
+        first = self._lease('1')
+        await self._acquire(first)
+        await first.resign()
+        await self._acquire(other)
+        self.store.restore(copy)
+        self.store.lost_responses = 1
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+
+    async def test_holder_that_learns_of_a_restore_by_a_conflict(self):
+        """Guards against keys without an owner after a short restore.
+
+        The holder learns of the restore by the response to its renewal.
+        """
+        for copy in (None, 'own', {'spec': {'holder': '2', 'term': 1}}):
+            with self.subTest(copy=copy):
+                self.store = _Store()
+                first = self._lease('1')
+                await self._hold(first)
+                item = self.store.item if copy == 'own' else copy
+                self.store.restore(item)
+                self.store.hides_restore = True
+                await asyncio.sleep(1.0)
+                self.assertTrue(first.is_held)
+                self.assertTrue(first.was_last_holder)
+                self.assertEqual(self.store.item['spec']['era'], 1)
+
+    async def test_controller_that_begins_again_after_a_restore(self):
+        """Guards against a controller that forgets its maps at a restore.
+
+        It ends as soon as this host learns of the restore, mostly before the
+        next renewal, and begins again under the lease that it still holds.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        self.assertFalse(first.was_last_holder)
+        self.store.restore(None)
+        await self._acquire(first)
+        self.assertTrue(first.was_last_holder)
+
+    async def test_renewal_after_a_restore_is_not_delayed(self):
+        """Guards against a lease that ends after a short outage of the store.
+
+        Nothing can be done with it until the restored store has it.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        self.store.restore(None)
+        patch = mock.patch.object(controller_lease, 'RENEWAL_INTERVAL_S', 9.0)
+        with patch:
+            renewing = asyncio.create_task(first.renew())
+            self.addCleanup(renewing.cancel)
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.store.item['spec']['era'], 1)
+
+    async def test_restore_before_the_start_of_the_process(self):
+        """Guards against keys that are given out anew though they have owners.
+
+        A service without a map had one in what the store has lost. The process
+        has started since, so only the stored lease shows the restore.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        self.store.restore(self.store.item)
+        await self._acquire(self._lease('2', '2'))
+        self.assertTrue(self.store.has_seen_restore)
+
+    async def test_late_renewal_of_an_earlier_era(self):
+        """Guards against two holders after a renewal that is stored late.
+
+        The restored store has given out its revision again, so it replaces
+        the lease of another host, which does not know of it yet.
+        """
+        first = self._lease('1')
+        await self._acquire(first)
+        late = self.store.item['spec']
+        await asyncio.sleep(controller_lease.LEASE_S)
+        self.store.restore(None)
+        second = self._lease('2', '2')
+        await self._acquire(second)
+        self.store.revision += 1
+        self.store.item = {
+            'metadata': {'rev': self.store.revision},
+            'spec': late,
+        }
+        await self._acquire(first)
+        self.assertFalse(second.is_held)
+
     async def test_invalidated_lease_is_held_once_it_is_confirmed(self):
         """Guards against a controller that goes on by a lease in doubt."""
         first = self._lease('1')
--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -20,6 +20,18 @@
 from amaranthcrank.router import ownership_events
 
 
+class _Doubt(typing.NamedTuple):
+    """What shows that a map is not the newest.
+
+    Attributes:
+      revision: The revision of the map.
+      until: When no grants that it does not know can run, by `clock.now`.
+    """
+
+    revision: int
+    until: float
+
+
 class InheritedMaps:
     """The maps of services that the controller does not act on yet."""
 
@@ -45,17 +57,28 @@
         self._client = client
         self._keys = keys
         self._events = events
+        # From the last grant of a controller until none of them can run.
+        self._grants_s = (
+            hold_times.TRANSIT_S + grant_max_s * hold_times.CLOCK_RATE_FACTOR
+        )
         # From when the lease of a forgotten controller was valid at the
         # latest, until none of its grants can run.
         self._forgotten_s = (
             controller_lease.LEASE_S
             + controller_lease.MARGIN_S
-            + hold_times.TRANSIT_S
-            + grant_max_s * hold_times.CLOCK_RATE_FACTOR
+            + self._grants_s
         )
+        self._lease_taken_at = clock.now()
         self._stored_by_service: dict[str, model.KeyMap] = {}
         self._own_by_service: dict[str, model.KeyMap] = {}
         self._usable_at_by_service: dict[str, float] = {}
+        # Kept until the map is written again, as the controller may end while
+        # it waits.
+        self._doubt_by_service: dict[str, _Doubt] = {}
+
+    def record_other_holder(self) -> None:
+        """Record that another host may have held the lease until now."""
+        self._lease_taken_at = clock.now()
 
     def begin(
         self,
@@ -78,13 +101,24 @@
         self._own_by_service = dict(own_by_service)
         self._usable_at_by_service.clear()
         for service in doubted:
-            own = self._own_by_service.pop(service, None)
-            if own is None or self._revision(service) != own.revision:
-                # Another controller has written the map since.
+            own = self._own_by_service.get(service)
+            if own is not None:
+                self._doubt_by_service[service] = _Doubt(
+                    own.revision, clock.now() + self._forgotten_s
+                )
+        for service, doubt in list(self._doubt_by_service.items()):
+            own = self._own_by_service.get(service)
+            if own is not None and own.revision == doubt.revision:
+                del self._own_by_service[service]
+            if self._revision(service) != doubt.revision:
+                # It has been written since, by this controller or another.
+                del self._doubt_by_service[service]
                 continue
-            self._usable_at_by_service[service] = (
-                clock.now() + self._forgotten_s
-            )
+            self._usable_at_by_service[service] = doubt.until
+
+    def find_stored(self, service: str) -> model.KeyMap | None:
+        """Return the map that the store had, which need not be that used."""
+        return self._stored_by_service.get(service)
 
     def take(self, service: str) -> model.KeyMap:
         """Return the map of a service to act on."""
@@ -97,7 +131,11 @@
             revision = self._revision(service)
             return self._begun(own._replace(revision=revision), 0)
         if not is_doubted:
-            usable_at = self._client.era_seen_at + self._forgotten_s
+            # A controller may have gone on after the restore.
+            usable_at = max(
+                self._client.era_seen_at + self._forgotten_s,
+                self._lease_taken_at + self._grants_s,
+            )
             self._usable_at_by_service[service] = usable_at
         stored = stored or _empty_map(service)
         restores = max(1, self._client.era - stored.era)
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -155,6 +155,7 @@
         """Act as the controller while the lease is held."""
         if not self._lease.was_last_holder:
             self._calls.assume_prior_grants(self._grant_max_s)
+            self._inherited_maps.record_other_holder()
             self._unsettled.clear()
             self._map_by_service = {}
         own_maps = self._map_by_service
@@ -275,9 +276,13 @@
             self._map_by_service[service] = updated
             if not await self._write(updated):
                 return False
+            former = key_map
+            if service in self._inherited_services:
+                # Other hosts have read what the store had.
+                former = self._inherited_maps.find_stored(service) or key_map
             self._inherited_services.discard(service)
             if self.on_map_written is not None:
-                self.on_map_written(key_map, self._map_by_service[service])
+                self.on_map_written(former, self._map_by_service[service])
             if moves:
                 self._log_moves(service, moves, fence)
         self._start_moves(service)
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -159,6 +159,21 @@
         self.assertEqual(self._overlaps(), [])
         self.assertEqual(self._owned_share(), 1.0)
 
+    @virtual_time.in_virtual_time
+    async def test_grants_long_after_the_restore(self):
+        """Guards against grants of a controller that went on after a restore.
+
+        It could not write its map, or a late write of an earlier era replaced
+        it, so the store still names an earlier era.
+        """
+        self._prepare(era=1)
+        self.store.era_seen_at = clock.now() - 60.0
+        self._grant_lost_ranges(GRANT_MAX_S)
+        await self._run(40.0)
+        self.assertEqual(self._rejected(), [])
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
     @virtual_time.in_virtual_time
     async def test_late_grants_that_the_store_has_forgotten(self):
         """Guards against keys that a forgotten owner takes again.
@@ -259,6 +274,25 @@
         ]
         self.assertEqual(lasting, [])
 
+    @virtual_time.in_virtual_time
+    async def test_doubt_outlasts_a_run_of_the_controller(self):
+        """Guards against a doubted map that is used after the next start.
+
+        The controller ended for another reason while it waited for the grants
+        that the map does not know.
+        """
+        self._prepare(era=0)
+        self._grant_lost_ranges(6.0)
+        asyncio.get_running_loop().call_later(4.0, self.lease.invalidate)
+        await self._run(9.0)
+        first_at = min(call.at for call in self.calls.sent)
+        lasting = [
+            call
+            for call in self.calls.sent
+            if call.path == names.GRANT_PATH and call.at > first_at + 1.0
+        ]
+        self.assertEqual(lasting, [])
+
     @virtual_time.in_virtual_time
     async def test_target_that_rejects_every_token(self):
         """Guards against a faulty target that stops all moves for good."""
@@ -294,6 +328,36 @@
         self.assertEqual(stored.ranges, lost.ranges)
         self.assertEqual(self._overlaps(), [])
 
+    @virtual_time.in_virtual_time
+    async def test_differences_after_a_restore(self):
+        """Guards against hosts that send keys to the copy's owners for good.
+
+        A host that has started since knows the copy only. What is sent to it
+        are differences to the map that it has read.
+        """
+        self._prepare(era=0)
+        task = asyncio.create_task(self._run(8.0))
+        await asyncio.sleep(4.0)
+        copy = key_targets.Store(STORED).item
+        copy['metadata']['rev'] = 1 << 40
+        self.store.era = 1
+        self.store.has_seen_restore = True
+        self.store.item = copy
+        other = key_table.KeyTable()
+        other.put(entries.decode_key_map('book', copy))
+
+        def send_difference(former, new):
+            known = set(former.ranges)
+            changed = [part for part in new.ranges if part not in known]
+            other.apply_diff('book', former.revision, new.revision, changed)
+
+        self.controller.on_map_written = send_difference
+        await task
+        stored = entries.decode_key_map('book', self.store.item)
+        known = other.map_by_service['book']
+        self.assertGreater(known.revision, copy['metadata']['rev'])
+        self.assertEqual(known.ranges, stored.ranges)
+
 
 if __name__ == '__main__':
     unittest.main()
