Targets of the soak: end work with its lease, and refuse grants that are too long

What callers saw: nothing; the soak's targets were kinder than the platform's.

Cause: work went on and was answered with 200 after the end of the lease of its key. A grant longer than the longest that the platform allows, or with a malformed range, was taken.

Change: such work ends with 500 at the end of the lease; a release leaves the lease of running work as it is, and a renewal lengthens it. Such grants get 400.

--- a/soak/owner_process.py
+++ b/soak/owner_process.py
@@ -4,7 +4,8 @@
 does to a file. Its clock runs slow and shows another time of day than those of
 other targets. It carries out every call that it has read, also if nobody waits
 for the response any more. Some of its calls get no response and take effect
-seconds later; other responses are sent twice.
+seconds later; other responses are sent twice. A process that is started for a
+target again knows nothing of what the former one held or saw.
 """
 
 import asyncio
@@ -22,12 +23,15 @@
 from amaranthcrank.router import http_server
 from amaranthcrank.router import model
 from soak import call_server
+from standins import platform_settings
 from standins import platform_target
 
 CONTROL_PATH = '/control'
 HEARTBEAT_S = 0.5
 STORE_TIMEOUT_S = 1.0
 WORK_POLL_S = 0.005
+# The platform allows no longer grants.
+MAX_HOLD_MS = platform_settings.MAX_HOLD_MS
 
 
 class Config(typing.NamedTuple):
@@ -100,8 +104,10 @@
         self._rng = random.Random(config.seed)
         self._faults = CallFaults()
         self._tasks: set[asyncio.Task[None]] = set()
-        # The expiry and the highest token seen, by key.
+        # By key: when the target stops to run requests, when its last lease
+        # ends, and the highest token seen.
         self._held_until = [0.0] * model.KEY_COUNT
+        self._lease_until = [0.0] * model.KEY_COUNT
         self._fence_seen = [0] * model.KEY_COUNT
         self._running: dict[int, int] = {}
 
@@ -138,6 +144,8 @@
         if path == names.RELEASE_PATH:
             call = self._take_release
         fields = json.loads(request.body)
+        if not _is_valid(path, fields):
+            return http_server.Response(400, [], b'')
         if self._rng.random() < self._faults.late_share:
             self._start_late(call, fields, arrived_at, request_id.decode())
             return None
@@ -177,6 +185,7 @@
         for key in keys:
             self._fence_seen[key] = call.fence
             self._held_until[key] = until
+            self._lease_until[key] = until
         self.write(
             'hold',
             first=call.first,
@@ -217,13 +226,43 @@
         self.write('run', key=key, request_id=request_id.decode())
         self._running[key] = self._running.get(key, 0) + 1
         try:
-            await asyncio.sleep(self._config.work_s)
+            is_complete = await self._work(key)
         finally:
             self._running[key] -= 1
             self.write('done', key=key, request_id=request_id.decode())
+        if not is_complete:
+            return http_server.Response(500, headers, b'')
         headers.append((names.SIGNATURE, b'signed'))
         return http_server.Response(200, headers, b'ran ' + request_id)
 
+    async def _work(self, key: int) -> bool:
+        """Work on a request; return whether the lease lasted until its end.
+
+        A release leaves the lease of running work as it is.
+        """
+        end_at = time.monotonic() + self._config.work_s
+        while (now := time.monotonic()) < end_at:
+            pause_s = end_at - now
+            if self._config.is_keyed:
+                pause_s = min(pause_s, self._lease_until[key] - now)
+            if pause_s <= 0:
+                return False
+            await asyncio.sleep(pause_s)
+        return not self._config.is_keyed or self._lease_until[key] >= end_at
+
+
+def _is_valid(path: str, fields: dict[str, typing.Any]) -> bool:
+    """Return whether the platform takes a grant or a release."""
+    names_of_fields = ['from', 'target', 'fence']
+    if path == names.GRANT_PATH:
+        names_of_fields.append('holdMs')
+    numbers = [fields.get(name) for name in names_of_fields]
+    if not all(type(number) is int and number >= 0 for number in numbers):
+        return False
+    if not fields['from'] <= fields['target'] < model.KEY_COUNT:
+        return False
+    return fields.get('holdMs', 0) <= MAX_HOLD_MS
+
 
 def _path(request: http_server.Request) -> str:
     return request.path.decode().partition('?')[0]
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -17,6 +17,8 @@
 SETTLE_S = 3.0
 # How long targets of an evacuated failure domain may still receive requests.
 EVACUATION_S = 5.0
+# The longest grant of keys.
+MAX_HOLD_MS = 10_000
 
 _TEMPLATE = """\
 self.nodeName={name}
@@ -38,7 +40,7 @@
 terms.bounds.retryBudgetRatio=0.2
 terms.bounds.budgetWindowS=10
 terms.bounds.budgetMinRetries=60
-terms.bounds.holdMaxMs=10000
+terms.bounds.holdMaxMs={max_hold_ms}
 terms.bounds.evacMs={evacuation_ms}
 """
 
@@ -74,5 +76,6 @@
     fields['store'] = f'{config.store.ip}:{config.store.port}'
     fields['drain_ms'] = round(DRAIN_S * 1000)
     fields['evacuation_ms'] = round(EVACUATION_S * 1000)
+    fields['max_hold_ms'] = MAX_HOLD_MS
     fields['settle_ms'] = round(SETTLE_S * 1000)
     return _TEMPLATE.format(**fields) + f'# {comment}\n'
