Soak: targets that crash and start again at their address, some under their id

What callers saw: nothing; the soak started only new targets after a crash, so keys were never granted to a process that knows nothing of the tokens that one with its id or address had seen.

Change: the fault restart_target ends an owner and starts it again 0.1 to 5 s later at its address, in seven of ten cases under its id. The checks take each process of a target for a holder of its own, as keys move to another one only with a higher token. What excuses grants over a link holds for all targets that were behind it.

InjectTest.test_short_play failed before (AttributeError: __name__): its names lacked restore_store and restore_store_amid_change, which were added to the faults. They are named now, as is restart_target.

Failing before: test_link_that_leads_to_a_target_that_has_restarted (1 != 0). test_target_that_has_restarted passed: the comparison of tokens took what it was told for the holder.

--- a/soak/grant_checks.py
+++ b/soak/grant_checks.py
@@ -11,6 +11,8 @@
 import itertools
 import typing
 
+from soak import holds as key_holds
+
 # Grants for less than this are fences.
 MAX_FENCE_S = 0.01
 # A grant that takes effect so long after its arrival is taken late. Calls that
@@ -22,7 +24,7 @@
     """A grant that a target took.
 
     Attributes:
-      target: The target's id.
+      target: The target's id, and its incarnation if it has several.
       service: The service of the target.
       first: The first key.
       last: The last key, inclusive.
@@ -231,7 +233,7 @@
     if grant.is_excused or grant.at - grant.arrived_at > TAKEN_LATE_S:
         return True
     return any(
-        each.target == grant.target
+        each.target == key_holds.target_of(grant.target)
         and each.since <= grant.arrived_at <= each.until
         for each in held_up
     )
--- a/soak/grant_checks_test.py
+++ b/soak/grant_checks_test.py
@@ -61,6 +61,13 @@
         )
         self.assertEqual(self._found(*grants), [('i-1', 6, 7)])
 
+    def test_target_that_has_restarted(self):
+        """Guards against two processes of a target taken for one holder."""
+        moves = _grant('i-1/0', 1.0, 1), _grant('i-1/4', 2.0, 2)
+        self.assertEqual(self._found(*moves), [])
+        same = _grant('i-1/4', 2.0, 1)
+        self.assertEqual(self._found(moves[0], same), [('i-1/4', 1, 1)])
+
     def test_only_shared_keys_count(self):
         """Guards against tokens that are compared beyond their ranges."""
         first = _grant('i-1', 1.0, 5, 0, 49)
--- a/soak/holds.py
+++ b/soak/holds.py
@@ -27,6 +27,11 @@
     sender: str = ''
 
 
+def target_of(holder: str) -> str:
+    """Return the id of a target, without its incarnation if that is named."""
+    return holder.partition('/')[0]
+
+
 # Shorter overlaps are ignored. An event loop processes events of different
 # connections one after the other, and a target with 65,536 keys sets its state
 # before it writes the record, so recorded times are slightly off. A fence of
--- a/soak/ownership_checks.py
+++ b/soak/ownership_checks.py
@@ -119,13 +119,15 @@
 
     Args:
       fields: The record of the grant.
-      target: The id of the target that took it.
+      target: The target that took it, with its incarnation if it has
+        several.
       resumed: The routers that were resumed.
       healed: The links that went on.
     """
     sender = sender_of(fields)
+    target_id = key_holds.target_of(target)
     starts = [each.at for each in resumed if each.router == sender]
-    starts += [each.at for each in healed if each.target == target]
+    starts += [each.at for each in healed if each.target == target_id]
     return any(
         0 <= fields['arrived_at'] - start <= RESUME_GRACE_S for start in starts
     )
--- a/soak/ownership_checks_test.py
+++ b/soak/ownership_checks_test.py
@@ -81,6 +81,16 @@
         )
         self.assertEqual([each.is_excused for each in grants], [True, False])
 
+    def test_link_that_leads_to_a_target_that_has_restarted(self):
+        """Guards against an excuse that a number of the process takes away."""
+        self._read(_grant(1.2, 7.0))
+        healed = [ownership_checks.Healed('i-1', 1.0)]
+        for holder, count in (('i-1/4', 0), ('i-11/4', 1)):
+            holds = ownership_checks.read_holds(
+                self.path, holder, 'book', math.inf, (), healed
+            )
+            self.assertEqual(len(holds), count)
+
     def test_grants_keep_what_has_expired(self):
         """Guards against a check of tokens that overlooks expired grants."""
         self._read(_grant(9.0, 7.0, arrived_at=1.0))
--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -59,41 +59,53 @@
     )
 
 
-def _random_link(
-    site: ownership_site.Site,
-) -> tuple[str, link.Link] | None:
+def _random_link(site: ownership_site.Site) -> link.Link | None:
     target = site.random_owner()
     if target is None:
         return None
-    target_id = target.config.target_id
-    return target_id, site.link_by_id[target_id]
+    return site.link_by_id[target.config.target_id]
+
+
+def _record_held_up(
+    site: ownership_site.Site,
+    target_link: link.Link,
+    since: float,
+    until: float,
+) -> None:
+    """Record that calls by way of a link could be held up."""
+    for target_id in site.ids_behind(target_link):
+        site.held_up.append(grant_checks.HeldUp(target_id, since, until))
+
+
+def _record_healed(
+    site: ownership_site.Site, target_link: link.Link, now: float
+) -> None:
+    """Record that a link goes on."""
+    for target_id in site.ids_behind(target_link):
+        site.healed.append(ownership_checks.Healed(target_id, now))
 
 
 async def hold_link(site: ownership_site.Site) -> None:
     """Let a link hold back what is sent, one way or both."""
-    chosen = _random_link(site)
-    if chosen is None:
+    held_link = _random_link(site)
+    if held_link is None:
         return
-    target_id, held_link = chosen
     directions = site.rng.choice(HELD_DIRECTIONS)
     since = time.monotonic()
     held_link.hold(directions)
     await asyncio.sleep(site.rng.uniform(*HOLD_S))
     now = time.monotonic()
-    site.healed.append(ownership_checks.Healed(target_id, now))
+    _record_healed(site, held_link, now)
     if link.Direction.REQUESTS in directions:
-        site.held_up.append(
-            grant_checks.HeldUp(target_id, since, now + CATCH_UP_S)
-        )
+        _record_held_up(site, held_link, since, now + CATCH_UP_S)
     held_link.resume(directions)
 
 
 async def delay_link(site: ownership_site.Site) -> None:
     """Let a link delay some of what is sent, each chunk for another time."""
-    chosen = _random_link(site)
-    if chosen is None:
+    slow_link = _random_link(site)
+    if slow_link is None:
         return
-    target_id, slow_link = chosen
     max_delay_s = site.rng.choice(MAX_DELAYS_S)
     since = time.monotonic()
     slow_link.delays = link.Delays(
@@ -102,10 +114,8 @@
     await asyncio.sleep(site.rng.uniform(*DELAYS_S))
     slow_link.delays = link.NO_DELAYS
     now = time.monotonic()
-    site.healed.append(ownership_checks.Healed(target_id, now))
-    site.held_up.append(
-        grant_checks.HeldUp(target_id, since, now + max_delay_s + CATCH_UP_S)
-    )
+    _record_healed(site, slow_link, now)
+    _record_held_up(site, slow_link, since, now + max_delay_s + CATCH_UP_S)
 
 
 async def repeat_responses(site: ownership_site.Site) -> None:
@@ -198,6 +208,7 @@
         site.shift_busy_keys,
         site.drain_target,
         site.crash_target,
+        site.restart_target,
         site.lose_store_answers,
         site.lose_store,
         site.restore_store,
--- a/soak/ownership_faults_test.py
+++ b/soak/ownership_faults_test.py
@@ -39,8 +39,11 @@
             'shift_busy_keys',
             'drain_target',
             'crash_target',
+            'restart_target',
             'lose_store_answers',
             'lose_store',
+            'restore_store',
+            'restore_store_amid_change',
         )
         for name in names:
             fault = mock.AsyncMock()
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import json
 import math
 import pathlib
@@ -63,6 +64,11 @@
 COPIES = 11
 # For how long the store is away before it comes back from a copy, from and to.
 RESTORE_AWAY_S = (0.2, 5.0)
+# How long after its crash a target starts again, from and to. Its entry can
+# expire in between.
+RESTART_AFTER_S = (0.1, 5.0)
+# The share of targets that start again under another id.
+NEW_ID_SHARE = 0.3
 # How many owners must remain when one is to leave, crash or be stopped.
 MIN_OTHER_OWNERS = 2
 
@@ -93,6 +99,23 @@
     process: subprocess.Popen[bytes]
 
 
+class _Records(typing.NamedTuple):
+    """The records of one process of a target.
+
+    Attributes:
+      holder: The id of the target, and a number of the process: another
+        process under the same id is another holder of keys.
+      service: The service.
+      path: The file.
+      ended_at: When the process ended, monotonic seconds; infinite if it runs.
+    """
+
+    holder: str
+    service: str
+    path: pathlib.Path
+    ended_at: float
+
+
 class Site:
     """All processes of a play, and the store."""
 
@@ -108,7 +131,8 @@
         self.store = platform_store.PlatformStore()
         self.routers: list[routers.Router] = []
         self.target_by_id: dict[str, TargetProcess] = {}
-        self.ended_at_by_id: dict[str, float] = {}
+        self.ended_at_by_record: dict[str, float] = {}
+        # One for each process of a target.
         self.configs: list[owner_process.Config] = []
         self.link_by_id: dict[str, link.Link] = {}
         self.stopped: set[str] = set()
@@ -120,6 +144,7 @@
         self.copies: collections.deque[platform_store.Copy] = (
             collections.deque(maxlen=COPIES)
         )
+        self._target_number = itertools.count(1)
         self._stack = stack
         self._folder = folder
         self._counts_releases = counts_releases
@@ -163,7 +188,7 @@
 
     async def add_target(self, service: str) -> None:
         """Start a target with a clock of its own, behind a link if keyed."""
-        number = len(self.configs) + 1
+        number = next(self._target_number)
         target_id = f'i-{service}-{number}'
         address = model.Address(f'{self._network}.4.{number}', TARGET_PORT)
         listen = address
@@ -184,9 +209,12 @@
             WORK_S,
             self.rng.randrange(2**32),
         )
-        self.configs.append(config)
         if config.is_keyed:
             await self._add_link(target_id, address, listen)
+        self._start_target(config)
+
+    def _start_target(self, config: owner_process.Config) -> None:
+        self.configs.append(config)
         process = subprocess.Popen(
             [
                 sys.executable,
@@ -199,7 +227,7 @@
         )
         self._stack.callback(process.wait)
         self._stack.callback(process.kill)
-        self.target_by_id[target_id] = TargetProcess(config, process)
+        self.target_by_id[config.target_id] = TargetProcess(config, process)
 
     async def _add_link(
         self, target_id: str, address: model.Address, listen: model.Address
@@ -210,6 +238,14 @@
         self._stack.callback(target_link.close)
         self.link_by_id[target_id] = target_link
 
+    def ids_behind(self, target_link: link.Link) -> list[str]:
+        """Return the targets that a link has led to."""
+        return [
+            target_id
+            for target_id, each in self.link_by_id.items()
+            if each is target_link
+        ]
+
     def choose_key(self, rng: random.Random) -> int:
         """Return a key: many requests are for a few adjacent ones."""
         if rng.random() < BUSY_SHARE:
@@ -331,10 +367,35 @@
         self._end(target)
         await self.add_target('book')
 
+    async def restart_target(self) -> None:
+        """Crash a target and start it again at its address, without keys.
+
+        It often has the id that it had. Its entry may have expired meanwhile.
+        """
+        target = self.random_owner()
+        if target is None:
+            return
+        del self.target_by_id[target.config.target_id]
+        self._end(target)
+        await asyncio.sleep(self.rng.uniform(*RESTART_AFTER_S))
+        number = next(self._target_number)
+        target_id = target.config.target_id
+        target_link = self.link_by_id[target_id]
+        if self.rng.random() < NEW_ID_SHARE:
+            target_id = f'i-{target.config.service}-{number}'
+        self.link_by_id[target_id] = target_link
+        self._start_target(
+            target.config._replace(
+                target_id=target_id,
+                record=str(self._folder / f'{target_id}-{number}.jsonl'),
+                seed=self.rng.randrange(2**32),
+            )
+        )
+
     def _end(self, target: TargetProcess) -> None:
         target.process.kill()
         target.process.wait()
-        self.ended_at_by_id[target.config.target_id] = time.monotonic()
+        self.ended_at_by_record[target.config.record] = time.monotonic()
 
     async def lose_store_answers(self) -> None:
         """Let the store lose the responses to writes for a while."""
@@ -381,23 +442,27 @@
 
     def _records(
         self,
-    ) -> typing.Iterator[tuple[owner_process.Config, pathlib.Path, float]]:
-        """Yield each target with keys, its records and when it ended."""
-        for config in self.configs:
+    ) -> typing.Iterator[_Records]:
+        """Yield the records of each process of a target with keys."""
+        for number, config in enumerate(self.configs):
             path = pathlib.Path(config.record)
             if config.is_keyed and path.exists():
-                ended_at = self.ended_at_by_id.get(config.target_id, math.inf)
-                yield config, path, ended_at
+                yield _Records(
+                    f'{config.target_id}/{number}',
+                    config.service,
+                    path,
+                    self.ended_at_by_record.get(config.record, math.inf),
+                )
 
     def read_holds(self) -> list[key_holds.Hold]:
         """Return the holds of all targets."""
         holds: list[key_holds.Hold] = []
-        for config, path, ended_at in self._records():
+        for records in self._records():
             holds += ownership_checks.read_holds(
-                path,
-                config.target_id,
-                config.service,
-                ended_at,
+                records.path,
+                records.holder,
+                records.service,
+                records.ended_at,
                 self.resumed,
                 self.healed,
             )
@@ -406,11 +471,11 @@
     def read_grants(self) -> list[grant_checks.Grant]:
         """Return the grants that targets took."""
         grants: list[grant_checks.Grant] = []
-        for config, path, _ in self._records():
+        for records in self._records():
             grants += ownership_checks.read_grants(
-                path,
-                config.target_id,
-                config.service,
+                records.path,
+                records.holder,
+                records.service,
                 self.resumed,
                 self.healed,
             )
@@ -419,9 +484,12 @@
     def read_work(self) -> list[grant_checks.Work]:
         """Return the requests that targets with keys ran."""
         works: list[grant_checks.Work] = []
-        for config, path, ended_at in self._records():
+        for records in self._records():
             works += ownership_checks.read_work(
-                path, config.target_id, config.service, ended_at
+                records.path,
+                records.holder,
+                records.service,
+                records.ended_at,
             )
         return works
 
