Soak: a store that carries writes out late, rejects some machines, or lags behind

What callers saw: nothing; the soak's store treated all machines alike, never carried out a write after its sender had given up, and never answered from an older state.

Change: each router and target reaches the store at an address of its own. New faults (store_faults): writes of all or some machines that get no response and are done 1 to 6 s later if their condition still holds; machines that get 503, 429, resets or silence while others are served; the same for the controller alone; stale reads; discarded history; an outage amid which the entries of all targets expire. Lists have three objects a page.

Failing before: ownership_test and InjectTest name the new faults; store_faults_test and entry_expiry_test.RemovalTest are new.

--- a/soak/entry_expiry.py
+++ b/soak/entry_expiry.py
@@ -1,7 +1,8 @@
 """Removes the entries of targets whose heartbeats do not arrive.
 
-The platform does the same after three heartbeat intervals of silence. A
-target that writes again creates its entry anew.
+The platform does the same after three heartbeat intervals of silence, at times
+also while the store is unavailable. A target that writes again creates its
+entry anew.
 """
 
 import asyncio
@@ -34,7 +35,8 @@
         Args:
           revision_by_name: The present entries and their revisions.
           is_available: Whether the store is available. No heartbeat arrives
-            while it is not, so all intervals begin anew afterwards.
+            while it is not, so all intervals begin anew afterwards; unless
+            entries expire then as well.
           now: The time, monotonic seconds.
         """
         expired = []
@@ -51,13 +53,25 @@
 
 
 async def remove_silent_entries(
-    store: platform_store.PlatformStore, kind: str, heartbeat_s: float
+    store: platform_store.PlatformStore,
+    kind: str,
+    heartbeat_s: float,
+    expire_amid_outages: typing.Callable[[], bool] = lambda: False,
 ) -> None:
-    """Remove entries of a kind until cancelled."""
+    """Remove entries of a kind until cancelled.
+
+    Args:
+      store: The store.
+      kind: The kind.
+      heartbeat_s: The interval in which they are written.
+      expire_amid_outages: Says whether entries expire while the store is
+        unavailable.
+    """
     silence = Silence(heartbeat_s)
     while True:
+        is_available = not store.fault or expire_amid_outages()
         expired = silence.expired(
-            store.revisions(kind), not store.fault, time.monotonic()
+            store.revisions(kind), is_available, time.monotonic()
         )
         for name in expired:
             store.remove(kind, name)
--- a/soak/entry_expiry_test.py
+++ b/soak/entry_expiry_test.py
@@ -1,8 +1,11 @@
+import asyncio
 import unittest
 
 from soak import entry_expiry
+from standins import platform_store
 
 HEARTBEAT_S = 0.5
+SHORT_HEARTBEAT_S = 0.01
 
 
 class SilenceTest(unittest.TestCase):
@@ -36,3 +39,23 @@
         self._expired({}, 3.1)
         self.assertEqual(self._expired({'i-1': 6}, 5.0), [])
         self.assertEqual(self._expired({'i-1': 6}, 6.0), [])
+
+
+class RemovalTest(unittest.IsolatedAsyncioTestCase):
+    async def _is_removed_amid_outage(self, expire_amid_outages):
+        store = platform_store.PlatformStore()
+        store.put('servers', 'i-1', {})
+        store.fault = platform_store.BUSY
+        task = asyncio.create_task(
+            entry_expiry.remove_silent_entries(
+                store, 'servers', SHORT_HEARTBEAT_S, expire_amid_outages
+            )
+        )
+        await asyncio.sleep(3 * entry_expiry.POLL_S)
+        task.cancel()
+        return store.get('servers', 'i-1') is None
+
+    async def test_outage(self):
+        """Guards against entries that never expire amid an outage."""
+        self.assertTrue(await self._is_removed_amid_outage(lambda: True))
+        self.assertFalse(await self._is_removed_amid_outage(lambda: False))
--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -14,6 +14,7 @@
 from soak import link
 from soak import ownership_checks
 from soak import ownership_site
+from soak import store_faults
 
 MEAN_GAP_S = 2.0
 # From and to, in seconds.
@@ -215,8 +216,8 @@
         site.restore_store_amid_change,
     )
     named = [(fault.__name__, fault) for fault in faults]
-    for stall in STALLS:
-        named.append((stall.__name__, _bind(stall, site)))
+    for bound in (*STALLS, *store_faults.FAULTS):
+        named.append((bound.__name__, _bind(bound, site)))
     loop = asyncio.get_running_loop()
     end_at = loop.time() + seconds
     running = []
--- a/soak/ownership_faults_test.py
+++ b/soak/ownership_faults_test.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from soak import ownership_faults
+from soak import store_faults
 
 
 class InRoundsTest(unittest.TestCase):
@@ -49,7 +50,14 @@
             fault = mock.AsyncMock()
             fault.__name__ = name
             setattr(site, name, fault)
-        with mock.patch.object(ownership_faults, 'STALLS', (stall,)):
+
+        async def disrupt_store(_):
+            pass
+
+        with (
+            mock.patch.object(ownership_faults, 'STALLS', (stall,)),
+            mock.patch.object(store_faults, 'FAULTS', (disrupt_store,)),
+        ):
             asyncio.run(ownership_faults.inject(site, 0.0, 0.001))
-        self.assertEqual(set(site.faults), {*names, 'stall'})
+        self.assertEqual(set(site.faults), {*names, 'stall', 'disrupt_store'})
         self.assertEqual(site.faults['change_controller_amid_late_calls'], 2)
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -42,6 +42,10 @@
 SERVICES = [['desk', '/healthz', 100, None], ['book', '/healthz', 100, True]]
 # What the operator writes, and writes again after a restore.
 OPERATOR_KINDS = ('config', 'evacuations')
+# The store's for anybody; those for single machines follow.
+STORE_PORT = 18384
+# So few that lists of small sites have several pages.
+STORE_PAGE_OBJECTS = 3
 TARGET_PORT = 18400
 # Where targets behind a link listen.
 LINKED_TARGET_PORT = 18401
@@ -128,7 +132,11 @@
     ) -> None:
         """Start nothing yet."""
         self.rng = random.Random(seed)
-        self.store = platform_store.PlatformStore()
+        self.store = platform_store.PlatformStore(random.Random(seed))
+        self.store.page_objects = STORE_PAGE_OBJECTS
+        # Machines that reach the store at an address of their own.
+        self.machines: list[str] = []
+        self.entries_expire_amid_outages = False
         self.routers: list[routers.Router] = []
         self.target_by_id: dict[str, TargetProcess] = {}
         self.ended_at_by_record: dict[str, float] = {}
@@ -149,12 +157,12 @@
         self._folder = folder
         self._counts_releases = counts_releases
         self._network = networks.claim(stack, seed)
-        self._store_address = model.Address(f'{self._network}.1.1', 18384)
+        self._store_address = model.Address(f'{self._network}.1.1', STORE_PORT)
 
     async def start(self, shape: Shape) -> None:
         """Start the store, the targets and the routers."""
         await self.store.listen(self._store_address)
-        self._stack.callback(self.store.server.close)
+        self._stack.callback(self.store.close)
         row = platform_site.route_row
         rows = [
             row('read', '/read/', 'desk'),
@@ -166,7 +174,10 @@
         self.store.put('config', 'main', {'spec': spec})
         expiry = asyncio.create_task(
             entry_expiry.remove_silent_entries(
-                self.store, names.TARGETS_KIND, owner_process.HEARTBEAT_S
+                self.store,
+                names.TARGETS_KIND,
+                owner_process.HEARTBEAT_S,
+                lambda: self.entries_expire_amid_outages,
             )
         )
         self._stack.callback(expiry.cancel)
@@ -175,17 +186,27 @@
         for _ in range(shape.others):
             await self.add_target('desk')
         for number in range(shape.routers):
+            name = f'host-{number}'
             router = routers.Router(
-                f'host-{number}',
+                name,
                 f'{self._network}.3.{number + 1}',
                 DOMAINS[number % len(DOMAINS)],
-                self._store_address,
+                await self._listen_for(name),
                 self._folder,
             )
             self._stack.callback(router.close)
             router.start()
             self.routers.append(router)
 
+    async def _listen_for(self, machine: str) -> model.Address:
+        """Return the address at which one machine reaches the store."""
+        self.machines.append(machine)
+        address = self._store_address._replace(
+            port=STORE_PORT + len(self.machines)
+        )
+        await self.store.listen(address, machine)
+        return address
+
     async def add_target(self, service: str) -> None:
         """Start a target with a clock of its own, behind a link if keyed."""
         number = next(self._target_number)
@@ -200,7 +221,7 @@
             service == 'book',
             _text(address),
             _text(listen),
-            _text(self._store_address),
+            _text(await self._listen_for(target_id)),
             DOMAINS[number % len(DOMAINS)],
             str(self._folder / f'{target_id}.jsonl'),
             self.rng.uniform(1.0, MAX_CLOCK_RATE),
@@ -253,7 +274,8 @@
             return key % model.KEY_COUNT
         return callers.any_key(rng)
 
-    def _controller(self) -> routers.Router | None:
+    def controller(self) -> routers.Router | None:
+        """Return the host that holds the lease, if it runs."""
         item = self.store.get(names.LEASES_KIND, controller_lease.LEASE_NAME)
         holder = item['spec']['holder'] if item else ''
         for router in self.routers:
@@ -263,7 +285,7 @@
 
     async def stop_controller(self) -> None:
         """Stop the controller with SIGTERM and start it again."""
-        router = self._controller()
+        router = self.controller()
         if router is None:
             return
         router.terminate()
@@ -273,7 +295,7 @@
 
     async def kill_controller(self) -> None:
         """Kill the controller; it starts again within two seconds."""
-        router = self._controller()
+        router = self.controller()
         if router is None:
             return
         router.kill()
@@ -282,7 +304,7 @@
 
     async def suspend_controller(self) -> None:
         """Suspend the controller for longer than its lease."""
-        router = self._controller()
+        router = self.controller()
         if router is None:
             return
         router.suspend()
--- a/soak/ownership_test.py
+++ b/soak/ownership_test.py
@@ -5,6 +5,7 @@
 
 from soak import ownership
 from soak import ownership_faults
+from soak import store_faults
 
 SEED = 5
 SECONDS = 18.0
@@ -31,5 +32,5 @@
         self.assertEqual(outcome.violations, ())
         self.assertGreater(outcome.moves, 10)
         self.assertGreater(outcome.served[200], 500)
-        for fault in ownership_faults.STALLS:
+        for fault in (*ownership_faults.STALLS, *store_faults.FAULTS):
             self.assertTrue(outcome.faults[fault.__name__], fault.__name__)
