Soak: a store that is slow for all machines or for some

What callers saw: nothing; the soak's store answered at once or not at all.

Change: the fault SLOW of the stand-in, 0.05 to 0.5 s before a call is carried out and again before its response, and slow_down of store_faults.

Failing before: SlowTest is new.

--- a/soak/store_faults.py
+++ b/soak/store_faults.py
@@ -1,4 +1,4 @@
-"""Faults of the store: late writes, stale reads, and machines that it rejects.
+"""Faults of the store: late writes, stale reads, rejected machines, slowness.
 
 Each lasts for some seconds, and several can last at the same time.
 """
@@ -12,6 +12,7 @@
 # From and to, in seconds.
 LATE_WRITES_S = (1.0, 6.0)
 REJECTION_S = (1.0, 8.0)
+SLOWNESS_S = (2.0, 8.0)
 STALE_READS_S = (1.0, 8.0)
 OUTAGE_S = (2.0, 6.0)
 # How often what stale reads show goes on.
@@ -103,6 +104,16 @@
     site.store.stale_copy = None
 
 
+async def slow_down(site: ownership_site.Site) -> None:
+    """Let the store take long for the calls of all machines or of some."""
+    machines = site.machines
+    if site.rng.random() < 0.5:
+        machines = _some_machines(site)
+    await _disrupt(
+        site, machines, platform_store.SLOW, site.rng.uniform(*SLOWNESS_S)
+    )
+
+
 async def discard_history(site: ownership_site.Site) -> None:
     """Discard past changes, so that watches begin anew."""
     site.store.discard_history()
@@ -124,6 +135,7 @@
     reject_machines,
     reject_controller,
     serve_stale_reads,
+    slow_down,
     discard_history,
     lose_store_and_entries,
 )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -31,11 +31,15 @@
 SILENT = 'silent'
 THROTTLED = 'throttled'
 RESETTING = 'resetting'
+SLOW = 'slow'
 LOSES_ANSWERS = 'loses_answers'
 # Writes get no response and are carried out seconds later.
 LATE_WRITES = 'late_writes'
 # From and to, in seconds.
 LATE_WRITE_S = (1.0, 6.0)
+# How long a slow store takes before it carries out a call, and again before
+# it responds, from and to, in seconds.
+SLOW_S = (0.05, 0.5)
 # What a page of a list has at most.
 PAGE_OBJECTS = 500
 PAGE_BYTES = 1_000_000
@@ -226,7 +230,9 @@
     async def _handle_machine(
         self, machine: str, request: http_server.Request
     ) -> http_server.Response:
+        await self._pause_if_slow(machine)
         response = await self._respond(machine, request)
+        await self._pause_if_slow(machine)
         response.headers.append((ERA_HEADER, str(self.era).encode()))
         return response
 
@@ -259,6 +265,10 @@
     def _faults(self, machine: str) -> set[str]:
         return {self.fault, self.fault_by_machine.get(machine, '')}
 
+    async def _pause_if_slow(self, machine: str) -> None:
+        if SLOW in self._faults(machine):
+            await asyncio.sleep(self._rng.uniform(*SLOW_S))
+
     async def _refuse(self, machine: str) -> http_server.Response | None:
         """Refuse a call, or give no response, if a fault has it so."""
         faults = self._faults(machine)
--- a/standins/platform_store_test.py
+++ b/standins/platform_store_test.py
@@ -191,6 +191,18 @@
         self.assertEqual(self.calls.spec('a'), 3)
 
 
+class SlowTest(unittest.TestCase):
+    @virtual_time.in_virtual_time
+    async def test_slow_store(self):
+        """Guards against calls that are fast amid the fault."""
+        calls = _Calls()
+        calls.store.fault = platform_store.SLOW
+        await calls.create('a', 1)
+        taken_s = asyncio.get_running_loop().time()
+        self.assertGreaterEqual(taken_s, 2 * platform_store.SLOW_S[0])
+        self.assertLessEqual(taken_s, 2 * platform_store.SLOW_S[1])
+
+
 class RestoreTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.calls = _Calls()
