Soak: targets that take grants whatever target they name, as an option

What callers saw: nothing. The platform says of requests only that a target refuses what names another one; the soak's targets also refused grants and releases, so nothing would have shown a grant that reaches a later target at its address.

Change: `--no-checks-calls` of soak.ownership. Not played yet with it.

Failing before: test_grant_for_another_target is new.

--- a/soak/owner_process.py
+++ b/soak/owner_process.py
@@ -48,6 +48,8 @@
       record: The path of the file that it appends its records to.
       clock_rate: How many seconds pass in one second of its clock.
       clock_offset_ms: By how much its time of day is ahead.
+      checks_calls: Whether it refuses grants and releases that name another
+        target. The platform promises this for requests only.
       counts_releases: Whether it counts the tokens of releases among those
         that it has seen.
       work_s: How long a request takes.
@@ -64,6 +66,7 @@
     record: str
     clock_rate: float
     clock_offset_ms: int
+    checks_calls: bool
     counts_releases: bool
     work_s: float
     seed: int
@@ -136,7 +139,7 @@
             return http_server.Response(200, [], b'')
         if path not in (names.GRANT_PATH, names.RELEASE_PATH):
             return await self._run(request)
-        if not self._is_meant(request):
+        if self._config.checks_calls and not self._is_meant(request):
             return http_server.Response(421, [], b'')
         arrived_at = time.monotonic()
         request_id = request.header(names.REQUEST_ID) or b''
--- a/soak/owner_process_test.py
+++ b/soak/owner_process_test.py
@@ -15,7 +15,7 @@
 WORK_S = 0.1
 
 
-def _target():
+def _target(checks_calls=True):
     """Return a target that is not started, as each process begins."""
     config = owner_process.Config(
         'i-1',
@@ -28,6 +28,7 @@
         '',
         1.0,
         0,
+        checks_calls,
         False,
         WORK_S,
         1,
@@ -81,6 +82,15 @@
         self.assertEqual(await _run(target, 3), 421)
         self.assertEqual(await _grant(target, 1, longest), 200)
 
+    async def test_grant_for_another_target(self):
+        """Guards against an option without effect."""
+        fields = {'from': 0, 'target': 9, 'fence': 1, 'holdMs': 5000}
+        headers = [(names.EXPECTED_TARGET, b'i-2')]
+        for checks_calls, expected in ((True, 421), (False, 200)):
+            target = _target(checks_calls)
+            status = await _call(target, names.GRANT_PATH, headers, **fields)
+            self.assertEqual(status, expected)
+
     async def test_malformed_range(self):
         target = _target()
         for first, last in ((5, 4), (0, LAST_KEY + 1), (-1, 4), ('0', 4)):
--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -65,6 +65,7 @@
     folder: pathlib.Path | None = None,
     counts_releases: bool = False,
     mean_fault_gap_s: float = ownership_faults.MEAN_GAP_S,
+    checks_calls: bool = True,
 ) -> Outcome:
     """Play one site.
 
@@ -75,13 +76,17 @@
       folder: Where logs and records are kept; a temporary one if None.
       counts_releases: Whether targets count the tokens of releases.
       mean_fault_gap_s: The mean time from one fault to the next.
+      checks_calls: Whether targets refuse grants and releases that name
+        another target.
     """
     async with contextlib.AsyncExitStack() as stack:
         if folder is None:
             folder = pathlib.Path(
                 stack.enter_context(tempfile.TemporaryDirectory())
             )
-        site = ownership_site.Site(stack, seed, folder, counts_releases)
+        site = ownership_site.Site(
+            stack, seed, folder, counts_releases, checks_calls
+        )
         await site.start(shape)
         results: list[callers.Result] = []
         shifting = asyncio.create_task(site.keep_shifting())
@@ -158,6 +163,10 @@
     counts_releases: typing.Annotated[
         bool, typer.Option(help='Targets count the tokens of releases.')
     ] = False,
+    checks_calls: typing.Annotated[
+        bool,
+        typer.Option(help='Targets refuse grants that name another target.'),
+    ] = True,
     gap: typing.Annotated[
         float, typer.Option(help='Mean seconds from one fault to the next.')
     ] = ownership_faults.MEAN_GAP_S,
@@ -174,7 +183,15 @@
             folder.mkdir(parents=True, exist_ok=True)
         outcome = asyncio.run(
             main.run_until_stopped(
-                play(seed, seconds, SHAPES[site], folder, counts_releases, gap)
+                play(
+                    seed,
+                    seconds,
+                    SHAPES[site],
+                    folder,
+                    counts_releases,
+                    gap,
+                    checks_calls,
+                )
             )
         )
         failed += bool(outcome.violations)
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -129,6 +129,7 @@
         seed: int,
         folder: pathlib.Path,
         counts_releases: bool,
+        checks_calls: bool = True,
     ) -> None:
         """Start nothing yet."""
         self.rng = random.Random(seed)
@@ -156,6 +157,7 @@
         self._stack = stack
         self._folder = folder
         self._counts_releases = counts_releases
+        self._checks_calls = checks_calls
         self._network = networks.claim(stack, seed)
         self._store_address = model.Address(f'{self._network}.1.1', STORE_PORT)
 
@@ -226,6 +228,7 @@
             str(self._folder / f'{target_id}.jsonl'),
             self.rng.uniform(1.0, MAX_CLOCK_RATE),
             self.rng.randrange(-MAX_CLOCK_OFFSET_MS, MAX_CLOCK_OFFSET_MS),
+            self._checks_calls,
             self._counts_releases,
             WORK_S,
             self.rng.randrange(2**32),
