Soak: owners that leave without reporting it, and restarts while the store is lost

What callers saw: nothing; the soak's targets always reported that they leave, and a target that starts again could be read from the store unless faults met by chance.

Change: the fault remove_entry (the entry goes, the owner serves on for 2 to 6 s and ends), and restart_target_amid_store_loss.

--- a/soak/owner_process.py
+++ b/soak/owner_process.py
@@ -94,6 +94,7 @@
 
     def __init__(self, config: Config, record: typing.TextIO) -> None:
         """Start without keys."""
+        self.is_registering = True
         self.server = call_server.CallServer(self._handle, self._is_repeated)
         self.entry = platform_target.entry(
             config.service,
@@ -118,6 +119,10 @@
         """Report that it leaves; it goes on serving."""
         self.entry['status']['state'] = model.DRAINING
 
+    def stop_registering(self) -> None:
+        """Write no more to the store; it goes on serving."""
+        self.is_registering = False
+
     def write(self, kind: str, **fields: typing.Any) -> None:
         """Append one record with the present time."""
         line = {'kind': kind, 'at': time.monotonic(), **fields}
@@ -277,7 +282,7 @@
     """Write the target's entry again and again, with a growing count."""
     client = store.Client(settings_file.parse_address(config.store), pool)
     revision = 0
-    while True:
+    while target.is_registering:
         spec = {**target.entry['spec'], 'status': dict(target.entry['status'])}
         target.entry['status']['seq'] += 1
         try:
@@ -310,7 +315,9 @@
         await target.server.listen(settings_file.parse_address(config.listen))
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, target.drain)
+        loop.add_signal_handler(signal.SIGUSR1, target.stop_registering)
         await _register(config, target, connection_pool.Pool(loop.time))
+        await loop.create_future()
 
 
 if __name__ == '__main__':
--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -29,6 +29,8 @@
 # How long after the beginning of a fault another one begins that is to overlap
 # with it.
 OVERLAP_AFTER_S = (0.5, 6.0)
+# How long after the loss of the store a target restarts, from and to.
+RESTART_AFTER_S = (0.0, 2.0)
 # By when a target has taken what waited for it, once it goes on.
 CATCH_UP_S = 0.3
 
@@ -154,6 +156,17 @@
     )
 
 
+async def restart_target_amid_store_loss(site: ownership_site.Site) -> None:
+    """Let a target restart while its entry cannot be read."""
+    await asyncio.gather(
+        site.lose_store(), _later(site, RESTART_AFTER_S, _restart_target)
+    )
+
+
+async def _restart_target(site: ownership_site.Site) -> None:
+    await site.restart_target()
+
+
 async def _change_controller(site: ownership_site.Site) -> None:
     change = site.rng.choice(
         (site.stop_controller, site.kill_controller, site.suspend_controller)
@@ -177,6 +190,7 @@
     hold_link_amid_late_calls,
     change_controller_amid_stop,
     change_controller_amid_hold,
+    restart_target_amid_store_loss,
 )
 
 
@@ -208,6 +222,7 @@
         site.change_controller_amid_late_calls,
         site.shift_busy_keys,
         site.drain_target,
+        site.remove_entry,
         site.crash_target,
         site.restart_target,
         site.lose_store_answers,
--- a/soak/ownership_faults_test.py
+++ b/soak/ownership_faults_test.py
@@ -39,6 +39,7 @@
             'change_controller_amid_late_calls',
             'shift_busy_keys',
             'drain_target',
+            'remove_entry',
             'crash_target',
             'restart_target',
             'lose_store_answers',
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -373,12 +373,24 @@
 
     async def drain_target(self) -> None:
         """Start a target and drain another one."""
+        await self._replace_target(signal.SIGTERM)
+
+    async def remove_entry(self) -> None:
+        """Start a target; another one leaves without reporting it.
+
+        Its entry is removed, and it goes on serving for a while.
+        """
+        await self._replace_target(signal.SIGUSR1)
+
+    async def _replace_target(self, departure: signal.Signals) -> None:
         target = self.random_owner()
         if target is None:
             return
         del self.target_by_id[target.config.target_id]
         await self.add_target('book')
-        target.process.send_signal(signal.SIGTERM)
+        target.process.send_signal(departure)
+        if departure == signal.SIGUSR1:
+            self.store.remove(names.TARGETS_KIND, target.config.target_id)
         await asyncio.sleep(self.rng.uniform(2.0, 6.0))
         self._end(target)
         self.store.remove(names.TARGETS_KIND, target.config.target_id)
