Soak: entries by another writer, also under the id of an owner

What callers saw: nothing; the soak had entries by targets only.

Change: the fault write_foreign_entries puts five malformed entries beside those of targets, and one in place of an owner's until the owner writes again.

Failing before: the two tests of foreign entries in store_faults_test are new.

--- a/soak/store_faults.py
+++ b/soak/store_faults.py
@@ -6,8 +6,11 @@
 import asyncio
 import typing
 
+from amaranthcrank.platform import names
+from amaranthcrank.router import model
 from soak import ownership_site
 from standins import platform_store
+from standins import platform_target
 
 # From and to, in seconds.
 LATE_WRITES_S = (1.0, 6.0)
@@ -119,6 +122,49 @@
     site.store.discard_history()
 
 
+async def write_foreign_entries(site: ownership_site.Site) -> None:
+    """Let another writer put malformed entries among those of targets.
+
+    One replaces the entry of an owner until that writes again; the others
+    expire, as nobody writes them again.
+    """
+    entries = foreign_entries(str(site.rng.randrange(2**32)))
+    target = site.random_owner()
+    if target is not None:
+        _, fields = site.rng.choice(entries)
+        entries.append((target.config.target_id, fields))
+    for name, fields in entries:
+        site.store.put(names.TARGETS_KIND, name, fields)
+
+
+def foreign_entries(
+    suffix: str,
+) -> list[tuple[str, dict[str, typing.Any]]]:
+    """Return names and fields of entries that name no target.
+
+    Args:
+      suffix: Makes the names differ from those of earlier ones.
+    """
+    entry = platform_target.entry(
+        'book', model.Address('127.0.0.1', 1), 'a', 1, model.READY
+    )
+    spec, status = entry['spec'], entry['status']
+    without_address = {
+        name: value for name, value in spec.items() if name != 'address'
+    }
+    variants = {
+        'address': {'spec': without_address, 'status': status},
+        'spec': {'spec': 'book', 'status': status},
+        'born': {'spec': {**spec, 'born': '1'}, 'status': status},
+        'state': {'spec': spec, 'status': {**status, 'state': 'idle'}},
+        'seq': {'spec': spec, 'status': {**status, 'seq': None}},
+    }
+    return [
+        (f'foreign-{name}-{suffix}', fields)
+        for name, fields in variants.items()
+    ]
+
+
 async def lose_store_and_entries(site: ownership_site.Site) -> None:
     """Let the store be away while the entries of all targets expire."""
     site.entries_expire_amid_outages = True
@@ -137,5 +183,6 @@
     serve_stale_reads,
     slow_down,
     discard_history,
+    write_foreign_entries,
     lose_store_and_entries,
 )
--- a/soak/store_faults_test.py
+++ b/soak/store_faults_test.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from amaranthcrank.platform import entries
 from soak import store_faults
 from standins import platform_store
 from standins import virtual_time
@@ -54,6 +55,25 @@
         await task
         self.assertIsNone(site.store.stale_copy)
 
+    @virtual_time.in_virtual_time
+    async def test_entry_of_an_owner_that_is_replaced(self):
+        """Guards against foreign entries that leave the targets' alone."""
+        site = self._site()
+        site.store = platform_store.PlatformStore()
+        site.random_owner().config.target_id = 'i-book-1'
+        await store_faults.write_foreign_entries(site)
+        revisions = site.store.revisions('servers')
+        self.assertIn('i-book-1', revisions)
+        foreign = set(revisions) - {'i-book-1'}
+        self.assertEqual(len(foreign), len(store_faults.foreign_entries('')))
+
+    def test_foreign_entries(self):
+        """Guards against entries that the router rightly takes for targets."""
+        for name, fields in store_faults.foreign_entries('1'):
+            item = {'metadata': {'name': name, 'rev': 1}, **fields}
+            with self.subTest(name), self.assertRaises(entries.EntryError):
+                entries.decode_target(name, item)
+
     @virtual_time.in_virtual_time
     async def test_entries_that_expire_amid_an_outage(self):
         site = self._site()
