--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -14,6 +14,7 @@
 from soak import link
 from soak import ownership_checks
 from soak import ownership_site
+from soak import store_faults
 
 MEAN_GAP_S = 2.0
 # From and to, in seconds.
@@ -28,6 +29,8 @@
 # How long after the beginning of a fault another one begins that is to overlap
 # with it.
 OVERLAP_AFTER_S = (0.5, 6.0)
+# How long after the loss of the store a target restarts, from and to.
+RESTART_AFTER_S = (0.0, 2.0)
 # By when a target has taken what waited for it, once it goes on.
 CATCH_UP_S = 0.3
 
@@ -59,41 +62,53 @@
     )
 
 
-def _random_link(
-    site: ownership_site.Site,
-) -> tuple[str, link.Link] | None:
+def _random_link(site: ownership_site.Site) -> link.Link | None:
     target = site.random_owner()
     if target is None:
         return None
-    target_id = target.config.target_id
-    return target_id, site.link_by_id[target_id]
+    return site.link_by_id[target.config.target_id]
+
+
+def _record_held_up(
+    site: ownership_site.Site,
+    target_link: link.Link,
+    since: float,
+    until: float,
+) -> None:
+    """Record that calls by way of a link could be held up."""
+    for target_id in site.ids_behind(target_link):
+        site.held_up.append(grant_checks.HeldUp(target_id, since, until))
+
+
+def _record_healed(
+    site: ownership_site.Site, target_link: link.Link, now: float
+) -> None:
+    """Record that a link goes on."""
+    for target_id in site.ids_behind(target_link):
+        site.healed.append(ownership_checks.Healed(target_id, now))
 
 
 async def hold_link(site: ownership_site.Site) -> None:
     """Let a link hold back what is sent, one way or both."""
-    chosen = _random_link(site)
-    if chosen is None:
+    held_link = _random_link(site)
+    if held_link is None:
         return
-    target_id, held_link = chosen
     directions = site.rng.choice(HELD_DIRECTIONS)
     since = time.monotonic()
     held_link.hold(directions)
     await asyncio.sleep(site.rng.uniform(*HOLD_S))
     now = time.monotonic()
-    site.healed.append(ownership_checks.Healed(target_id, now))
+    _record_healed(site, held_link, now)
     if link.Direction.REQUESTS in directions:
-        site.held_up.append(
-            grant_checks.HeldUp(target_id, since, now + CATCH_UP_S)
-        )
+        _record_held_up(site, held_link, since, now + CATCH_UP_S)
     held_link.resume(directions)
 
 
 async def delay_link(site: ownership_site.Site) -> None:
     """Let a link delay some of what is sent, each chunk for another time."""
-    chosen = _random_link(site)
-    if chosen is None:
+    slow_link = _random_link(site)
+    if slow_link is None:
         return
-    target_id, slow_link = chosen
     max_delay_s = site.rng.choice(MAX_DELAYS_S)
     since = time.monotonic()
     slow_link.delays = link.Delays(
@@ -102,10 +117,8 @@
     await asyncio.sleep(site.rng.uniform(*DELAYS_S))
     slow_link.delays = link.NO_DELAYS
     now = time.monotonic()
-    site.healed.append(ownership_checks.Healed(target_id, now))
-    site.held_up.append(
-        grant_checks.HeldUp(target_id, since, now + max_delay_s + CATCH_UP_S)
-    )
+    _record_healed(site, slow_link, now)
+    _record_held_up(site, slow_link, since, now + max_delay_s + CATCH_UP_S)
 
 
 async def repeat_responses(site: ownership_site.Site) -> None:
@@ -143,6 +156,17 @@
     )
 
 
+async def restart_target_amid_store_loss(site: ownership_site.Site) -> None:
+    """Let a target restart while its entry cannot be read."""
+    await asyncio.gather(
+        site.lose_store(), _later(site, RESTART_AFTER_S, _restart_target)
+    )
+
+
+async def _restart_target(site: ownership_site.Site) -> None:
+    await site.restart_target()
+
+
 async def _change_controller(site: ownership_site.Site) -> None:
     change = site.rng.choice(
         (site.stop_controller, site.kill_controller, site.suspend_controller)
@@ -166,6 +190,7 @@
     hold_link_amid_late_calls,
     change_controller_amid_stop,
     change_controller_amid_hold,
+    restart_target_amid_store_loss,
 )
 
 
@@ -197,15 +222,17 @@
         site.change_controller_amid_late_calls,
         site.shift_busy_keys,
         site.drain_target,
+        site.remove_entry,
         site.crash_target,
+        site.restart_target,
         site.lose_store_answers,
         site.lose_store,
         site.restore_store,
         site.restore_store_amid_change,
     )
     named = [(fault.__name__, fault) for fault in faults]
-    for stall in STALLS:
-        named.append((stall.__name__, _bind(stall, site)))
+    for bound in (*STALLS, *store_faults.FAULTS):
+        named.append((bound.__name__, _bind(bound, site)))
     loop = asyncio.get_running_loop()
     end_at = loop.time() + seconds
     running = []
