Register again soon after the store has come back from an older copy

What callers saw: nothing at once. After a restore a host that started did not learn of the others, nor they of it, for up to a minute.

Cause: a host notices that its registration is missing only in a list of the shared state. Such a list is made each 30 to 60 s, or if a heartbeat names a later map than the host has. Heartbeats bring maps by datagram, so no list was due after a restore.

Ruled out: the registration itself works, as the list that is due without a controller brings it (shared_feed_test).

All hosts notice it at about the same time, so the delay is random.

--- a/amaranthcrank/router/shared_feed.py
+++ b/amaranthcrank/router/shared_feed.py
@@ -61,6 +61,7 @@
         self._read_schedule = read_schedule
         self._rejections = rejection_log.RejectionLog(log)
         self._backoff = store_sync.RetryBackoff(retry_gate)
+        client.on_restored.append(lambda *_: read_schedule.record_restore())
 
     async def follow(self) -> None:
         """Follow key maps and the other hosts until cancelled.
--- a/amaranthcrank/router/shared_feed_test.py
+++ b/amaranthcrank/router/shared_feed_test.py
@@ -26,9 +26,13 @@
         self.is_unavailable = False
         self.calls = 0
         self.stale_calls = 0
+        self.on_restored = []
+        self.registrations = 0
+        self.own_item = None
 
     async def create(self, kind, name, spec, timeout_s):
-        return None
+        self.registrations += 1
+        self.own_item = {'metadata': {'rev': 10}, 'spec': spec}
 
     async def list_all(self, kind, timeout_s, allow_stale):
         self.calls += 1
@@ -38,8 +42,10 @@
         part = model.KeyRange(0, 65535, 'i-1', 1, 1, False, '')
         key_map = model.KeyMap('book', 1, (part,), 7, {})
         other = peers.Peer('h-2', model.Address('10.0.0.2', 7200), 'a')
+        own = {names.HOST_PREFIX + 'h-1': self.own_item}
         return store.Listing(
             {
+                **(own if self.own_item else {}),
                 names.KEY_MAP_PREFIX + 'book': {
                     'metadata': {'rev': 7},
                     'spec': entries.encode_key_map(key_map),
@@ -57,10 +63,14 @@
 class _ReadSchedule:
     def __init__(self):
         self.reads = 0
+        self.restores = 0
 
     def record_read(self):
         self.reads += 1
 
+    def record_restore(self):
+        self.restores += 1
+
     async def wait(self):
         await asyncio.sleep(0.01)
 
@@ -108,6 +118,24 @@
         await asyncio.sleep(0.1)
         self.assertTrue(self.feed.has_joined)
 
+    async def test_restore_of_the_store(self):
+        """Guards against a registration that is missed only much later."""
+        for listener in self.client.on_restored:
+            listener(1, 2)
+        self.assertEqual(self.read_schedule.restores, 1)
+
+    async def test_registration_that_the_store_has_lost(self):
+        """Guards against a host that is not known to others that start."""
+        await self.feed.register()
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.client.registrations, 1)
+        self.client.own_item = None
+        async with asyncio.timeout(1.0):
+            while self.client.own_item is None:
+                await asyncio.sleep(0.02)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.client.registrations, 2)
+
     async def test_store_unavailable(self):
         self.client.is_unavailable = True
         await asyncio.sleep(0.1)
--- a/amaranthcrank/router/shared_read_schedule.py
+++ b/amaranthcrank/router/shared_read_schedule.py
@@ -64,6 +64,8 @@
         self._spread_s = SPREAD_S * random()
         self._max_age_s = MAX_AGE_S * (1 + random())
         self._requested = False
+        # When the read after a restore of the store is due.
+        self._restored_read_at: float | None = None
 
     def record_revisions(self, revision_by_service: dict[str, int]) -> None:
         """Record the current revisions, as received in a heartbeat."""
@@ -80,8 +82,17 @@
         """Make a read due at once, as there may be unknown hosts."""
         self._requested = True
 
+    def record_restore(self) -> None:
+        """Make a read due soon, as the store came back from an older copy.
+
+        It may lack the registration of this host. All hosts notice at about
+        the same time.
+        """
+        self._restored_read_at = self._clock() + SPREAD_S * self._random()
+
     def record_read(self) -> None:
         """Record that the shared state has just been read."""
+        self._restored_read_at = None
         self._read_at = self._clock()
         self._behind_since = None
         self._requested = False
@@ -93,6 +104,9 @@
         if self._requested:
             return True
         now = self._clock()
+        restored_read_at = self._restored_read_at
+        if restored_read_at is not None and now >= restored_read_at:
+            return True
         if self._behind_since is not None:
             return now - self._behind_since >= LAG_GRACE_S + self._spread_s
         age_s = now - self._read_at
--- a/amaranthcrank/router/shared_read_schedule_test.py
+++ b/amaranthcrank/router/shared_read_schedule_test.py
@@ -73,6 +73,20 @@
         self.schedule.record_read()
         self.assertFalse(self.schedule.is_due())
 
+    def test_read_after_a_restore(self):
+        """Guards against a host that stays unregistered after a restore.
+
+        Heartbeats of a controller that has written its maps again, and the
+        periodic read, bring the next list up to a minute later.
+        """
+        self.schedule.record_restore()
+        self.assertFalse(self.schedule.is_due())
+        self.schedule.record_revisions({'batchbook': 7})
+        self.now += shared_read_schedule.SPREAD_S
+        self.assertTrue(self.schedule.is_due())
+        self.schedule.record_read()
+        self.assertFalse(self.schedule.is_due())
+
     def test_many_hosts_without_a_controller(self):
         """Guards against frequent reads by every host during a failover."""
         self.hosts = 88
