Keep targets for a while whose entries a restored store lacks

What callers saw: requests were refused or waited although targets were free, for as long as targets that had joined shortly before a restore of the store took to write their entries again.

Cause: missing entries were kept only after an outage that was long enough for entries to expire. A store that comes back from an older copy within less time lacks them as well. They counted as removed, at all hosts at once, and each host would have told the others that it had seen the targets depart.

Hosts of a domain with a reader learn of it by the reader's datagram: they list up to half a second later, and would otherwise keep targets that have ended for longer than the settle time.

Failing before: target_feed_test.*.test_entry_that_a_restored_store_lacks. New: tests of directory and outage_grace.

--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -134,6 +134,18 @@
         self._expiries_possible_until = now + REREGISTRATION_S
         self._stale_since = now - stale_s
 
+    def begin_restore(self, keep_s: float) -> None:
+        """Expect an older list, as the store came back from a copy.
+
+        Live targets write missing entries again.
+
+        Args:
+          keep_s: For how long to keep targets whose entries are missing.
+        """
+        now = self._clock()
+        stale_since = now if self._is_current else self._stale_since
+        self.keep_missing(keep_s, now - stale_since)
+
     @property
     def removals_may_be_expiries(self) -> bool:
         """Whether entries removed now may have expired in an outage."""
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -139,6 +139,30 @@
         self.directory.drop_expired()
         self.assertEqual(self._ids(), ['i-1'])
 
+    def test_entries_that_a_restored_store_lacks(self):
+        """Guards against live targets that are taken for ended."""
+        self.directory.replace_all([entry('i-1'), entry('i-2')])
+        self.directory.begin_restore(KEEP_S)
+        self.directory.replace_all([])
+        self.assertEqual(self._ids(), ['i-1', 'i-2'])
+        self.directory.put(entry('i-1'))
+        self.now += KEEP_S + 0.1
+        self.directory.drop_expired()
+        self.assertEqual(self._ids(), ['i-1'])
+        self.assertFalse(self.directory.has_departed('i-2/1'))
+
+    def test_drain_that_started_before_a_restore(self):
+        """Guards against keyed requests to targets that departed long ago.
+
+        The store was also unavailable before it came back.
+        """
+        self.directory.replace_all([entry('i-1')])
+        self.directory.mark_stale(STALE_S)
+        self.directory.begin_restore(KEEP_S)
+        self.directory.replace_all([entry('i-1', model.DRAINING)])
+        target = self.directory.by_id['i-1']
+        self.assertEqual(target.draining_since, self.now - STALE_S)
+
     def test_departure_seen_by_another_host(self):
         """Guards against requests to departed targets after the drain time.
 
--- a/amaranthcrank/router/outage_grace.py
+++ b/amaranthcrank/router/outage_grace.py
@@ -4,6 +4,8 @@
 shortly after it. A host that alone could not reach the store also finds
 entries missing, but because their targets departed. By itself it cannot
 distinguish the two cases.
+
+Entries are also missing if the store comes back from an older copy.
 """
 
 import typing
@@ -74,3 +76,14 @@
         )
         self._targets.keep_missing(keep_s, lost_s)
         self._departures.query()
+
+    def on_restored(self, seen_at: float) -> None:
+        """Prepare for the first list after a restore of the store.
+
+        Args:
+          seen_at: When this host learned of the restore, by `clock.now`.
+        """
+        keep_s = directory.REREGISTRATION_S - (clock.now() - seen_at)
+        self._log('store_restore_listed', keep_s=round(keep_s, 2))
+        self._targets.begin_restore(keep_s)
+        self._departures.query()
--- a/amaranthcrank/router/outage_grace_test.py
+++ b/amaranthcrank/router/outage_grace_test.py
@@ -26,6 +26,9 @@
         self.keep_s = keep_s
         self.lost_s = lost_s
 
+    def begin_restore(self, keep_s):
+        self.keep_s = keep_s
+
 
 class _Departures:
     """Counts queries to other hosts."""
@@ -90,6 +93,19 @@
         self.assertEqual(self.targets.keep_s, 0.0)
         self.assertEqual(self.departures.queried, 0)
 
+    def test_restore(self):
+        """Guards against live targets that are dropped after a restore."""
+        self.grace.on_restored(clock.now())
+        self.assertAlmostEqual(
+            self.targets.keep_s, directory.REREGISTRATION_S, delta=0.1
+        )
+        self.assertEqual(self.departures.queried, 1)
+
+    def test_late_list_after_a_restore(self):
+        """Guards against requests to departed targets after the drain time."""
+        self.grace.on_restored(clock.now() - 1.5)
+        self.assertLess(self.targets.keep_s + 1.5, SETTLE_S)
+
     def test_store_that_answers_other_hosts_is_available(self):
         """Guards against requests to departed targets after the drain time.
 
--- a/amaranthcrank/router/target_feed.py
+++ b/amaranthcrank/router/target_feed.py
@@ -12,6 +12,7 @@
 from amaranthcrank.platform import entries
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import catch_up
 from amaranthcrank.router import change_history
 from amaranthcrank.router import change_parts
@@ -59,8 +60,12 @@
           log: Logs entries that could not be decoded.
           retry_gate: Awaited before each retry of a failed read.
           election: Decides whether this host reads the store.
-          grace: Notified when the store is reachable again.
+          grace: Notified when the store is reachable again, or was restored.
         """
+        self._client = client
+        self._grace = grace
+        # The era of the last list; None before the first one.
+        self._era: int | None = None
         self._availability = client.availability
         self._targets = targets
         self._messenger = messenger
@@ -112,6 +117,10 @@
             entry = self._decode(name, item)
             if entry is not None:
                 found.append(entry)
+        era = store_position.era_of(revision)
+        if self._era is not None and era > self._era:
+            self._grace.on_restored(self._client.era_seen_at)
+        self._era = era
         self._targets.replace_all(found)
         self._targets.mark_current()
         self._catch_up.history.reset(revision)
@@ -200,6 +209,8 @@
     def _on_domain_read(self, host_id: str, content: typing.Any) -> None:
         """Apply what another host of the failure domain has just read."""
         from_revision, revision, index, count, part, failed_ms = content
+        # Missing entries are kept from when a restore is first known.
+        self._client.record_position(revision)
         # The store is available, even if this host cannot reach it.
         self._availability.record_answer_to_other(failed_ms)
         self._reachability.record_answer()
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -121,6 +121,27 @@
         await asyncio.sleep(self.DISCONNECTED_S)
         return stack
 
+    async def _keeps(self, target_id, seconds):
+        """Return whether all hosts know a target for some time."""
+        end_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_at:
+            for targets in self.targets_by_host.values():
+                targets.drop_expired()
+                if target_id not in targets.by_id:
+                    return False
+            await asyncio.sleep(0.02)
+        return True
+
+    async def _restore_without_entry(self):
+        """Restore a copy that lacks the entry of a target of all hosts."""
+        copied = self.cluster.store.copy()
+        self._put(2)
+        await self._wait(lambda targets: 'i-2' in targets.by_id)
+        # The pause after changes. Reads of other kinds make none, and notice
+        # a restore in it.
+        await asyncio.sleep(target_feed.BATCH_S)
+        self.cluster.store.restore(copied)
+
 
 class TargetFeedTest(_FeedsTest):
     async def test_one_host_reads(self):
@@ -221,6 +242,20 @@
             + 0.5,
         )
 
+    async def test_entry_that_a_restored_store_lacks(self):
+        """Guards against live targets that get no requests after a restore."""
+        await self._restore_without_entry()
+        self.assertTrue(await self._keeps('i-2', 1.5))
+        self._put(2)
+        await self._wait(
+            lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
+        )
+
+    async def test_target_that_ended_before_a_restore(self):
+        """Guards against requests to it until the store is read again."""
+        await self._restore_without_entry()
+        await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
+
     async def test_outage(self):
         self.cluster.store.fault = platform_store.BUSY
         await asyncio.sleep(2.0)
@@ -287,6 +322,20 @@
 
     HOSTS = 3
 
+    async def test_entry_that_a_restored_store_lacks(self):
+        """Guards against live targets that get no requests after a restore."""
+        await self._restore_without_entry()
+        self.assertTrue(await self._keeps('i-2', 1.5))
+        self._put(2)
+        await self._wait(
+            lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
+        )
+
+    async def test_target_that_ended_before_a_restore(self):
+        """Guards against requests to it until the store is read again."""
+        await self._restore_without_entry()
+        await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
+
     async def test_departure_missed_by_a_disconnected_host(self):
         """Guards against requests to departed targets after the drain time.
 
