Use no entries that a restored store brings back of targets that have left

What callers saw: requests reached targets that had left, or a former address that another service may have got by then, for the seconds until the entries expired again. Draining targets got new requests, and a restarted target was taken for its former start.

Cause: the first list after a restore of the store replaced all that was known. A departure, a later start, a move or a drain was forgotten if the copy was older than it.

Ruled out: the ticket, whose number keeps the older one out of force, and watches at a revision that the store soon has again (test_manifest_at_revisions_that_exist_again passed before and after: the heartbeats of the controller name the new era).

Change: in the first seconds of an era an entry in a list is put aside if this host knows a later start, another address or service of the same start, or the departure of this start. It is used when the target writes it again, or if it is still there after three heartbeats and a second: then the target lives. A target that was seen to drain stays so.

A host that starts after the restore knows no departures, and uses the old entries until they expire.

--- a/amaranthcrank/router/directory.py
+++ b/amaranthcrank/router/directory.py
@@ -99,6 +99,9 @@
         self._held_off_until_by_holder: dict[str, float] = {}
         self._clock = clock
         self._log = log
+        # Entries of a restored store that are older than what is known.
+        self._outdated_by_id: dict[str, model.TargetEntry] = {}
+        self._outdated_until = 0.0
         self._keep_missing_until = 0.0
         self._expiries_possible_until = 0.0
         self._stale_since = 0.0
@@ -134,17 +137,23 @@
         self._expiries_possible_until = now + REREGISTRATION_S
         self._stale_since = now - stale_s
 
-    def begin_restore(self, keep_s: float) -> None:
+    def begin_restore(self, keep_s: float, expiry_s: float) -> None:
         """Expect an older list, as the store came back from a copy.
 
-        Live targets write missing entries again.
+        Live targets write missing entries again. Entries of targets that have
+        ended, or of their former starts, expire.
 
         Args:
           keep_s: For how long to keep targets whose entries are missing.
+          expiry_s: After which time entries that are older than what is known
+            must have expired; what is left of them is applied then.
         """
         now = self._clock()
         stale_since = now if self._is_current else self._stale_since
         self.keep_missing(keep_s, now - stale_since)
+        self._outdated_until = now + expiry_s
+        for target in self.by_id.values():
+            self._remember_drain(target)
 
     @property
     def removals_may_be_expiries(self) -> bool:
@@ -183,6 +192,9 @@
     def replace_all(self, entries: typing.Iterable[model.TargetEntry]) -> None:
         """Replace all entries by a complete list."""
         entry_by_id = {entry.target_id: entry for entry in entries}
+        self._outdated_by_id = self._find_outdated(entry_by_id)
+        for target_id in self._outdated_by_id:
+            del entry_by_id[target_id]
         for target_id in list(self.by_id):
             if target_id not in entry_by_id:
                 self._handle_removal(target_id)
@@ -193,11 +205,13 @@
 
     def put(self, entry: model.TargetEntry) -> None:
         """Add or update an entry."""
+        self._outdated_by_id.pop(entry.target_id, None)
         self._upsert(entry)
         self._publish_change()
 
     def remove(self, target_id: str) -> None:
         """Handle the removal of an entry from the store."""
+        self._outdated_by_id.pop(target_id, None)
         self._handle_removal(target_id)
         self._publish_change()
 
@@ -282,9 +296,43 @@
                 continue
             self._drop(target_id, EXPIRED)
             dropped = True
-        if dropped:
+        if self._apply_outdated(now) or dropped:
             self._publish_change()
 
+    def _find_outdated(
+        self, entry_by_id: dict[str, model.TargetEntry]
+    ) -> dict[str, model.TargetEntry]:
+        """Return the entries of a list that are older than what is known."""
+        if self._clock() >= self._outdated_until:
+            return {}
+        departed: dict[str, int] = {}
+        for holder in self._departure_by_holder:
+            target_id, incarnation = model.split_holder(holder)
+            departed[target_id] = max(departed.get(target_id, 0), incarnation)
+        outdated = {}
+        for target_id, entry in entry_by_id.items():
+            known = self.by_id.get(target_id)
+            if known is None:
+                is_outdated = entry.incarnation <= departed.get(target_id, -1)
+            else:
+                is_outdated = _is_older_instance(entry, known.entry)
+            if is_outdated:
+                outdated[target_id] = entry
+                self._log('target_outdated', target=entry.holder)
+        return outdated
+
+    def _apply_outdated(self, now: float) -> bool:
+        """Apply entries that have not expired; return whether there are any.
+
+        Their targets live, as somebody keeps the entries alive.
+        """
+        if not self._outdated_by_id or now < self._outdated_until:
+            return False
+        for entry in self._outdated_by_id.values():
+            self._upsert(entry)
+        self._outdated_by_id = {}
+        return True
+
     def _drop_expired_notices(self, now: float) -> None:
         for holder, since in list(self._leaving_since_by_holder.items()):
             if now - since > LEAVING_RETENTION_S:
@@ -438,8 +486,19 @@
             target.missing_until = self._keep_missing_until
             self._log('target_missing', target=target_id)
 
+    def _remember_drain(self, target: target_state.Target) -> None:
+        """Remember that a target drains, though its entry may say otherwise.
+
+        A drain that has lasted longer than it may counts as just over.
+        """
+        if target.draining_since is None:
+            return
+        since = max(target.draining_since, self._clock() - self.drain_s)
+        self._leaving_since_by_holder.setdefault(target.entry.holder, since)
+
     def _drop(self, target_id: str, reason: str) -> None:
         target = self.by_id.pop(target_id)
+        self._remember_drain(target)
         self._departure_by_holder[target.entry.holder] = Departure(
             self._earliest_change_at(), reason == EXPIRED
         )
@@ -464,3 +523,12 @@
     if known.incarnation != entry.incarnation:
         return True
     return known.address != entry.address or known.service != entry.service
+
+
+def _is_older_instance(
+    entry: model.TargetEntry, known: model.TargetEntry
+) -> bool:
+    """Return whether an entry of a restored store is of a former instance."""
+    if entry.incarnation != known.incarnation:
+        return entry.incarnation < known.incarnation
+    return _is_new_instance(known, entry)
--- a/amaranthcrank/router/directory_test.py
+++ b/amaranthcrank/router/directory_test.py
@@ -5,6 +5,7 @@
 
 KEEP_S = 2.3
 STALE_S = 5.0
+EXPIRY_S = 4.0
 
 
 def entry(target_id='i-1', state=model.READY, incarnation=1, port=1):
@@ -142,7 +143,7 @@
     def test_entries_that_a_restored_store_lacks(self):
         """Guards against live targets that are taken for ended."""
         self.directory.replace_all([entry('i-1'), entry('i-2')])
-        self.directory.begin_restore(KEEP_S)
+        self.directory.begin_restore(KEEP_S, EXPIRY_S)
         self.directory.replace_all([])
         self.assertEqual(self._ids(), ['i-1', 'i-2'])
         self.directory.put(entry('i-1'))
@@ -158,11 +159,104 @@
         """
         self.directory.replace_all([entry('i-1')])
         self.directory.mark_stale(STALE_S)
-        self.directory.begin_restore(KEEP_S)
+        self.directory.begin_restore(KEEP_S, EXPIRY_S)
         self.directory.replace_all([entry('i-1', model.DRAINING)])
         target = self.directory.by_id['i-1']
         self.assertEqual(target.draining_since, self.now - STALE_S)
 
+    def _restore(self, *entries):
+        self.directory.begin_restore(KEEP_S, EXPIRY_S)
+        self.directory.replace_all(entries)
+
+    def _ready(self):
+        targets = self.directory.ready('desk')
+        return [target.entry.holder for target in targets]
+
+    def test_departed_target_that_a_copy_brings_back(self):
+        """Guards against requests to a target that has left and serves on."""
+        self.directory.replace_all([entry('i-1'), entry('i-2')])
+        self.directory.remove('i-1')
+        for _ in range(2):
+            self._restore(entry('i-1'), entry('i-2'))
+            self.assertEqual(self._ids(), ['i-2'])
+        self.directory.remove('i-1')
+        self.now += EXPIRY_S
+        self.directory.drop_expired()
+        self.assertEqual(self._ids(), ['i-2'])
+
+    def test_departed_target_whose_entry_does_not_expire(self):
+        """Guards against a live target that gets no requests for good.
+
+        It had lost the store for so long that its entry expired. It writes
+        nothing but heartbeats after the restore, which make no changes.
+        """
+        self.directory.replace_all([entry('i-1')])
+        self.directory.remove('i-1')
+        self._restore(entry('i-1'))
+        self.now += EXPIRY_S - 0.1
+        self.directory.drop_expired()
+        self.assertEqual(self._ids(), [])
+        self.now += 0.1
+        self.directory.drop_expired()
+        self.assertEqual(self._ids(), ['i-1'])
+
+    def test_departed_target_that_writes_its_entry_again(self):
+        self.directory.replace_all([entry('i-1')])
+        self.directory.remove('i-1')
+        self._restore(entry('i-1'))
+        self.directory.put(entry('i-1'))
+        self.assertEqual(self._ids(), ['i-1'])
+
+    def test_former_start_that_a_copy_brings_back(self):
+        """Guards against keys for a start of a target that has ended."""
+        self.directory.replace_all([entry('i-1', incarnation=1)])
+        self.directory.put(entry('i-1', incarnation=2))
+        self._restore(entry('i-1', incarnation=1))
+        self.assertEqual(self._ready(), ['i-1/2'])
+        self.directory.put(entry('i-1', incarnation=2))
+        self.now += EXPIRY_S
+        self.directory.drop_expired()
+        self.assertEqual(self._ready(), ['i-1/2'])
+
+    def test_former_start_of_a_departed_target(self):
+        self.directory.replace_all([entry('i-1', incarnation=2)])
+        self.directory.remove('i-1')
+        self._restore(entry('i-1', incarnation=1))
+        self.assertEqual(self._ids(), [])
+
+    def test_former_address_that_a_copy_brings_back(self):
+        """Guards against requests to an address that others may have got."""
+        self.directory.replace_all([entry('i-1', port=1)])
+        self.directory.put(entry('i-1', port=2))
+        self._restore(entry('i-1', port=1))
+        (target,) = self.directory.ready('desk')
+        self.assertEqual(target.entry.address.port, 2)
+
+    def test_new_start_in_the_list_after_a_restore(self):
+        """Guards against a restarted target that is taken for an old one."""
+        self.directory.replace_all([entry('i-1', incarnation=1)])
+        self._restore(entry('i-1', incarnation=2))
+        self.assertEqual(self._ready(), ['i-1/2'])
+
+    def test_draining_target_that_a_copy_shows_as_ready(self):
+        """Guards against requests to a target that leaves.
+
+        It writes its entry again, or the entry expires.
+        """
+        self.directory.replace_all([entry('i-1'), entry('i-2')])
+        for target_id in ('i-1', 'i-2'):
+            self.directory.put(entry(target_id, model.DRAINING))
+        self.directory.remove('i-2')
+        draining_since = self.now
+        self.now += 1.0
+        self._restore(entry('i-1'), entry('i-2'))
+        self.assertEqual(self._ready(), [])
+        target = self.directory.by_id['i-1']
+        self.assertEqual(target.draining_since, draining_since)
+        self.now += EXPIRY_S
+        self.directory.drop_expired()
+        self.assertEqual(self._ready(), [])
+
     def test_departure_seen_by_another_host(self):
         """Guards against requests to departed targets after the drain time.
 
--- a/amaranthcrank/router/outage_grace.py
+++ b/amaranthcrank/router/outage_grace.py
@@ -20,6 +20,10 @@
 EXPIRY_HEARTBEATS = 1.6
 # The end of the grace period is detected at most this much later.
 EXPIRY_MARGIN_S = 0.3
+# When the store comes back from an older copy, the entries of targets that
+# have ended expire anew.
+RESTORED_EXPIRY_HEARTBEATS = 3
+RESTORED_EXPIRY_MARGIN_S = 1.0
 
 
 class OutageGrace:
@@ -49,6 +53,9 @@
         self._targets = targets
         self._departures = departures
         self._expiry_s = heartbeat_s * EXPIRY_HEARTBEATS
+        self._restored_expiry_s = (
+            heartbeat_s * RESTORED_EXPIRY_HEARTBEATS + RESTORED_EXPIRY_MARGIN_S
+        )
         self._settle_s = settle_s
         self._log = log
 
@@ -85,5 +92,5 @@
         """
         keep_s = directory.REREGISTRATION_S - (clock.now() - seen_at)
         self._log('store_restore_listed', keep_s=round(keep_s, 2))
-        self._targets.begin_restore(keep_s)
+        self._targets.begin_restore(keep_s, self._restored_expiry_s)
         self._departures.query()
--- a/amaranthcrank/router/outage_grace_test.py
+++ b/amaranthcrank/router/outage_grace_test.py
@@ -26,7 +26,7 @@
         self.keep_s = keep_s
         self.lost_s = lost_s
 
-    def begin_restore(self, keep_s):
+    def begin_restore(self, keep_s, expiry_s):
         self.keep_s = keep_s
 
 
--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -121,13 +121,13 @@
         await asyncio.sleep(self.DISCONNECTED_S)
         return stack
 
-    async def _keeps(self, target_id, seconds):
-        """Return whether all hosts know a target for some time."""
+    async def _holds(self, condition, seconds):
+        """Return whether a condition holds at all hosts for some time."""
         end_at = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < end_at:
             for targets in self.targets_by_host.values():
                 targets.drop_expired()
-                if target_id not in targets.by_id:
+                if not condition(targets):
                     return False
             await asyncio.sleep(0.02)
         return True
@@ -245,7 +245,9 @@
     async def test_entry_that_a_restored_store_lacks(self):
         """Guards against live targets that get no requests after a restore."""
         await self._restore_without_entry()
-        self.assertTrue(await self._keeps('i-2', 1.5))
+        self.assertTrue(
+            await self._holds(lambda targets: 'i-2' in targets.by_id, 1.5)
+        )
         self._put(2)
         await self._wait(
             lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
@@ -256,6 +258,26 @@
         await self._restore_without_entry()
         await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
 
+    async def test_entry_that_a_restored_store_brings_back(self):
+        """Guards against requests to a target that has left and serves on."""
+        self._put(2)
+        await self._wait(lambda targets: 'i-2' in targets.by_id)
+        copied = self.cluster.store.copy()
+        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
+        await self._wait(lambda targets: 'i-2' not in targets.by_id)
+        await asyncio.sleep(target_feed.BATCH_S)
+        self.cluster.store.restore(copied)
+        expiry_s = 3 * HEARTBEAT_S
+        self.assertTrue(
+            await self._holds(
+                lambda targets: 'i-2' not in targets.by_id, expiry_s
+            )
+        )
+        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
+        self.assertTrue(
+            await self._holds(lambda targets: 'i-2' not in targets.by_id, 2.0)
+        )
+
     async def test_outage(self):
         self.cluster.store.fault = platform_store.BUSY
         await asyncio.sleep(2.0)
@@ -325,7 +347,9 @@
     async def test_entry_that_a_restored_store_lacks(self):
         """Guards against live targets that get no requests after a restore."""
         await self._restore_without_entry()
-        self.assertTrue(await self._keeps('i-2', 1.5))
+        self.assertTrue(
+            await self._holds(lambda targets: 'i-2' in targets.by_id, 1.5)
+        )
         self._put(2)
         await self._wait(
             lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
@@ -336,6 +360,26 @@
         await self._restore_without_entry()
         await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
 
+    async def test_entry_that_a_restored_store_brings_back(self):
+        """Guards against requests to a target that has left and serves on."""
+        self._put(2)
+        await self._wait(lambda targets: 'i-2' in targets.by_id)
+        copied = self.cluster.store.copy()
+        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
+        await self._wait(lambda targets: 'i-2' not in targets.by_id)
+        await asyncio.sleep(target_feed.BATCH_S)
+        self.cluster.store.restore(copied)
+        expiry_s = 3 * HEARTBEAT_S
+        self.assertTrue(
+            await self._holds(
+                lambda targets: 'i-2' not in targets.by_id, expiry_s
+            )
+        )
+        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
+        self.assertTrue(
+            await self._holds(lambda targets: 'i-2' not in targets.by_id, 2.0)
+        )
+
     async def test_departure_missed_by_a_disconnected_host(self):
         """Guards against requests to departed targets after the drain time.
 
