Keep domains evacuated that a restored store lacks

What callers saw: requests went to targets of an evacuated domain from the restore of the store until the operator had written the evacuation again.

Cause: the first list after a restore replaced the set of evacuated domains, and a copy of before an evacuation lacks it.

Change: domains that a set of a new era lacks stay evacuated for 10 s at each host that knows them. The operator's time to write them again is not known; a domain that is kept needlessly costs less than requests to one that is lost. A domain that was written again counts as any other, so that its end holds at once. An ended evacuation that the copy has back holds until the operator ends it again: it cannot be told from a new one.

A host that starts after the restore knows only what the copy has.

--- a/amaranthcrank/router/evacuation_feed.py
+++ b/amaranthcrank/router/evacuation_feed.py
@@ -13,6 +13,7 @@
 
 from amaranthcrank.platform import names
 from amaranthcrank.platform import store
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
 from amaranthcrank.router import entry_checks
@@ -28,6 +29,10 @@
 # callers come before the host reports that it is ready, so until then it also
 # sends nothing to targets.
 FIRST_LIST_TIMEOUT_S = 2.0
+# How long domains stay evacuated that a store lacks which came back from an
+# older copy. The operator writes them again, at a time that is not known. A
+# domain that is kept needlessly costs less than requests to one that is lost.
+RESTORED_KEEP_S = 10.0
 # Before anything was read.
 NO_REVISION = -1
 
@@ -50,15 +55,19 @@
           client: The client of the store.
           targets: The directory to update.
           messenger: Exchanges datagrams with the other hosts.
-          log: Logs whether the store is reachable.
+          log: Logs whether the store is reachable and was restored.
           retry_gate: Awaited before each retry of a failed read.
           election: Decides whether this host reads the store.
         """
         self._targets = targets
         targets.awaits_evacuations = True
         self._messenger = messenger
+        self._log = log
         self._revision = NO_REVISION
         self._domains: frozenset[str] = frozenset()
+        # Kept though a restored store lacks them.
+        self._kept_domains: frozenset[str] = frozenset()
+        self._keep_timer: asyncio.TimerHandle | None = None
         # Start of a time without reads that has just ended.
         self._stale_since: float | None = None
         self._awaited_since: float | None = None
@@ -135,12 +144,38 @@
     def _apply(self, domains: frozenset[str], revision: int) -> bool:
         """Apply a set that was just read; return whether it has changed."""
         domains = frozenset(filter(entry_checks.is_name, domains))
-        changed = self._targets.evacuate(domains, self._stale_s())
+        self._keep_lost(domains, revision)
+        changed = self._targets.evacuate(
+            domains | self._kept_domains, self._stale_s()
+        )
         self._domains = domains
         self._revision = revision
         self._stale_since = None
         return changed
 
+    def _keep_lost(self, domains: frozenset[str], revision: int) -> None:
+        """Keep domains for some time that a restored store has lost."""
+        era = store_position.era_of(revision)
+        is_first = self._revision == NO_REVISION
+        if is_first or era == store_position.era_of(self._revision):
+            self._kept_domains -= domains
+            return
+        self._kept_domains = (self._kept_domains | self._domains) - domains
+        if self._keep_timer is not None:
+            self._keep_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._keep_timer = loop.call_later(RESTORED_KEEP_S, self._end_keep)
+        self._log.event(
+            'evacuations_restored',
+            domains=sorted(domains),
+            kept=sorted(self._kept_domains),
+        )
+
+    def _end_keep(self) -> None:
+        """Drop domains that nobody has evacuated again after a restore."""
+        self._kept_domains = frozenset()
+        self._targets.evacuate(self._domains, 0.0)
+
     def _stale_s(self) -> float:
         """Return for how long this host may have missed changes."""
         if self._revision == NO_REVISION:
--- a/amaranthcrank/router/evacuation_feed_test.py
+++ b/amaranthcrank/router/evacuation_feed_test.py
@@ -103,6 +103,24 @@
             await asyncio.sleep(0.5)
             yield
 
+    async def _restore_without_evacuation(self):
+        """Restore a copy of before an evacuation that all hosts know."""
+        copied = self.cluster.store.copy()
+        self._evacuate('b')
+        await self._wait_for('b')
+        self.cluster.store.restore(copied)
+
+    async def _check_stays_evacuated(self, seconds):
+        end_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_at:
+            await self._wait_for('b', seconds=0.01)
+            await asyncio.sleep(0.02)
+
+    def _limit_keep(self, seconds):
+        patch = mock.patch.object(evacuation_feed, 'RESTORED_KEEP_S', seconds)
+        patch.start()
+        self.addCleanup(patch.stop)
+
 
 class EvacuationFeedTest(_FeedsTest):
     async def test_one_host_reads(self):
@@ -172,6 +190,19 @@
         self.cluster.store.fault = ''
         await self._wait_for()
 
+    async def test_evacuation_that_a_restored_store_lacks(self):
+        """Guards against requests to a domain that is still evacuated.
+
+        The operator writes the evacuation again, and then ends it.
+        """
+        self._limit_keep(2.0)
+        await self._restore_without_evacuation()
+        await self._check_stays_evacuated(1.5)
+        self._evacuate('b')
+        await self._check_stays_evacuated(3.0)
+        self._restore('b')
+        await self._wait_for()
+
     async def test_older_set_is_ignored(self):
         """Guards against a restored domain because of a late datagram."""
         self._evacuate('b')
@@ -214,6 +245,52 @@
         self._evacuate('b')
         await self._wait_for('b', seconds=1.0)
 
+    async def test_evacuation_that_a_restored_store_lacks(self):
+        """Guards against requests to a domain that is still evacuated.
+
+        The operator writes the evacuation again, and then ends it.
+        """
+        self._limit_keep(2.0)
+        await self._restore_without_evacuation()
+        await self._check_stays_evacuated(1.5)
+        self._evacuate('b')
+        await self._check_stays_evacuated(3.0)
+        self._restore('b')
+        await self._wait_for()
+
+    async def test_evacuation_that_is_not_written_again(self):
+        """Guards against a domain that gets no requests for good."""
+        self._limit_keep(1.0)
+        await self._restore_without_evacuation()
+        await self._wait_for(seconds=LEARN_S)
+
+    async def test_evacuation_of_another_domain_after_a_restore(self):
+        """Guards against a set that lacks what the operator has written."""
+        await self._restore_without_evacuation()
+        await asyncio.sleep(0.2)
+        self._evacuate('c')
+        await self._wait_for('b', 'c')
+
+    async def test_second_restore(self):
+        """Guards against an evacuation that is lost by a second copy."""
+        copied = self.cluster.store.copy()
+        await self._restore_without_evacuation()
+        await asyncio.sleep(0.5)
+        self.cluster.store.restore(copied)
+        await self._check_stays_evacuated(1.5)
+
+    async def test_ended_evacuation_that_the_copy_brings_back(self):
+        """Guards against an evacuation that the operator cannot end."""
+        self._evacuate('b')
+        await self._wait_for('b')
+        copied = self.cluster.store.copy()
+        self._restore('b')
+        await self._wait_for()
+        self.cluster.store.restore(copied)
+        await self._wait_for('b')
+        self._restore('b')
+        await self._wait_for()
+
     async def test_host_without_store(self):
         """Guards against requests of a host that could know better."""
         async with self._without_store('h-2'):
--- a/soak/store_restore_test.py
+++ b/soak/store_restore_test.py
@@ -23,6 +23,10 @@
 # A target that joins must get requests this long after its entry was written.
 JOINED_S = 4.0
 REGISTERED_S = 5.0
+# Running requests have ended, and no new ones begin.
+EVACUATED_S = 2.0
+# Evacuations are written again this long after the restore.
+EVACUATED_AGAIN_AFTER_S = 1.5
 
 
 class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
@@ -143,6 +147,23 @@
         self.store.restore(copy)
         await self._wait_for_registrations()
 
+    async def test_evacuation_that_the_copy_lacks(self):
+        """Guards against requests to a domain that is still evacuated."""
+        copy = self.store.copy()
+        self.env.evacuate('a')
+        await asyncio.sleep(EVACUATED_S)
+        restored_at = time.monotonic()
+        self.store.restore(copy)
+        await asyncio.sleep(EVACUATED_AGAIN_AFTER_S)
+        self.env.evacuate('a')
+        await asyncio.sleep(0.5)
+        runs = [
+            at
+            for instance in self.env.targets_in('a')
+            for at in self._runs(instance, restored_at)
+        ]
+        self.assertEqual(runs, [])
+
 
 if __name__ == '__main__':
     unittest.main()
