Soak: plays with slow, replaced and added hosts, and without restores

Change: faults of hosts (bursts of suspension, several stops around a change of the controller, a suspension as a renewal is answered, two processes of one host id, added and replaced hosts); the option --no-restores; counts of rejections from the routers' logs. Checks are unchanged. Bursts are not recorded as suspensions, so nothing is excused for them.

ownership_faults_test.InjectTest failed before (MagicMock has no __name__ for restore_store, which the test did not set); its names now cover all faults of the site again.

--- a/soak/ownership.py
+++ b/soak/ownership.py
@@ -18,6 +18,7 @@
 
 import typer
 
+from amaranthcrank.router import model
 from soak import callers
 from soak import grant_checks
 from soak import holds as key_holds
@@ -25,6 +26,8 @@
 from soak import ownership_checks
 from soak import ownership_faults
 from soak import ownership_site
+from soak import router_logs
+from soak import routers
 
 CALLERS_PER_ROUTER = 4
 WARM_UP_S = 6.0
@@ -49,6 +52,8 @@
       moves: How many grants of keys to another target were taken.
       served: How many requests were served, by status.
       faults: How often each fault was injected.
+      rejections: How often the routers' logs tell of each kind of rejected
+        grant.
     """
 
     violations: tuple[str, ...]
@@ -56,6 +61,7 @@
     moves: int
     served: collections.Counter[int]
     faults: collections.Counter[str]
+    rejections: collections.Counter[str]
 
 
 async def play(
@@ -65,6 +71,7 @@
     folder: pathlib.Path | None = None,
     counts_releases: bool = False,
     mean_fault_gap_s: float = ownership_faults.MEAN_GAP_S,
+    has_restores: bool = True,
 ) -> Outcome:
     """Play one site.
 
@@ -75,6 +82,7 @@
       folder: Where logs and records are kept; a temporary one if None.
       counts_releases: Whether targets count the tokens of releases.
       mean_fault_gap_s: The mean time from one fault to the next.
+      has_restores: Whether the store comes back from older copies.
     """
     async with contextlib.AsyncExitStack() as stack:
         if folder is None:
@@ -88,21 +96,34 @@
         stack.callback(shifting.cancel)
         copying = asyncio.create_task(site.keep_copying())
         stack.callback(copying.cancel)
-        for router in site.routers:
+        called: set[model.Address] = set()
+
+        def start_callers(router: routers.Router) -> None:
+            # Callers of a replaced host go on trying its former address.
+            if router.serve in called:
+                return
+            called.add(router.serve)
             for number in range(CALLERS_PER_ROUTER):
+                name = f'{router.name}-{router.serve.ip}-{number}'
                 task = asyncio.create_task(
                     callers.run_caller(
-                        f'{router.name}-{number}',
+                        name,
                         router.name,
                         router.serve,
-                        random.Random(f'{seed}-{router.name}-{number}'),
+                        random.Random(f'{seed}-{name}'),
                         results,
                         site.choose_key,
                     )
                 )
                 stack.callback(task.cancel)
+
+        for router in site.routers:
+            start_callers(router)
+        site.on_router_added = start_callers
         await asyncio.sleep(WARM_UP_S)
-        await ownership_faults.inject(site, seconds, mean_fault_gap_s)
+        await ownership_faults.inject(
+            site, seconds, mean_fault_gap_s, has_restores
+        )
         await asyncio.sleep(SETTLE_S)
         violations, counts = _check(site)
         holds = site.read_holds()
@@ -112,6 +133,7 @@
             len({(hold.fence, hold.first) for hold in holds}),
             collections.Counter(result.status for result in results),
             site.faults,
+            router_logs.count_rejections(folder),
         )
 
 
@@ -161,6 +183,9 @@
     gap: typing.Annotated[
         float, typer.Option(help='Mean seconds from one fault to the next.')
     ] = ownership_faults.MEAN_GAP_S,
+    restores: typing.Annotated[
+        bool, typer.Option(help='The store comes back from older copies.')
+    ] = True,
     logs: typing.Annotated[
         pathlib.Path | None, typer.Option(help='Keep logs in this folder.')
     ] = None,
@@ -174,7 +199,15 @@
             folder.mkdir(parents=True, exist_ok=True)
         outcome = asyncio.run(
             main.run_until_stopped(
-                play(seed, seconds, SHAPES[site], folder, counts_releases, gap)
+                play(
+                    seed,
+                    seconds,
+                    SHAPES[site],
+                    folder,
+                    counts_releases,
+                    gap,
+                    restores,
+                )
             )
         )
         failed += bool(outcome.violations)
@@ -182,7 +215,8 @@
             f'seed {seed}: {len(outcome.violations)} cases, '
             f'found {dict(outcome.counts)}, '
             f'{outcome.moves} grants of moved keys, '
-            f'answers {dict(outcome.served)}, faults {dict(outcome.faults)}',
+            f'answers {dict(outcome.served)}, faults {dict(outcome.faults)}, '
+            f'rejections {dict(outcome.rejections)}',
             flush=True,
         )
         for line in outcome.violations[:20]:
--- a/soak/ownership_faults.py
+++ b/soak/ownership_faults.py
@@ -1,7 +1,8 @@
-"""Faults of targets and links that stand still, and when which fault begins.
+"""Faults of targets, links and hosts that stand still, and when each begins.
 
 A stopped target, or a link that holds bytes back, has acknowledged calls that
-take effect whenever it goes on, also after their senders gave them up.
+take effect whenever it goes on, also after their senders gave them up. A host
+may be suspended between any two of its steps.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from soak import link
 from soak import ownership_checks
 from soak import ownership_site
+from soak import routers
 
 MEAN_GAP_S = 2.0
 # From and to, in seconds.
@@ -28,6 +30,17 @@
 # How long after the beginning of a fault another one begins that is to overlap
 # with it.
 OVERLAP_AFTER_S = (0.5, 6.0)
+# How long a share of the hosts is short of processor time, and how long they
+# run and stand still in turns. Less than the lease, so that it is held on.
+STARVED_S = (8.0, 20.0)
+STARVED_SHARES = (0.3, 0.6, 1.0)
+STARVED_RUN_S = (0.05, 1.0)
+STARVED_STOP_S = (0.1, 2.0)
+# How many hosts stop at once around a change of the controller, from and to,
+# how long before and after it, and for how long.
+STOPPED_HOSTS = (2, 5)
+STOP_AROUND_CHANGE_S = (0.0, 4.0)
+HOST_STOP_S = (0.5, 7.0)
 # By when a target has taken what waited for it, once it goes on.
 CATCH_UP_S = 0.3
 
@@ -150,6 +163,86 @@
     await change()
 
 
+async def starve_routers(site: ownership_site.Site) -> None:
+    """Suspend many hosts in short bursts, as with a share of a processor.
+
+    The platform does not excuse what hosts send that are only slow, so the
+    bursts are not recorded as suspensions.
+    """
+    share = site.rng.choice(STARVED_SHARES)
+    count = max(1, round(share * len(site.routers)))
+    chosen = site.rng.sample(site.routers, min(count, len(site.routers)))
+    duration_s = site.rng.uniform(*STARVED_S)
+    await asyncio.gather(
+        *(_starve(site, router, duration_s) for router in chosen)
+    )
+
+
+async def _starve(
+    site: ownership_site.Site, router: routers.Router, duration_s: float
+) -> None:
+    end_at = time.monotonic() + duration_s
+    while time.monotonic() < end_at:
+        if not router.is_suspended:
+            router.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(site.rng.uniform(*STARVED_STOP_S))
+            # Another fault may have suspended it for longer.
+            if not router.is_suspended:
+                router.send_signal(signal.SIGCONT)
+        await asyncio.sleep(site.rng.uniform(*STARVED_RUN_S))
+
+
+async def starve_routers_amid_change(site: ownership_site.Site) -> None:
+    """Let the controller end or pause while hosts are slow."""
+    await asyncio.gather(
+        starve_routers(site), _later(site, OVERLAP_AFTER_S, _change_controller)
+    )
+
+
+async def stop_routers_amid_change(site: ownership_site.Site) -> None:
+    """Stop several hosts at once around a change of the controller."""
+    count = min(site.rng.randint(*STOPPED_HOSTS), len(site.routers) - 1)
+    chosen = site.rng.sample(site.routers, count)
+    await asyncio.gather(
+        _later(site, STOP_AROUND_CHANGE_S, _change_controller),
+        *(_stop_router(site, router) for router in chosen),
+    )
+
+
+async def _stop_router(
+    site: ownership_site.Site, router: routers.Router
+) -> None:
+    await asyncio.sleep(site.rng.uniform(*STOP_AROUND_CHANGE_S))
+    if router.is_suspended:
+        return
+    router.suspend()
+    await asyncio.sleep(site.rng.uniform(*HOST_STOP_S))
+    site.resumed.append(
+        ownership_checks.Resumed(router.name, time.monotonic())
+    )
+    router.resume()
+
+
+async def suspend_controller_at_renewal(site: ownership_site.Site) -> None:
+    """Suspend the controller as the answer to a renewal is under way."""
+    await site.suspend_controller_at_renewal()
+
+
+async def start_life_beside_controller(site: ownership_site.Site) -> None:
+    """Start the controller's host anew beside its slow shutdown."""
+    await site.start_life_beside_controller()
+
+
+async def add_router(site: ownership_site.Site) -> None:
+    """Add a host for a while."""
+    await site.add_router()
+
+
+async def replace_router(site: ownership_site.Site) -> None:
+    """Replace a host by one with the same id at another address."""
+    await site.replace_router()
+
+
 async def _later(
     site: ownership_site.Site, delay_s: tuple[float, float], fault: Fault
 ) -> None:
@@ -168,6 +261,16 @@
     change_controller_amid_hold,
 )
 
+HOST_FAULTS: tuple[Fault, ...] = (
+    starve_routers,
+    starve_routers_amid_change,
+    stop_routers_amid_change,
+    suspend_controller_at_renewal,
+    start_life_beside_controller,
+    add_router,
+    replace_router,
+)
+
 
 def in_rounds(
     items: typing.Sequence[_Item], rng: random.Random
@@ -178,7 +281,10 @@
 
 
 async def inject(
-    site: ownership_site.Site, seconds: float, mean_gap_s: float
+    site: ownership_site.Site,
+    seconds: float,
+    mean_gap_s: float,
+    has_restores: bool = True,
 ) -> None:
     """Inject faults, often at the same time, and wait for their ends.
 
@@ -187,8 +293,9 @@
       seconds: How long new faults begin, and at least until each has begun
         once: the gaps are random.
       mean_gap_s: The mean time from one to the next.
+      has_restores: Whether the store comes back from older copies.
     """
-    faults: tuple[typing.Callable[[], typing.Awaitable[None]], ...] = (
+    faults: list[typing.Callable[[], typing.Awaitable[None]]] = [
         site.stop_controller,
         site.kill_controller,
         site.suspend_controller,
@@ -200,12 +307,12 @@
         site.crash_target,
         site.lose_store_answers,
         site.lose_store,
-        site.restore_store,
-        site.restore_store_amid_change,
-    )
+    ]
+    if has_restores:
+        faults += [site.restore_store, site.restore_store_amid_change]
     named = [(fault.__name__, fault) for fault in faults]
-    for stall in STALLS:
-        named.append((stall.__name__, _bind(stall, site)))
+    for fault_of_site in (*STALLS, *HOST_FAULTS):
+        named.append((fault_of_site.__name__, _bind(fault_of_site, site)))
     loop = asyncio.get_running_loop()
     end_at = loop.time() + seconds
     running = []
--- a/soak/ownership_faults_test.py
+++ b/soak/ownership_faults_test.py
@@ -41,12 +41,17 @@
             'crash_target',
             'lose_store_answers',
             'lose_store',
+            'restore_store',
+            'restore_store_amid_change',
         )
         for name in names:
             fault = mock.AsyncMock()
             fault.__name__ = name
             setattr(site, name, fault)
-        with mock.patch.object(ownership_faults, 'STALLS', (stall,)):
+        with (
+            mock.patch.object(ownership_faults, 'STALLS', (stall,)),
+            mock.patch.object(ownership_faults, 'HOST_FAULTS', ()),
+        ):
             asyncio.run(ownership_faults.inject(site, 0.0, 0.001))
         self.assertEqual(set(site.faults), {*names, 'stall'})
         self.assertEqual(site.faults['change_controller_amid_late_calls'], 2)
--- a/soak/ownership_site.py
+++ b/soak/ownership_site.py
@@ -63,6 +63,20 @@
 COPIES = 11
 # For how long the store is away before it comes back from a copy, from and to.
 RESTORE_AWAY_S = (0.2, 5.0)
+# How long the holder of the lease is suspended as a renewal is answered, from
+# and to.
+RENEWAL_SUSPENDED_S = (0.5, 5.0)
+# A host whose shutdown is slow runs and stands still in turns of these
+# lengths, beside the process that takes its place, until it is killed.
+SLOW_RUN_S = (0.05, 0.5)
+SLOW_STOP_S = (0.1, 2.0)
+SLOW_SHUTDOWN_S = (3.0, 12.0)
+# How long an added host stays, from and to.
+ADDED_S = (5.0, 25.0)
+# Added hosts at one time.
+MAX_ADDED = 3
+# The third number of the addresses of hosts and of those that replace them.
+HOST_NETWORKS = (3, 5)
 # How many owners must remain when one is to leave, crash or be stopped.
 MIN_OTHER_OWNERS = 2
 
@@ -117,6 +131,15 @@
         self.held_up: list[grant_checks.HeldUp] = []
         self.faults: collections.Counter[str] = collections.Counter()
         self.busy_from = 0
+        # Called with each router that is added while the site runs.
+        self.on_router_added: (
+            typing.Callable[[routers.Router], None] | None
+        ) = None
+        self._added_count = 0
+        self._added_now = 0
+        # Host numbers and networks of the routers, by name.
+        self._place_by_host: dict[str, tuple[int, int]] = {}
+        self._busy_hosts: set[str] = set()
         self.copies: collections.deque[platform_store.Copy] = (
             collections.deque(maxlen=COPIES)
         )
@@ -150,16 +173,33 @@
         for _ in range(shape.others):
             await self.add_target('desk')
         for number in range(shape.routers):
-            router = routers.Router(
-                f'host-{number}',
-                f'{self._network}.3.{number + 1}',
-                DOMAINS[number % len(DOMAINS)],
-                self._store_address,
-                self._folder,
-            )
-            self._stack.callback(router.close)
-            router.start()
-            self.routers.append(router)
+            self._start_router(f'host-{number}', number, 0)
+
+    def _start_router(
+        self, name: str, number: int, network: int
+    ) -> routers.Router:
+        """Start a router.
+
+        Args:
+          name: Its host id.
+          number: Its number among all hosts.
+          network: Which of the HOST_NETWORKS its address is from.
+        """
+        router = routers.Router(
+            name,
+            f'{self._network}.{HOST_NETWORKS[network]}.{number + 1}',
+            DOMAINS[number % len(DOMAINS)],
+            self._store_address,
+            self._folder,
+            settings_name=f'{name}-{network}' if network else name,
+        )
+        self._stack.callback(router.close)
+        router.start()
+        self.routers.append(router)
+        self._place_by_host[name] = number, network
+        if self.on_router_added is not None:
+            self.on_router_added(router)
+        return router
 
     async def add_target(self, service: str) -> None:
         """Start a target with a clock of its own, behind a link if keyed."""
@@ -233,7 +273,7 @@
         router.terminate()
         while not router.has_ended():
             await asyncio.sleep(0.05)
-        router.start()
+        self._restart(router)
 
     async def kill_controller(self) -> None:
         """Kill the controller; it starts again within two seconds."""
@@ -242,7 +282,12 @@
             return
         router.kill()
         await asyncio.sleep(2 * self.rng.random())
-        router.start()
+        self._restart(router)
+
+    def _restart(self, router: routers.Router) -> None:
+        """Start a router again, unless it was replaced or removed."""
+        if router in self.routers:
+            router.start()
 
     async def suspend_controller(self) -> None:
         """Suspend the controller for longer than its lease."""
@@ -256,6 +301,104 @@
         )
         router.resume()
 
+    async def suspend_controller_at_renewal(self) -> None:
+        """Suspend the controller as the answer to a renewal is under way.
+
+        It then goes on with an answer that is older than it seems.
+        """
+        router = self._controller()
+        if router is None:
+            return
+        is_renewed = asyncio.Event()
+
+        def suspend(kind: str, name: str) -> None:
+            if is_renewed.is_set() or self._controller() is not router:
+                return
+            if (kind, name) == (
+                names.LEASES_KIND,
+                controller_lease.LEASE_NAME,
+            ):
+                router.suspend()
+                is_renewed.set()
+
+        self.store.on_write = suspend
+        try:
+            async with asyncio.timeout(controller_lease.LEASE_S):
+                await is_renewed.wait()
+        except TimeoutError:
+            return
+        finally:
+            self.store.on_write = None
+        await asyncio.sleep(self.rng.uniform(*RENEWAL_SUSPENDED_S))
+        self.resumed.append(
+            ownership_checks.Resumed(router.name, time.monotonic())
+        )
+        router.resume()
+
+    async def start_life_beside_controller(self) -> None:
+        """Start the controller's host anew beside its process that shuts down.
+
+        The new process has the same host id and another address, as after a
+        move to another machine. The former one gets SIGTERM and too little
+        time of a processor, so both run for seconds.
+        """
+        former = self._controller()
+        if former is None or former.name in self._busy_hosts:
+            return
+        self._busy_hosts.add(former.name)
+        number, network = self._place_by_host[former.name]
+        self.routers.remove(former)
+        self._start_router(former.name, number, 1 - network)
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        former.terminate()
+        end_at = time.monotonic() + self.rng.uniform(*SLOW_SHUTDOWN_S)
+        while time.monotonic() < end_at and not former.has_ended():
+            former.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(*SLOW_STOP_S))
+            former.send_signal(signal.SIGCONT)
+            await asyncio.sleep(self.rng.uniform(*SLOW_RUN_S))
+        former.kill()
+        self._busy_hosts.discard(former.name)
+
+    async def add_router(self) -> None:
+        """Add a host for a while; it may become the controller."""
+        if self._added_now >= MAX_ADDED:
+            return
+        number = len(self._place_by_host)
+        self._added_count += 1
+        self._added_now += 1
+        name = f'added-{self._added_count}'
+        self._start_router(name, number, 0)
+        await asyncio.sleep(self.rng.uniform(*ADDED_S))
+        while name in self._busy_hosts:
+            await asyncio.sleep(0.1)
+        router = next(each for each in self.routers if each.name == name)
+        self.routers.remove(router)
+        await self._end_router(router)
+        self._added_now -= 1
+
+    async def replace_router(self) -> None:
+        """End a host, and start one with the same id at another address."""
+        router = self.rng.choice(self.routers)
+        if router.name in self._busy_hosts or not router.is_up:
+            return
+        self._busy_hosts.add(router.name)
+        number, network = self._place_by_host[router.name]
+        self.routers.remove(router)
+        ending = asyncio.ensure_future(self._end_router(router))
+        await asyncio.sleep(self.rng.uniform(0.0, 3.0))
+        self._start_router(router.name, number, 1 - network)
+        await ending
+        self._busy_hosts.discard(router.name)
+
+    async def _end_router(self, router: routers.Router) -> None:
+        if self.rng.random() < 0.5:
+            router.terminate()
+            end_at = time.monotonic() + routers.EXIT_WAIT_S
+            while time.monotonic() < end_at and not router.has_ended():
+                await asyncio.sleep(0.05)
+        router.kill()
+
     async def delay_calls(self) -> None:
         """Let targets leave calls unanswered and carry them out late."""
         await self.set_call_faults(
--- a/soak/routers.py
+++ b/soak/routers.py
@@ -39,15 +39,30 @@
         folder: pathlib.Path,
         max_descriptors: int = platform_settings.MAX_DESCRIPTORS,
         memory_mb: int = platform_settings.MEMORY_MB,
+        settings_name: str = '',
     ) -> None:
-        """Write the settings file; nothing is started yet."""
+        """Write the settings file; nothing is started yet.
+
+        Processes under one host id at several addresses need settings files
+        of their own, as a running process reads its file again.
+
+        Args:
+          name: The host id.
+          ip: Its address.
+          domain: Its failure domain.
+          store: The address of the store.
+          folder: Where the log and the settings file are.
+          max_descriptors: The limit of open files.
+          memory_mb: The limit of memory.
+          settings_name: The settings file's name; the host id if empty.
+        """
         self.name = name
         self.serve = platform_settings.serve_address(ip)
         self.is_up = False
         self.is_suspended = False
         self.unexpected_exits: list[int] = []
         self._log_path = folder / f'{name}.log'
-        self._settings_path = folder / f'{name}.conf'
+        self._settings_path = folder / f'{settings_name or name}.conf'
         self._popen: subprocess.Popen[bytes] | None = None
         self._started_at = 0.0
         self._config = platform_settings.RouterConfig(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -49,6 +49,8 @@
       writes: How many write calls arrived.
       revision: The revision of the last change of any object.
       era: How often the store has come back from a copy, plus FIRST_ERA.
+      on_write: Called with the kind and name of each object that a write call
+        has changed, before the response is sent.
     """
 
     def __init__(self) -> None:
@@ -59,6 +61,7 @@
         self.writes = 0
         self.revision = 10
         self.era = FIRST_ERA
+        self.on_write: typing.Callable[[str, str], None] | None = None
         self._item_by_path: dict[tuple[str, str], _Item] = {}
         self._events: list[tuple[int, str, _Item, bool]] = []
         self._oldest = 0
@@ -170,9 +173,12 @@
         fields = dict(urllib.parse.parse_qsl(query))
         if request.method == b'GET':
             return await self._read(kind, urllib.parse.unquote(name), fields)
+        before = self.revision
         reply = self._write(
             request.method, kind, urllib.parse.unquote(name), request.body
         )
+        if self.on_write is not None and self.revision != before:
+            self.on_write(kind, urllib.parse.unquote(name))
         if self.fault == LOSES_ANSWERS:
             await asyncio.sleep(3600)
         return reply
