Soak: targets record the grants that they reject

Seen: a rejection in a play could not be traced, as grant_failed names no keys and the targets' records held only what they took.

Change: a record of each rejected grant with the token seen, and the token and arrival of each release. The checks read neither.

Evidence: kinds other than hold, release, run and done are passed over by ownership_checks.py.

--- a/soak/owner_process.py
+++ b/soak/owner_process.py
@@ -171,7 +171,17 @@
     ) -> http_server.Response:
         call = platform_target.parse_grant(fields)
         keys = range(call.first, call.last + 1)
-        if any(self._fence_seen[key] > call.fence for key in keys):
+        seen = max(self._fence_seen[key] for key in keys)
+        if seen > call.fence:
+            self.write(
+                'rejected',
+                first=call.first,
+                last=call.last,
+                fence=call.fence,
+                seen=seen,
+                arrived_at=arrived_at,
+                request_id=request_id,
+            )
             return http_server.Response(409, [], b'')
         until = arrived_at + call.hold_s * self._config.clock_rate
         for key in keys:
@@ -197,7 +207,14 @@
             if self._config.counts_releases:
                 seen = max(self._fence_seen[key], fields['fence'])
                 self._fence_seen[key] = seen
-        self.write('release', first=first, last=last, request_id=request_id)
+        self.write(
+            'release',
+            first=first,
+            last=last,
+            fence=fields['fence'],
+            arrived_at=arrived_at,
+            request_id=request_id,
+        )
         while any(
             count and first <= key <= last
             for key, count in self._running.items()
