--- a/soak/ownership_faults_test.py
+++ b/soak/ownership_faults_test.py
@@ -57,6 +57,7 @@
 
         with (
             mock.patch.object(ownership_faults, 'STALLS', (stall,)),
+            mock.patch.object(ownership_faults, 'HOST_FAULTS', ()),
             mock.patch.object(store_faults, 'FAULTS', (disrupt_store,)),
         ):
             asyncio.run(ownership_faults.inject(site, 0.0, 0.001))
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -78,6 +78,8 @@
       writes: How many write calls arrived.
       revision: The revision of the last change of any object.
       era: How often the store has come back from a copy, plus FIRST_ERA.
+      on_write: Called with the kind and name of each object that a write call
+        has changed, before the response is sent.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
@@ -96,6 +98,7 @@
         self.writes = 0
         self.revision = 10
         self.era = FIRST_ERA
+        self.on_write: typing.Callable[[str, str], None] | None = None
         self._item_by_path: dict[tuple[str, str], _Item] = {}
         self._events: list[tuple[int, str, _Item, bool]] = []
         self._oldest = 0
@@ -257,7 +260,10 @@
         if LATE_WRITES in faults:
             self._start_late(write)
             await asyncio.sleep(3600)
+        before = self.revision
         reply = write()
+        if self.on_write is not None and self.revision != before:
+            self.on_write(kind, urllib.parse.unquote(name))
         if LOSES_ANSWERS in faults:
             await asyncio.sleep(3600)
         return reply
