Do not stop each minute at one target that rejects every token

Cause: a target that rejects raised tokens is set aside for a minute after the doubt. The minute was not counted anew when it rejected again, so a faulty target stopped all grants of its service once a minute, each time for 14.6 s, of which all keys were without an owner for some 9 s. test_target_that_rejects_every_token ends before.

Change: the minute is counted from the target's last rejection.

Failing before: test_target_that_goes_on_rejecting_every_token (no key has an owner at about 80 s).

--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -44,7 +44,8 @@
 # need to know the usage by the other hosts.
 CONTENDED_UTILISATION = 0.5
 # After all tokens of a service were raised, a target that rejects them is not
-# believed for this long: it is assigned no keys in place of that.
+# believed for this long, counted from its last rejection: it is assigned no
+# keys in place of that.
 DOUBT_INTERVAL_S = 60.0
 
 # The service, the first key, the last key and the fencing token.
@@ -139,6 +140,8 @@
         # map, and when that was found last, by `clock.now`.
         self._doubted_services: set[str] = set()
         self._doubted_at_by_service: dict[str, float] = {}
+        # When targets last rejected tokens that had been raised.
+        self._disbelieved_at_by_holder: dict[str, float] = {}
         self._rebalanced_at_by_service: dict[str, float] = {}
         self._held_keys_by_service: dict[str, held_keys.HeldKeys] = {}
         # Services whose moves were begun by an earlier controller.
@@ -529,9 +532,12 @@
             return
         self._events.token_superseded(key_range)
         now = clock.now()
+        holder = key_range.holder
         doubted_at = self._doubted_at_by_service.get(service, -math.inf)
-        if now - doubted_at < DOUBT_INTERVAL_S:
-            self._refused_holders.add(key_range.holder)
+        disbelieved_at = self._disbelieved_at_by_holder.get(holder, -math.inf)
+        if now - max(doubted_at, disbelieved_at) < DOUBT_INTERVAL_S:
+            self._disbelieved_at_by_holder[holder] = now
+            self._refused_holders.add(holder)
             return
         self._doubted_at_by_service[service] = now
         self._doubted_services.add(service)
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -80,6 +80,7 @@
         targets.replace_all([target.entry for target in self.all_targets])
         drained = self.all_targets[0].entry
         targets.put(drained._replace(state=model.DRAINING))
+        self.targets = targets
         self.calls = key_targets.Calls(
             {target.entry.holder: target for target in self.all_targets}
         )
@@ -138,7 +139,13 @@
             for hold in target.holds
             if hold.since <= now < hold.until
         }
-        return sum(last - first + 1 for first, last in owned) / model.KEY_COUNT
+        count = 0
+        # A target may hold some keys by several grants.
+        end = 0
+        for first, last in sorted(owned):
+            count += max(0, last + 1 - max(first, end))
+            end = max(end, last + 1)
+        return count / model.KEY_COUNT
 
     @virtual_time.in_virtual_time
     async def test_grants_that_the_store_has_forgotten(self):
@@ -248,6 +255,24 @@
         self.assertEqual(self._owned_share(), 1.0)
         self.assertLess(len(self._rejected()), 20)
 
+    @virtual_time.in_virtual_time
+    async def test_target_that_goes_on_rejecting_every_token(self):
+        """Guards against a faulty target that stops all moves each minute."""
+        self._prepare(era=0)
+        faulty = self.all_targets[1]
+        faulty.take_grant = lambda call, arrived_at: False
+        task = asyncio.create_task(self._run(160.0))
+        await asyncio.sleep(40.0)
+        # A drained target forces moves, at first to the faulty one as well.
+        for number in range(11):
+            draining = self.all_targets[2 + number % 2].entry
+            ready = self.all_targets[3 - number % 2].entry
+            self.targets.put(ready)
+            self.targets.put(draining._replace(state=model.DRAINING))
+            await asyncio.sleep(10.0)
+            self.assertEqual(self._owned_share(), 1.0, number)
+        await task
+
     @virtual_time.in_virtual_time
     async def test_controller_that_goes_on_after_a_restore(self):
         """Guards against keys without an owner, though their grants are known.
