Take the first era that the store names for no restore

Cause: a response without an era, such as one of a proxy, and a heartbeat of a host of another version, whose positions have no era, set the era to 0. The first one that the store named then looked like a restore: the controller ended, and a service without a map waited 14.6 s for its first owners.

Change: only eras that are named are recorded.

Failing before: test_first_response_without_an_era.

--- a/amaranthcrank/platform/store.py
+++ b/amaranthcrank/platform/store.py
@@ -131,7 +131,7 @@
         self.era_seen_at = clock.now()
         self.has_seen_restore = False
         self.on_restored: list[typing.Callable[[int, int], None]] = []
-        # None until the first response.
+        # None until a response or another host has named one.
         self._era: int | None = None
         self._watches: set[asyncio.Timeout] = set()
 
@@ -142,7 +142,9 @@
 
     def record_position(self, position: int) -> None:
         """Record a position that another host has read."""
-        self._record_era(store_position.era_of(position))
+        era = store_position.era_of(position)
+        if era:
+            self._record_era(era)
 
     def record_stored_era(self, era: int) -> None:
         """Record in which era a stored object says that it was written.
@@ -392,7 +394,7 @@
         """
         era = store_position.decode_era(response.headers)
         if era is None:
-            era = self.era
+            return
         self._record_era(era)
         if era < self.era:
             raise StoreError('the response is of before a restore')
--- a/amaranthcrank/platform/store_test.py
+++ b/amaranthcrank/platform/store_test.py
@@ -99,6 +99,18 @@
                 self.assertEqual(found['metadata']['rev'], expected)
         self.assertEqual(self.eras, [])
 
+    async def test_first_response_without_an_era(self):
+        """Guards against a restore that is seen when the first era is named.
+
+        A service without a map would wait for the end of unknown grants. A
+        host of another version names positions without an era.
+        """
+        self.client.record_position(5)
+        await self._get(None)
+        await self._get(b'4')
+        self.assertFalse(self.client.has_seen_restore)
+        self.assertEqual(self.eras, [])
+
     async def test_write_with_a_revision_of_an_earlier_era(self):
         """Guards against a write on an object that it was not meant for."""
         revision = (await self._get(b'3'))['metadata']['rev']
