Apply an empty difference to an empty key map

Cause: the highest token of no ranges is an error. A datagram that any host may send then ended in an exception instead of a map.

Failing before: test_empty_difference_to_an_empty_map (ValueError).

--- a/amaranthcrank/router/key_table.py
+++ b/amaranthcrank/router/key_table.py
@@ -77,12 +77,12 @@
         for key_range in key_map.ranges:
             ranges += key_ranges.subtract(key_range, changed)
         ranges.sort()
-        fence = max(part.fence for part in ranges)
+        fences = [part.fence for part in ranges]
         self._set(
             key_map._replace(
                 ranges=tuple(ranges),
                 revision=revision,
-                fence=max(key_map.fence, fence),
+                fence=max([key_map.fence, *fences]),
             )
         )
         return True
--- a/amaranthcrank/router/key_table_test.py
+++ b/amaranthcrank/router/key_table_test.py
@@ -54,6 +54,12 @@
         self.assertEqual(self.table.find('book', 121).fence, 1)
         self.assertEqual(self.table.revision('book'), 4)
 
+    def test_empty_difference_to_an_empty_map(self):
+        """Guards against a datagram that raises an error."""
+        self.table.put(_map(1))
+        self.assertTrue(self.table.apply_diff('book', 1, 4, []))
+        self.assertEqual(self.table.revision('book'), 4)
+
     def test_difference_from_another_revision_is_rejected(self):
         """Guards against a map with two owners of a key.
 
