Read a copy of a key map that is not used only once

Cause: a host that knows a higher token than the copy's goes on with its own map, and with the revision of that. A controller that knows only the copy names the copy's revision in each heartbeat until it may use it, up to 14.6 s, so all other hosts listed the shared objects again after each, some once a second. Calls beyond the store's rate are refused, also those of the lease.

Change: the revision of a copy that was read and not used counts as seen.

Failing before: test_copy_that_is_not_used_counts_as_read.

--- a/amaranthcrank/router/key_table.py
+++ b/amaranthcrank/router/key_table.py
@@ -24,6 +24,8 @@
         """Start without key maps."""
         self.map_by_service: dict[str, model.KeyMap] = {}
         self._firsts_by_service: dict[str, list[int]] = {}
+        # Of maps from an older copy of the store that were not used.
+        self._unused_revision_by_service: dict[str, int] = {}
         self._completed_moves: collections.deque[tuple[str, int, int, int]] = (
             collections.deque(maxlen=MAX_COMPLETED_MOVES)
         )
@@ -42,14 +44,18 @@
             return False
         is_restored = key_map.era < store_position.era_of(key_map.revision)
         if known is not None and is_restored and known.fence > key_map.fence:
+            self._unused_revision_by_service[key_map.service] = (
+                key_map.revision
+            )
             return False
         self._set(key_map)
         return True
 
     def revision(self, service: str) -> int:
-        """Return the revision of a service's map, or 0 if there is none."""
+        """Return the highest revision seen of a service's map, or 0."""
+        unused = self._unused_revision_by_service.get(service, 0)
         key_map = self.map_by_service.get(service)
-        return 0 if key_map is None else key_map.revision
+        return unused if key_map is None else max(unused, key_map.revision)
 
     def apply_diff(
         self,
--- a/amaranthcrank/router/key_table_test.py
+++ b/amaranthcrank/router/key_table_test.py
@@ -1,5 +1,6 @@
 import unittest
 
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import key_table
 from amaranthcrank.router import model
 
@@ -54,6 +55,19 @@
         self.assertEqual(self.table.find('book', 121).fence, 1)
         self.assertEqual(self.table.revision('book'), 4)
 
+    def test_copy_that_is_not_used_counts_as_read(self):
+        """Guards against hosts that read a copy again after each heartbeat.
+
+        A controller that knows only the copy names its revision until it may
+        use it.
+        """
+        self.table.put(_map(8, _range(0, 65535, 9))._replace(fence=9))
+        revision = store_position.position(1, 3)
+        copy = _map(revision, _range(0, 65535, 5))._replace(fence=5)
+        self.assertFalse(self.table.put(copy))
+        self.assertEqual(self.table.find('book', 7).fence, 9)
+        self.assertEqual(self.table.revision('book'), revision)
+
     def test_empty_difference_to_an_empty_map(self):
         """Guards against a datagram that raises an error."""
         self.table.put(_map(1))
