Continue a lease when the store is restored once more meanwhile

Cause: a restore between the read and the write of a lease that is continued counted as a conflict with another holder. The lease was given up, and with it the maps that this host knows: no key can be moved or renewed for 14.6 s then.

Change: the next attempt reads the lease again, as after a failed call.

Failing before: test_holder_goes_on_after_two_restores.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -341,6 +341,10 @@
             self._log.event('lease_not_renewed', reason=str(error))
             await asyncio.sleep(RETRY_S)
             return True
+        except store.RestoredError:
+            # The store was restored once more; the next attempt reads again.
+            await asyncio.sleep(RETRY_S)
+            return True
         except store.ConflictError:
             return False
         self.was_last_holder = True
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -231,6 +231,33 @@
         await self._acquire(first)
         self.assertFalse(first.was_last_holder)
 
+    async def test_holder_goes_on_after_two_restores(self):
+        """Guards against a lease that is given up for a second restore.
+
+        The store comes back from the copy again while the lease is continued.
+        """
+        first = self._lease('1')
+        await self._hold(first)
+        await asyncio.sleep(0.01)
+        self.store.restore(None)
+        get = self.store.get
+
+        async def get_and_restore(kind, name, timeout_s):
+            item = await get(kind, name, timeout_s)
+            self.store.get = get
+            self.store.restore({'spec': {'holder': '2', 'term': 1}})
+            return item and dict(item)
+
+        self.store.item = {
+            'spec': {'holder': '2', 'term': 1},
+            'metadata': {'rev': self.store.revision},
+        }
+        self.store.get = get_and_restore
+        await asyncio.sleep(0.4)
+        self.assertTrue(first.is_held)
+        self.assertTrue(first.was_last_holder)
+        self.assertEqual(self.store.item['spec']['era'], 2)
+
     async def test_holder_that_learns_of_a_restore_by_a_conflict(self):
         """Guards against keys without an owner after a short restore.
 
