Keep a doubt over an own write without a response

Cause: after a rejected token, a stored map with another revision than the controller knew counted as another controller's, and was used at once. It may be this controller's own last write, whose response it did not wait for as it stopped.

Change: a map of the same term stays in doubt until its tokens were raised.

--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -22,13 +22,28 @@
     """What shows that a map is not the newest.
 
     Attributes:
-      revision: The revision of the map.
+      known: The map, as this process knows it.
       until: When no grants that it does not know can run, by `clock.now`.
     """
 
-    revision: int
+    known: model.KeyMap
     until: float
 
+    def covers(self, stored: model.KeyMap | None) -> bool:
+        """Return whether the store has this map, or a later one as doubtful.
+
+        The controller may have written it without a response, under the same
+        term. After a recovery its token is far higher.
+        """
+        if stored is None:
+            return self.known.revision == 0
+        if stored.revision == self.known.revision:
+            return True
+        if (stored.era, stored.term) != (self.known.era, self.known.term):
+            return False
+        raised = stored.fence - self.known.fence
+        return raised < key_recovery.TOKENS_PER_RESTORE // 2
+
 
 class InheritedMaps:
     """The maps of services that the controller does not act on yet."""
@@ -98,13 +113,13 @@
             own = self._own_by_service.get(service)
             if own is not None:
                 self._doubt_by_service[service] = _Doubt(
-                    own.revision, clock.now() + self._forgotten_s
+                    own, clock.now() + self._forgotten_s
                 )
         for service, doubt in list(self._doubt_by_service.items()):
             own = self._own_by_service.get(service)
-            if own is not None and own.revision == doubt.revision:
+            if own is not None and own.revision == doubt.known.revision:
                 del self._own_by_service[service]
-            if self._revision(service) != doubt.revision:
+            if not doubt.covers(self._stored_by_service.get(service)):
                 # It has been written since, by this controller or another.
                 del self._doubt_by_service[service]
                 continue
