--- a/amaranthcrank/router/key_table.py
+++ b/amaranthcrank/router/key_table.py
@@ -25,6 +25,8 @@
         self.map_by_service: dict[str, model.KeyMap] = {}
         self._firsts_by_service: dict[str, list[int]] = {}
         self._announced_by_service: dict[str, int] = {}
+        # Of maps from an older copy of the store that were not used.
+        self._unused_revision_by_service: dict[str, int] = {}
         self._completed_moves: collections.deque[tuple[str, int, int, int]] = (
             collections.deque(maxlen=MAX_COMPLETED_MOVES)
         )
@@ -43,14 +45,18 @@
             return False
         is_restored = key_map.era < store_position.era_of(key_map.revision)
         if known is not None and is_restored and known.fence > key_map.fence:
+            self._unused_revision_by_service[key_map.service] = (
+                key_map.revision
+            )
             return False
         self._set(key_map)
         return True
 
     def revision(self, service: str) -> int:
-        """Return the revision of a service's map, or 0 if there is none."""
+        """Return the highest revision seen of a service's map, or 0."""
+        unused = self._unused_revision_by_service.get(service, 0)
         key_map = self.map_by_service.get(service)
-        return 0 if key_map is None else key_map.revision
+        return unused if key_map is None else max(unused, key_map.revision)
 
     def record_announced(self, revision_by_service: dict[str, int]) -> None:
         """Record the revisions of the maps that the controller has."""
@@ -59,7 +65,8 @@
     def is_newest(self, service: str) -> bool:
         """Return whether no later map of a service was announced."""
         announced = self._announced_by_service.get(service, 0)
-        return 0 < announced <= self.revision(service)
+        known = self.map_by_service.get(service)
+        return known is not None and 0 < announced <= known.revision
 
     def apply_diff(
         self,
@@ -87,12 +94,12 @@
         for key_range in key_map.ranges:
             ranges += key_ranges.subtract(key_range, changed)
         ranges.sort()
-        fence = max(part.fence for part in ranges)
+        fences = [part.fence for part in ranges]
         self._set(
             key_map._replace(
                 ranges=tuple(ranges),
                 revision=revision,
-                fence=max(key_map.fence, fence),
+                fence=max([key_map.fence, *fences]),
             )
         )
         return True
