Tests: the next ticket is in force everywhere after a restore of the store

The store comes back with a former ticket. None of the hosts uses it, the next one is in force at all of them within 2 s, with and without a reader, and a host that starts then gets the higher number from the others.

--- a/amaranthcrank/router/ticket_feed_test.py
+++ b/amaranthcrank/router/ticket_feed_test.py
@@ -23,6 +23,8 @@
 
 HOSTS = 8
 SYNC_TIMEOUT_S = 3.0
+# A new ticket must be in force at all hosts this long after it was written.
+IN_FORCE_S = 2.0
 
 
 class _FeedsTest(unittest.IsolatedAsyncioTestCase):
@@ -95,6 +97,21 @@
             ):
                 await asyncio.sleep(0.02)
 
+    async def _restore_former_ticket(self):
+        """Restore a copy with a lower number than all hosts know."""
+        await self._wait_until_elected()
+        copied = self.cluster.store.copy()
+        for version in (2, 3):
+            self._put(version)
+            await self._wait_for(version, self.messengers)
+        self.cluster.store.restore(copied)
+
+    async def _check_stays_in_force(self, version, seconds):
+        end_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_at:
+            self.assertEqual(set(self.number_by_id.values()), {version})
+            await asyncio.sleep(0.02)
+
 
 class TicketFeedTest(_FeedsTest):
     async def test_one_host_reads(self):
@@ -127,6 +144,27 @@
         self._put(2)
         await self._wait_for(2, self.messengers)
 
+    async def test_restored_store_has_a_former_ticket(self):
+        """Guards against a former ticket in force, and a next one that waits.
+
+        Hosts know a higher number than the reader finds in the store.
+        """
+        await self._restore_former_ticket()
+        await self._check_stays_in_force(3, 2.5)
+        for version in (3, 4, 5):
+            self._put(version)
+            if version > 3:
+                await self._wait_for(version, self.messengers, IN_FORCE_S)
+
+    async def test_host_that_starts_after_a_restore(self):
+        """Guards against a former ticket at a host that becomes the reader."""
+        await self._restore_former_ticket()
+        await self._start('a-host')
+        await self._wait_for(3, self.messengers)
+        await self._check_stays_in_force(3, 1.0)
+        self._put(4)
+        await self._wait_for(4, self.messengers, IN_FORCE_S)
+
     async def test_few_hosts_retry_in_an_outage(self):
         """Guards against calls from every host throughout an outage."""
         await self._wait_until_elected()
@@ -147,6 +185,18 @@
 
     HOSTS = 3
 
+    async def test_restored_store_has_a_former_ticket(self):
+        """Guards against a former ticket in force, and a next one that waits.
+
+        Hosts know a higher number than the reader finds in the store.
+        """
+        await self._restore_former_ticket()
+        await self._check_stays_in_force(3, 2.5)
+        for version in (3, 4, 5):
+            self._put(version)
+            if version > 3:
+                await self._wait_for(version, self.messengers, IN_FORCE_S)
+
     async def test_ticket_while_the_store_is_unreachable(self):
         """Guards against a stale ticket at a host that the store refuses."""
         await self._wait_until_elected()
