Name in the lease since which era the store's content is whole

Cause: a service without a stored map was taken for new by a process that had started since the restore. The lease that it found was of the present era: a host that knew of the restore had taken it, and ended before it had written a map.

Change: the lease names the era in which it was first written, 0 if that was after a restore, and each term hands it on. An earlier era than the present one shows that maps may be missing.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -89,6 +89,8 @@
         # is known to have held the lease.
         self._term = 0
         self._held_term: int | None = None
+        # The era in which the lease was first written; 0 if that is not known.
+        self._origin_era = 0
         # When this host held the lease or heard from its holder last, and how
         # long ago that was at the last restore of the store.
         self._sign_at = -math.inf
@@ -254,8 +256,9 @@
             and spec.get('incarnation') == self._incarnation
             and _number_in(spec, 'era') == self._client.era
         )
-        if entry_checks.is_revision(spec.get('era')):
-            self._client.record_stored_era(spec['era'])
+        self._origin_era = _number_in(spec, 'origin')
+        if entry_checks.is_revision(spec.get('origin')):
+            self._client.record_stored_era(self._origin_era)
         if self._revision != self._seen_revision:
             self._record_seen(self._revision)
         if self.holder_id and not own and clock.now() < self._seen_expiry:
@@ -318,6 +321,9 @@
 
     async def _create(self) -> None:
         self._begin_term({})
+        # Unless the store was restored, all that was ever written is in it.
+        is_new_store = not self._client.has_seen_restore
+        self._origin_era = self._client.era if is_new_store else 0
         await self._create_object()
         self._record_taken('')
 
@@ -406,6 +412,7 @@
             'count': self._count,
             'term': self._term,
             'era': self._client.era,
+            'origin': self._origin_era,
         }
 
     def _record_write(self, item: typing.Any, sent_at: float) -> None:
--- a/amaranthcrank/router/host_processes_test.py
+++ b/amaranthcrank/router/host_processes_test.py
@@ -44,12 +44,20 @@
         response.
     """
 
+    era = 0
+    has_seen_restore = False
+
     def __init__(self) -> None:
+        self.era_seen_at = 0.0
+        self.on_restored = []
         self.availability = store_availability.AvailabilityHistory()
         self.lost_responses = 0
         self._item = None
         self._revision = 0
 
+    def record_stored_era(self, era):
+        """Record nothing: the store has no eras."""
+
     async def get(self, kind, name, timeout_s):
         """Return the lease."""
         await asyncio.sleep(0.001)
