Take a missing key map in a restored store for a lost one (OWNER)

Cause: the copy was of before the first key map. A host that started after the restore has seen neither the restore nor a map, so it took the missing map for that of a first start and gave out all keys at once, from the first token on.

Evidence: the new test in store_restore_test, with fakes: without the change moves are rejected by i-2 and i-3, and i-4 holds keys that i-3 still holds by the lost map.

Change: in an era above the first a missing map may be a lost one. A host that has known the era for less than the longest grant waits for the rest of that time, and its tokens begin above those of the lost map. Others do not wait.

Open: the first era is promised nowhere; a store that starts at 0 is not covered after its first restore.

Test failing before: store_restore_test.StoreRestoreTest. test_map_that_the_store_has_forgotten (rejected ['i-3', 'i-2'], one overlap). Passing: store_restore_test (7), key_controller_test (41), controller_change_test (8), late_map_write_test (5), store_test (10).

--- a/amaranthcrank/platform/store_position.py
+++ b/amaranthcrank/platform/store_position.py
@@ -13,6 +13,9 @@
 
 # In all responses of a store that has eras.
 ERA_HEADER = b'store-era'
+# A store of a higher era has come back from a copy before. Where eras start is
+# promised nowhere; if higher, a first start waits as after a restore.
+FIRST_ERA = 1
 REVISION_BITS = 40
 MAX_REVISION = 2**REVISION_BITS - 1
 # Positions stay integers that JSON decoders represent exactly.
--- a/amaranthcrank/router/inherited_maps.py
+++ b/amaranthcrank/router/inherited_maps.py
@@ -9,6 +9,7 @@
 import typing
 
 from amaranthcrank.platform import store
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import clock
 from amaranthcrank.router import controller_lease
 from amaranthcrank.router import hold_times
@@ -118,6 +119,10 @@
             return stored.era != self._client.era
         if self._client.has_seen_restore:
             return True
+        if self._client.era > store_position.FIRST_ERA:
+            # The copy may be of before the first map, and this host may have
+            # started after the restore.
+            return True
         return service in self._keys.map_by_service
 
     def _begun(self, key_map: model.KeyMap, restores: int) -> model.KeyMap:
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -10,6 +10,7 @@
 
 from amaranthcrank.platform import entries
 from amaranthcrank.platform import names
+from amaranthcrank.platform import store
 from amaranthcrank.router import clock
 from amaranthcrank.router import directory
 from amaranthcrank.router import key_controller
@@ -62,13 +63,35 @@
         self.is_held = False
 
 
+class _StoreWithoutMap(key_targets.Store):
+    """The copy is of before the first map was written."""
+
+    def __init__(self):
+        super().__init__(STORED)
+        self.is_written = False
+
+    async def list_all(self, kind, timeout_s):
+        """Return the map if it was written since."""
+        if self.is_written:
+            return await super().list_all(kind, timeout_s)
+        return store.Listing({}, 1)
+
+    async def create(self, kind, name, spec, timeout_s):
+        """Create the map."""
+        if self.is_written:
+            raise store.ConflictError(self.item)
+        self.is_written = True
+        self.item = {'metadata': {'rev': 1}, 'spec': spec}
+        return self.item
+
+
 class StoreRestoreTest(unittest.TestCase):
-    def _prepare(self, era):
+    def _prepare(self, era, restored_store=None):
         self.all_targets = [
             key_targets.RangeTarget(key_targets.entry(number))
             for number in (1, 2, 3, 4)
         ]
-        self.store = key_targets.Store(STORED)
+        self.store = restored_store or key_targets.Store(STORED)
         self.store.era = era
         self.lease = _Lease()
         self.log = mock.Mock()
@@ -172,6 +195,22 @@
         await self._run(40.0)
         self.assertEqual(self._overlaps(), [])
 
+    @virtual_time.in_virtual_time
+    async def test_map_that_the_store_has_forgotten(self):
+        """Guards against a second first map, by a host that started late.
+
+        It has seen neither the restore nor the map, and gave out all keys
+        again, from the first token on.
+        """
+        self._prepare(era=2, restored_store=_StoreWithoutMap())
+        # It is measured by another clock than the virtual one.
+        self.controller._stability.is_stable = lambda *_: True
+        self._grant_lost_ranges(6.0)
+        await self._run(40.0)
+        self.assertEqual(self._rejected(), [])
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
     @virtual_time.in_virtual_time
     async def test_rejected_tokens_of_a_store_without_eras(self):
         """Guards against moves that are rejected for good.
