--- a/amaranthcrank/router/host_processes_test.py
+++ b/amaranthcrank/router/host_processes_test.py
@@ -270,8 +270,8 @@
 
     async def _play(self, restart_s):
         self.lease_store = _LeaseStore()
-        self.former = key_targets.Target(key_targets.entry(1))
-        self.next = key_targets.Target(key_targets.entry(2))
+        self.former = key_targets.RangeTarget(key_targets.entry(1))
+        self.next = key_targets.RangeTarget(key_targets.entry(2))
         self.target_by_holder = {
             target.entry.holder: target for target in (self.former, self.next)
         }
