Take no waiting map for the controller's own, and its holder for no known one

Cause: a map that waits for the end of unknown grants is kept where the controller's own maps are. If the controller began again meanwhile, as after a second restore, it used that map at once. And a host counted as knowing the owners if it held the lease, or heard from its holder, until a restore; a holder that itself waits knows nothing of them.

Change: a waiting map is not among the controller's own. A holder counts as known only while it announces maps of the era of its lease; a map from a copy is announced without the era in which it was read.

Failing before: test_second_restore_while_a_map_waits; test_controller_that_waits_is_no_sign_of_known_owners is new.

--- a/amaranthcrank/router/controller_lease.py
+++ b/amaranthcrank/router/controller_lease.py
@@ -48,8 +48,8 @@
 # hosts above this one, which bounds the load of the store.
 UNSCALED_RETRY_HOSTS = 20
 LEASE_NAME = 'key-controller'
-# A host that heard from a holder within this time before a restore knows what
-# the holder did: a holder that the store does not answer stops by then.
+# A host that knew a holder to act within this time before a restore knows what
+# it did: a holder that the store does not answer stops by then.
 KNOWN_HOLDER_S = LEASE_S + 1.5
 
 
@@ -91,9 +91,9 @@
         self._held_term: int | None = None
         # The era in which the lease was first written; 0 if that is not known.
         self._origin_era = 0
-        # When this host held the lease or heard from its holder last, and how
-        # long ago that was at the last restore of the store.
-        self._sign_at = -math.inf
+        # When the holder was last known to act, and how long ago that was at
+        # the last restore of the store.
+        self._active_at = -math.inf
         self._silent_s_at_restore = math.inf
         client.on_restored.append(self._record_restore)
         # Whether the store has confirmed the lease since it was invalidated.
@@ -122,12 +122,16 @@
         """The revision of the lease's last confirmed write by this host."""
         return self._revision
 
+    def record_active_holder(self) -> None:
+        """Record that the holder, maybe this host, acts on present maps."""
+        self._active_at = clock.now()
+
     def knew_holder_at_restore(self) -> bool:
-        """Return whether this host knew a holder until the last restore."""
+        """Return whether a holder was known to act until the last restore."""
         return self._silent_s_at_restore < KNOWN_HOLDER_S
 
     def _record_restore(self, former_era: int, era: int) -> None:
-        self._silent_s_at_restore = clock.now() - self._sign_at
+        self._silent_s_at_restore = clock.now() - self._active_at
 
     def record_heartbeat(self, revision: int) -> None:
         """Record the revision of the lease that the holder's heartbeat names.
@@ -136,7 +140,6 @@
         finds the revision unchanged in the store counts from here.
         """
         self._client.record_position(revision)
-        self._sign_at = clock.now()
         if revision > self._seen_revision:
             self._record_seen(revision)
             self._client.availability.record_answer()
@@ -419,7 +422,6 @@
         self._revision = entries.revision_of(item)
         self.holder_id = self._host_id
         self.held_until = sent_at + LEASE_S
-        self._sign_at = sent_at
 
     def _adopt_own_write(self, item: typing.Any) -> bool:
         """Adopt the stored revision if this process wrote it.
--- a/amaranthcrank/router/controller_lease_test.py
+++ b/amaranthcrank/router/controller_lease_test.py
@@ -208,9 +208,9 @@
     async def test_holder_that_was_known_until_a_restore(self):
         """Guards against an old map that is taken for the newest."""
         silent, told = self._lease('1'), self._lease('2')
-        silent.record_heartbeat(1)
+        silent.record_active_holder()
         await asyncio.sleep(0.3)
-        told.record_heartbeat(1)
+        told.record_active_holder()
         with mock.patch.object(controller_lease, 'KNOWN_HOLDER_S', 0.2):
             self.store.restore(None)
             self.assertFalse(silent.knew_holder_at_restore())
--- a/amaranthcrank/router/host_reports.py
+++ b/amaranthcrank/router/host_reports.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import admission
 from amaranthcrank.router import change_parts
 from amaranthcrank.router import controller_lease
@@ -144,12 +145,9 @@
         contended services.
         """
         while self._lease.is_held:
-            revisions = {
-                service: key_map.revision
-                for service, key_map in self._keys.map_by_service.items()
-            }
+            revisions = self._keys.revisions_to_announce()
             contended_services = sorted(self._controller.contended_services)
-            self._keys.record_announced(revisions)
+            self._record_announced(self._lease.revision, revisions)
             content = [self._lease.revision, revisions, contended_services]
             self._messenger.send_to_all(message_kinds.HEARTBEAT, content)
             await asyncio.sleep(CONTROLLER_HEARTBEAT_S)
@@ -164,9 +162,22 @@
         lease_revision, revisions, contended_services = content
         self._contended_services = frozenset(contended_services)
         self._lease.record_heartbeat(lease_revision)
-        self._keys.record_announced(revisions)
+        self._record_announced(lease_revision, revisions)
         self.read_schedule.record_revisions(revisions)
 
+    def _record_announced(
+        self, lease_revision: int, revisions: dict[str, int]
+    ) -> None:
+        """Record the maps of the controller, and whether it acts on them.
+
+        While it has only maps of an earlier era than its lease, it waits.
+        """
+        self._keys.record_announced(revisions)
+        era = store_position.era_of(lease_revision)
+        eras = map(store_position.era_of, revisions.values())
+        if all(map_era == era for map_era in eras):
+            self._lease.record_active_holder()
+
     def _on_resigned(self, host_id: str, content: typing.Any) -> None:
         if host_id == self._controller_id:
             self._controller_heartbeat_at = NEVER
--- a/amaranthcrank/router/host_reports_test.py
+++ b/amaranthcrank/router/host_reports_test.py
@@ -4,6 +4,7 @@
 import types
 import unittest
 
+from amaranthcrank.platform import store_position
 from amaranthcrank.router import host_reports
 from amaranthcrank.router import key_table
 from amaranthcrank.router import message_kinds
@@ -28,6 +29,7 @@
         self.now = 100.0
         self.sent = []
         self.assigned_services = []
+        self.active = []
         self.first = self.make('h-1', is_controller=True)
         self.second = self.make('h-2', is_controller=False)
 
@@ -44,6 +46,7 @@
             holder_id='',
             record_heartbeat=lambda revision: None,
             record_resignation=lambda: None,
+            record_active_holder=lambda: self.active.append(host_id),
         )
         request_queue = types.SimpleNamespace(
             assign_waiting=self.assigned_services.append,
@@ -124,6 +127,24 @@
         self.second._on_heartbeat('h-1', [5, {'book': 8}, []])
         self.assertTrue(self.second.read_schedule.is_due())
 
+    def test_controller_that_waits_is_no_sign_of_known_owners(self):
+        """Guards against owners that are renewed by the map of a copy.
+
+        A controller that has only a map of an earlier era does not act on it,
+        so who hears from it does not know what happens to the keys.
+        """
+        lease_at = store_position.position(2, 90)
+        copied_at = store_position.position(2, 50)
+        self.first.keys.put(_map(copied_at, _range(0, 65535, 2)))
+        waiting = self.first.keys.revisions_to_announce()
+        self.second._on_heartbeat('h-1', [lease_at, waiting, []])
+        self.assertEqual(self.active, [])
+        written = _map(copied_at + 1, _range(0, 65535, 2))._replace(era=2)
+        self.first.keys.put(written)
+        acting = self.first.keys.revisions_to_announce()
+        self.second._on_heartbeat('h-1', [lease_at, acting, []])
+        self.assertEqual(self.active, ['h-2'])
+
     async def test_new_host_is_known_to_earlier_hosts(self):
         """Guards against a host that receives no reports from others."""
         announcing = asyncio.create_task(self.second.announce())
--- a/amaranthcrank/router/key_controller.py
+++ b/amaranthcrank/router/key_controller.py
@@ -161,7 +161,11 @@
             self._inherited_maps.record_other_holder()
             self._unsettled.clear()
             self._map_by_service = {}
-        own_maps = self._map_by_service
+        own_maps = {
+            service: key_map
+            for service, key_map in self._map_by_service.items()
+            if self._inherited_maps.may_move(service)
+        }
         self._reset()
         self._unsettled.start()
         try:
--- a/amaranthcrank/router/key_table.py
+++ b/amaranthcrank/router/key_table.py
@@ -58,9 +58,26 @@
         key_map = self.map_by_service.get(service)
         return unused if key_map is None else max(unused, key_map.revision)
 
+    def revisions_to_announce(self) -> dict[str, int]:
+        """Return the revision of each map, as the controller announces it.
+
+        A map from an older copy of the store is announced without the era in
+        which it was read, so that nobody takes it for one that was written in
+        that era.
+        """
+        revision_by_service = {}
+        for service, key_map in self.map_by_service.items():
+            revision = key_map.revision
+            if key_map.era != store_position.era_of(revision):
+                revision = store_position.revision_of(revision)
+            revision_by_service[service] = revision
+        return revision_by_service
+
     def record_announced(self, revision_by_service: dict[str, int]) -> None:
         """Record the revisions of the maps that the controller has."""
-        self._announced_by_service.update(revision_by_service)
+        for service, revision in revision_by_service.items():
+            known = self._announced_by_service.get(service, 0)
+            self._announced_by_service[service] = max(known, revision)
 
     def is_newest(self, service: str) -> bool:
         """Return whether no later map of a service was announced."""
@@ -99,6 +116,7 @@
             key_map._replace(
                 ranges=tuple(ranges),
                 revision=revision,
+                era=store_position.era_of(revision),
                 fence=max([key_map.fence, *fences]),
             )
         )
--- a/amaranthcrank/router/store_restore_test.py
+++ b/amaranthcrank/router/store_restore_test.py
@@ -288,6 +288,24 @@
         self.assertEqual(self._overlaps(), [])
         self.assertEqual(self._owned_share(), 1.0)
 
+    @virtual_time.in_virtual_time
+    async def test_second_restore_while_a_map_waits(self):
+        """Guards against a map that is used as its own by a controller.
+
+        The controller held the lease all the time, but had not begun to act on
+        the map.
+        """
+        self._prepare(era=1)
+        self._grant_lost_ranges(10.0)
+        task = asyncio.create_task(self._run(40.0))
+        await asyncio.sleep(3.0)
+        self.store.era = 2
+        self.store.era_seen_at = clock.now()
+        await task
+        self.assertEqual(self._rejected(), [])
+        self.assertEqual(self._overlaps(), [])
+        self.assertEqual(self._owned_share(), 1.0)
+
     @virtual_time.in_virtual_time
     async def test_rejected_tokens_of_a_store_without_eras(self):
         """Guards against moves that are rejected for good.
