--- a/soak/store_restore_test.py
+++ b/soak/store_restore_test.py
@@ -14,7 +14,7 @@
 SEED = 1
 ROUTERS = 3
 TARGETS = 6
-# A new manifest must be in force this long after it was written.
+# A new ticket must be in force this long after it was written.
 IN_FORCE_S = 2.0
 # Targets write their missing entries again within about this time.
 REWRITTEN_AFTER_S = 1.0
@@ -53,8 +53,8 @@
             await self._status(router, prefix) for router in self.env.routers
         ]
 
-    async def _wait_for_manifest(self):
-        """Wait until all routers apply the manifest that was just written."""
+    async def _wait_for_ticket(self):
+        """Wait until all routers apply the ticket that was just written."""
         async with asyncio.timeout(IN_FORCE_S):
             while set(await self._statuses(self.env.newest_prefix)) != {200}:
                 await asyncio.sleep(0.05)
@@ -74,10 +74,10 @@
             self.assertEqual(set(await self._statuses(former_prefix)), {404})
             await asyncio.sleep(0.1)
 
-    async def test_manifests_targets_and_hosts(self):
+    async def test_tickets_targets_and_hosts(self):
         """Guards against hosts that no longer follow the store.
 
-        They also must not use what the copy brings back: a former manifest,
+        They also must not use what the copy brings back: a former ticket,
         and a target that has left and still serves.
         """
         former_prefix = self.env.newest_prefix
@@ -87,7 +87,7 @@
         left_at = time.monotonic()
         for _ in range(2):
             self.env.write_manifest()
-            await self._wait_for_manifest()
+            await self._wait_for_ticket()
         await self.env.add_target('desk')
         joined = self.env.targets[-1]
         await self._wait_for_runs(joined, 0.0)
@@ -105,7 +105,7 @@
         await asyncio.sleep(restored_at + EXPIRED_AFTER_S - time.monotonic())
         self.store.remove(names.TARGETS_KIND, leaving.target_id)
         self.env.write_manifest()
-        await self._wait_for_manifest()
+        await self._wait_for_ticket()
         self.assertEqual(set(await self._statuses(former_prefix)), {404})
         added_at = time.monotonic()
         await self.env.add_target('desk')
@@ -120,7 +120,7 @@
             while expected - self.store.revisions(names.SHARED_KIND).keys():
                 await asyncio.sleep(0.05)
 
-    async def test_manifest_at_revisions_that_exist_again(self):
+    async def test_ticket_at_revisions_that_exist_again(self):
         """Guards against hosts that wait for changes at a former revision.
 
         Their watches stay open: the store soon has their revisions again.
@@ -129,14 +129,14 @@
         for number in range(30):
             self.store.put('other', f'name-{number}', {'spec': {}})
         self.env.write_manifest()
-        await self._wait_for_manifest()
+        await self._wait_for_ticket()
         former_revision = self.store.revision
         self.store.restore(copy)
         # The lost version is written again, and the next one.
         self.env.write_manifest()
         while self.store.revision < former_revision + 10:
             self.store.put('other', 'name', {'spec': {}})
-        await self._wait_for_manifest()
+        await self._wait_for_ticket()
 
     async def test_registrations_that_the_copy_lacks(self):
         """Guards against hosts that a host that starts does not learn of."""
