--- a/amaranthcrank/router/target_feed_test.py
+++ b/amaranthcrank/router/target_feed_test.py
@@ -143,7 +143,47 @@
         self.cluster.store.restore(copied)
 
 
-class TargetFeedTest(_FeedsTest):
+class _RestoreTests:
+    """Restores of the store; the same whoever reads it."""
+
+    async def test_entry_that_a_restored_store_lacks(self):
+        """Guards against live targets that get no requests after a restore."""
+        await self._restore_without_entry()
+        self.assertTrue(
+            await self._holds(lambda targets: 'i-2' in targets.by_id, 1.5)
+        )
+        self._put(2)
+        await self._wait(
+            lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
+        )
+
+    async def test_target_that_ended_before_a_restore(self):
+        """Guards against requests to it until the store is read again."""
+        await self._restore_without_entry()
+        await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
+
+    async def test_entry_that_a_restored_store_brings_back(self):
+        """Guards against requests to a target that has left and serves on."""
+        self._put(2)
+        await self._wait(lambda targets: 'i-2' in targets.by_id)
+        copied = self.cluster.store.copy()
+        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
+        await self._wait(lambda targets: 'i-2' not in targets.by_id)
+        await asyncio.sleep(target_feed.BATCH_S)
+        self.cluster.store.restore(copied)
+        expiry_s = 3 * HEARTBEAT_S
+        self.assertTrue(
+            await self._holds(
+                lambda targets: 'i-2' not in targets.by_id, expiry_s
+            )
+        )
+        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
+        self.assertTrue(
+            await self._holds(lambda targets: 'i-2' not in targets.by_id, 2.0)
+        )
+
+
+class TargetFeedTest(_RestoreTests, _FeedsTest):
     async def test_one_host_reads(self):
         """Guards against store calls that grow with hosts times changes."""
         before = self._calls()
@@ -242,42 +282,6 @@
             + 0.5,
         )
 
-    async def test_entry_that_a_restored_store_lacks(self):
-        """Guards against live targets that get no requests after a restore."""
-        await self._restore_without_entry()
-        self.assertTrue(
-            await self._holds(lambda targets: 'i-2' in targets.by_id, 1.5)
-        )
-        self._put(2)
-        await self._wait(
-            lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
-        )
-
-    async def test_target_that_ended_before_a_restore(self):
-        """Guards against requests to it until the store is read again."""
-        await self._restore_without_entry()
-        await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
-
-    async def test_entry_that_a_restored_store_brings_back(self):
-        """Guards against requests to a target that has left and serves on."""
-        self._put(2)
-        await self._wait(lambda targets: 'i-2' in targets.by_id)
-        copied = self.cluster.store.copy()
-        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
-        await self._wait(lambda targets: 'i-2' not in targets.by_id)
-        await asyncio.sleep(target_feed.BATCH_S)
-        self.cluster.store.restore(copied)
-        expiry_s = 3 * HEARTBEAT_S
-        self.assertTrue(
-            await self._holds(
-                lambda targets: 'i-2' not in targets.by_id, expiry_s
-            )
-        )
-        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
-        self.assertTrue(
-            await self._holds(lambda targets: 'i-2' not in targets.by_id, 2.0)
-        )
-
     async def test_outage(self):
         self.cluster.store.fault = platform_store.BUSY
         await asyncio.sleep(2.0)
@@ -339,47 +343,11 @@
         self.assertLess(elapsed_s, DRAIN_S / 2)
 
 
-class FewHostsTest(_FeedsTest):
+class FewHostsTest(_RestoreTests, _FeedsTest):
     """Too few hosts for an election: each one reads the store itself."""
 
     HOSTS = 3
 
-    async def test_entry_that_a_restored_store_lacks(self):
-        """Guards against live targets that get no requests after a restore."""
-        await self._restore_without_entry()
-        self.assertTrue(
-            await self._holds(lambda targets: 'i-2' in targets.by_id, 1.5)
-        )
-        self._put(2)
-        await self._wait(
-            lambda targets: targets.by_id['i-2'].missing_until is None, 1.0
-        )
-
-    async def test_target_that_ended_before_a_restore(self):
-        """Guards against requests to it until the store is read again."""
-        await self._restore_without_entry()
-        await self._wait(lambda targets: 'i-2' not in targets.by_id, SETTLE_S)
-
-    async def test_entry_that_a_restored_store_brings_back(self):
-        """Guards against requests to a target that has left and serves on."""
-        self._put(2)
-        await self._wait(lambda targets: 'i-2' in targets.by_id)
-        copied = self.cluster.store.copy()
-        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
-        await self._wait(lambda targets: 'i-2' not in targets.by_id)
-        await asyncio.sleep(target_feed.BATCH_S)
-        self.cluster.store.restore(copied)
-        expiry_s = 3 * HEARTBEAT_S
-        self.assertTrue(
-            await self._holds(
-                lambda targets: 'i-2' not in targets.by_id, expiry_s
-            )
-        )
-        self.cluster.store.remove(names.TARGETS_KIND, 'i-2')
-        self.assertTrue(
-            await self._holds(lambda targets: 'i-2' not in targets.by_id, 2.0)
-        )
-
     async def test_departure_missed_by_a_disconnected_host(self):
         """Guards against requests to departed targets after the drain time.
 
